--- /dev/null
+++ b/src/benchlink/main.cpp
@@ -0,0 +1,267 @@
+// The adapter: decodes the bench's batches into calls of Deciders and encodes what their Hosts are told to do.
+// One process carries many instances; they share nothing but the stream.
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "decide.h"
+#include "frames.h"
+#include "settings.h"
+
+namespace damsonspoke::benchlink {
+namespace {
+
+constexpr double kSecondsPerMs = 0.001;
+constexpr double kMsPerSecond = 1000;
+constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 30;  // a longer frame is a broken stream
+
+enum EventCode : std::uint8_t {
+  kSubmit = 1, kWake, kRunOver, kCreate, kTerminateSoon, kGone, kBlocked, kReturned, kCrashNow
+};
+enum ActionCode : std::uint8_t {
+  kSetHealth = 1, kBug, kPushBack, kJournalLine, kAnnounce, kProcess, kRemember, kAfter, kDegrade, kIdle, kJoin,
+  kDial, kSurrender, kInterrupt, kEvict
+};
+
+// Encodes one instance's actions in the order in which they are taken.
+class WireHost : public Host {
+ public:
+  WireHost(Writer& out, std::uint32_t who) : out_(out), who_(who) {}
+
+  void start(OpId id) override { about(kProcess, id); }
+  void interrupt(OpId id) override { about(kInterrupt, id); }
+  void nack(OpId id, double come_back_in, bool no_retry) override {
+    about(kPushBack, id);
+    out_.put(come_back_in * kMsPerSecond);
+    out_.put(static_cast<std::uint8_t>(no_retry));
+  }
+  void fail(OpId id) override { about(kSurrender, id); }
+  void call(OpId id, double patience) override { about(kDial, id, patience); }
+  void skip_call(OpId id) override { about(kDegrade, id); }
+  void remember(OpId id, double ttl) override { about(kRemember, id, ttl); }
+  void forget(OpId id) override { about(kEvict, id); }
+  void join(OpId id) override { about(kJoin, id); }
+  void set_health(bool good, bool from_store) override {
+    out_.begin_record(kSetHealth, who_);
+    out_.put(static_cast<std::uint8_t>(good));
+    out_.put(static_cast<std::uint8_t>(from_store));
+  }
+  void announce(double value) override {
+    out_.begin_record(kAnnounce, who_);
+    out_.put(static_cast<float>(value));
+  }
+  void close_idle(double after) override {
+    out_.begin_record(kIdle, who_);
+    out_.put(after * kMsPerSecond);
+  }
+  void wake_at(double time, std::uint64_t token) override {
+    out_.begin_record(kAfter, who_);
+    out_.put(time * kMsPerSecond);
+    out_.put(token);
+  }
+  void log(const std::string& line) override { text(kJournalLine, line); }
+  void bug(const std::string& line) { text(kBug, line); }
+
+ private:
+  void about(ActionCode code, OpId id) {
+    out_.begin_record(code, who_);
+    out_.put(id);
+  }
+  void about(ActionCode code, OpId id, double time) {
+    about(code, id);
+    out_.put(time * kMsPerSecond);
+  }
+  void text(ActionCode code, const std::string& line) {
+    out_.begin_record(code, who_);
+    out_.put_text(line);
+  }
+
+  Writer& out_;
+  std::uint32_t who_;
+};
+
+struct Instance {
+  Instance(Writer& out, std::uint32_t who, const StartSettings& start, std::uint64_t seed, double now)
+      : host(out, who), gauges(start.gauges), op_types(start.settings.op_types.size()),
+        customers(start.settings.customers.size()) {
+    try {
+      decider = std::make_unique<Decider>(start.settings, seed, host, now);
+    } catch (const std::exception& error) {
+      host.bug(error.what());
+    }
+  }
+  WireHost host;
+  std::vector<Gauge> gauges;
+  std::size_t op_types;
+  std::size_t customers;
+  std::unique_ptr<Decider> decider;
+};
+
+using Instances = std::map<std::uint32_t, std::unique_ptr<Instance>>;
+
+Outcome outcome_of(std::uint8_t code) {
+  switch (code) {
+    case 0: return Outcome::kError;
+    case 1: return Outcome::kOk;
+    case 2: return Outcome::kRefused;
+    case 3: return Outcome::kTimeout;
+    case 4: return Outcome::kUnreachable;
+    case 5: return Outcome::kReset;
+    case 6: return Outcome::kCancelled;
+    case 7: return Outcome::kMoot;
+    default: throw MalformedInput("unknown outcome " + std::to_string(code));
+  }
+}
+
+Op read_op(Reader& in, const Instance& instance) {
+  Op op;
+  op.id = in.take<std::uint64_t>();
+  op.type = in.take<std::uint16_t>();
+  op.customer = in.take<std::uint16_t>();
+  op.key = in.take<std::uint64_t>();
+  op.remaining_wait = in.take_number<double>("expires-in") * kSecondsPerMs;
+  in.take_number<double>("predicted");
+  op.held_kb = in.take_number<float>("mem-kb");
+  op.rank = in.take_number<float>("place");
+  const auto options = in.take<std::uint8_t>();
+  op.again = (options & 2) != 0;
+  op.write = (options & 4) != 0;
+  op.caller = in.take<std::uint32_t>();
+  op.age = in.take_number<double>("age") * kSecondsPerMs;
+  op.original = in.take<std::uint64_t>();
+  if (static_cast<std::size_t>(op.type) >= instance.op_types) throw MalformedInput("a class that the settings lack");
+  if (op.customer != 0 && static_cast<std::size_t>(op.customer) >= instance.customers) {
+    throw MalformedInput("a customer that the settings lack");
+  }
+  if (op.held_kb < 0 || op.age < 0 || op.remaining_wait < 0) throw MalformedInput("a negative size or time");
+  return op;
+}
+
+Gauges read_gauges(Reader& in, const Instance& instance) {
+  Gauges gauges;
+  const auto count = in.take<std::uint8_t>();
+  for (std::size_t i = 0; i < count; ++i) {
+    const double value = in.take_number<float>("a gauge");
+    switch (i < instance.gauges.size() ? instance.gauges[i] : Gauge::kOther) {
+      case Gauge::kCpuBusy: gauges.cpu_busy = value; break;
+      case Gauge::kRunnable: gauges.runnable = value; break;
+      case Gauge::kMemoryUsed: gauges.memory_used = value; break;
+      case Gauge::kConnections: gauges.connections = value; break;
+      case Gauge::kOther: break;
+    }
+  }
+  return gauges;
+}
+
+// Each record is read in full before the decision, so that an exception in a Decider cannot shift the stream.
+template <typename Decision>
+void decide(Instance& instance, Decision decision) {
+  if (!instance.decider) return;
+  try {
+    decision(*instance.decider);
+  } catch (const std::exception& error) {
+    instance.host.bug(error.what());
+  }
+}
+
+void handle_record(Reader& in, double now, Instances& instances, Writer& out) {
+  const auto code = in.take<std::uint8_t>();
+  if (code < kSubmit || code > kCrashNow) throw MalformedInput("unknown event code " + std::to_string(code));
+  const auto who = in.take<std::uint32_t>();
+  if (code == kCreate) {
+    const auto seed = in.take<std::uint64_t>();
+    const StartSettings start = read_settings(in.take_bytes(in.take<std::uint32_t>()));
+    instances[who] = std::make_unique<Instance>(out, who, start, seed, now);
+    return;
+  }
+  if (code == kCrashNow) {
+    instances.erase(who);
+    return;
+  }
+  const auto found = instances.find(who);
+  if (found == instances.end()) throw MalformedInput("an event for an instance that was not created");
+  Instance& instance = *found->second;
+  if (code == kSubmit) {
+    const Op op = read_op(in, instance);
+    decide(instance, [&](Decider& decider) { decider.on_op(now, op); });
+    return;
+  }
+  if (code == kTerminateSoon) {
+    const double left = in.take_number<double>("expires-in") * kSecondsPerMs;
+    decide(instance, [&](Decider& decider) { decider.on_leave(now, left); });
+    return;
+  }
+  const auto id = in.take<std::uint64_t>();
+  if (code == kWake) {
+    const Gauges gauges = read_gauges(in, instance);
+    decide(instance, [&](Decider& decider) { decider.on_wake(now, id, gauges); });
+  } else if (code == kGone) {
+    decide(instance, [&](Decider& decider) { decider.on_gone(now, id); });
+  } else if (code == kBlocked) {
+    decide(instance, [&](Decider& decider) { decider.on_call_needed(now, id); });
+  } else {
+    const Outcome outcome = outcome_of(in.take<std::uint8_t>());
+    const double spent = in.take_number<double>("spent") * kSecondsPerMs;
+    decide(instance, [&](Decider& decider) {
+      if (code == kRunOver) {
+        decider.on_run_end(now, id, outcome, spent);
+      } else {
+        decider.on_call_end(now, id, outcome, spent);
+      }
+    });
+  }
+}
+
+// False at the end of the stream; a frame cut off in the middle is malformed.
+bool read_fully(char* into, std::size_t count, bool may_end) {
+  const std::size_t got = std::fread(into, 1, count, stdin);
+  if (got == count) return true;
+  if (got == 0 && may_end && std::feof(stdin) != 0) return false;
+  throw MalformedInput("the input ends in the middle of a frame");
+}
+
+void write_fully(const std::string& bytes) {
+  if (std::fwrite(bytes.data(), 1, bytes.size(), stdout) != bytes.size()) throw MalformedInput("cannot write a reply");
+}
+
+void serve() {
+  Instances instances;
+  Writer out;
+  Writer header;
+  std::string body;
+  char head[16];
+  while (read_fully(head, sizeof head, true)) {
+    Reader fields(std::string_view(head, sizeof head));
+    const auto count = fields.take<std::uint32_t>();
+    const auto length = fields.take<std::uint32_t>();
+    const double now = fields.take_number<double>("the clock") * kSecondsPerMs;
+    if (length > kMaxBatchBytes) throw MalformedInput("a batch longer than any that can be meant");
+    body.resize(length);
+    if (length > 0) read_fully(body.data(), length, false);
+    Reader in(body);
+    out.clear();
+    for (std::uint32_t i = 0; i < count; ++i) handle_record(in, now, instances, out);
+    if (!in.at_end()) throw MalformedInput("a batch holds more bytes than its records");
+    header.clear();
+    header.put(out.records());
+    header.put(static_cast<std::uint32_t>(out.bytes().size()));
+    write_fully(header.bytes());
+    write_fully(out.bytes());
+    std::fflush(stdout);
+  }
+}
+
+}  // namespace
+}  // namespace damsonspoke::benchlink
+
+int main() {
+  try {
+    damsonspoke::benchlink::serve();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "damsonspoke_benchlink: %s\n", error.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/benchlink/settings.cpp
@@ -0,0 +1,142 @@
+#include "settings.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "frames.h"
+
+namespace damsonspoke::benchlink {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr double kSecondsPerMs = 0.001;
+
+[[noreturn]] void bad(const std::string& key) { throw MalformedInput("settings: bad value of '" + key + "'"); }
+
+// The value of a key, or null where it is absent.
+const Json& find(const Json& from, const char* key) {
+  static const Json absent;
+  if (!from.is_object()) throw MalformedInput(std::string("settings: '") + key + "' is looked for in no object");
+  const auto at = from.find(key);
+  return at == from.end() ? absent : *at;
+}
+
+double number(const Json& from, const char* key, double otherwise) {
+  const Json& value = find(from, key);
+  if (value.is_null()) return otherwise;
+  if (!value.is_number() || !std::isfinite(value.get<double>()) || value.get<double>() < 0) bad(key);
+  return value.get<double>();
+}
+
+double seconds(const Json& from, const char* key) { return number(from, key, 0) * kSecondsPerMs; }
+
+int whole(const Json& from, const char* key, int at_least) {
+  const double value = number(from, key, at_least);
+  if (value > 1e6 || value < at_least) bad(key);
+  return static_cast<int>(value);
+}
+
+bool flag(const Json& from, const char* key) {
+  const Json& value = find(from, key);
+  if (value.is_null()) return false;
+  if (!value.is_boolean()) bad(key);
+  return value.get<bool>();
+}
+
+template <typename T>
+T word(const Json& from, const char* key, std::initializer_list<std::pair<const char*, T>> words) {
+  const Json& value = find(from, key);
+  if (value.is_null()) return words.begin()->second;
+  for (const auto& [text, meaning] : words) {
+    if (value == text) return meaning;
+  }
+  bad(key);
+}
+
+const Json& array(const Json& from, const char* key) {
+  static const Json none = Json::array();
+  const Json& value = find(from, key);
+  if (value.is_null()) return none;
+  if (!value.is_array()) bad(key);
+  return value;
+}
+
+}  // namespace
+
+StartSettings read_settings(std::string_view text) {
+  const Json top = Json::parse(text, nullptr, false);
+  if (!top.is_object()) throw MalformedInput("settings: not a JSON object");
+  const Json& family = find(top, "family-info");
+  if (!family.is_object()) bad("family-info");
+  static const Json empty = Json::object();
+  const Json& rules = find(top, "rules").is_object() ? find(top, "rules") : empty;
+  const Json& allowed = find(top, "allowed").is_object() ? find(top, "allowed") : empty;
+
+  StartSettings start;
+  Settings& s = start.settings;
+  const Json& calls = array(family, "calls-by-class");
+  const Json& without = array(family, "worth-without");
+  for (const Json& entry : array(top, "request-classes")) {
+    OpType type;
+    const std::size_t at = s.op_types.size();
+    type.target_latency = seconds(entry, "target");
+    type.op_timeout = seconds(entry, "give-up");
+    type.window = seconds(entry, "window");
+    type.importance = number(entry, "worth", 1);
+    type.late_worth = number(entry, "late-worth", 0);
+    type.effect = word<Effect>(entry, "semantics",
+                               {{"retryable", Effect::kRetryable},
+                                {"dedup", Effect::kKeyed},
+                                {"fragile", Effect::kNonRetryable}});
+    if (at < calls.size()) {
+      if (!calls[at].is_boolean()) bad("calls-by-class");
+      type.calls = calls[at].get<bool>();
+    }
+    if (at < without.size()) {
+      if (!without[at].is_number()) bad("worth-without");
+      type.worth_without = without[at].get<double>();
+    }
+    s.op_types.push_back(type);
+  }
+  if (s.op_types.empty()) bad("request-classes");
+  for (const Json& entry : array(top, "customers")) s.customers.push_back({number(entry, "quota-per-s", 0)});
+  s.over_share_worth = number(top, "over-share-worth", 1);
+  s.servers = whole(top, "servers", 1);
+  s.callers = whole(family, "callers", 0);
+  s.cores = whole(family, "cores", 1);
+  s.memory_kb = number(family, "memory-kb", 0);
+  if (s.memory_kb <= 0) bad("memory-kb");
+  s.run_factor = number(family, "run-factor", 1);
+  s.key_kb = number(family, "key-kb", 0);
+  s.fresh = seconds(family, "fresh");
+  s.halt = word<Halt>(family, "halt", {{"off", Halt::kOff}, {"drop", Halt::kDrop}, {"pause", Halt::kPause}});
+  s.say = word<Say>(family, "say",
+                    {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
+  s.deep_checks = flag(family, "deep-checks");
+  s.tells_gone = flag(family, "tells-gone");
+  s.caller_idle = seconds(family, "caller-idle");
+  s.below = word<Below>(family, "below", {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
+  s.dep_share = number(family, "dep-share", 0);
+  s.calls_over = seconds(family, "calls-over");
+  s.linger = seconds(family, "linger");
+  s.cold = flag(family, "cold");
+  s.cold_from = number(rules, "cold-from", 1);
+  s.cold_time = seconds(rules, "cold");
+  s.crowd_multiple = number(rules, "fall-multiple", 1);
+  s.drain_grace = seconds(rules, "stop-sending-within");
+  s.retry_after = flag(allowed, "retry-after");
+  s.max_retry_after = seconds(allowed, "max-retry-after");
+  s.resolution = seconds(top, "resolution");
+  for (const Json& name : array(family, "gauges")) {
+    start.gauges.push_back(name == "cpu_busy"   ? Gauge::kCpuBusy
+                           : name == "runnable" ? Gauge::kRunnable
+                           : name == "mem_used" ? Gauge::kMemoryUsed
+                           : name == "sockets"  ? Gauge::kConnections
+                                                : Gauge::kOther);
+  }
+  return start;
+}
+
+}  // namespace damsonspoke::benchlink
--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,718 @@
+// All decisions of a damsonspoke backend. The front (in the bench: src/benchlink) calls one method of Decider for
+// each thing that happens, in the order in which it happens; the methods act at once through the Host that was
+// handed over at start. Interface: decide.h. The mechanism and every departure from it: docs/design.md.
+#include "decide.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace damsonspoke {
+namespace {
+
+// ---- Constants: all of them, with unit and reason.
+constexpr double kTick = 0.1;              // s; between looks at the gauges: short beside any target latency
+constexpr double kDueMargin = 0.010;       // s; an answer owed leaves this early, well inside the allowed slack
+constexpr double kStopMargin = 0.200;      // s; before the stop: all answers are out even after a slow batch
+constexpr double kMemoryShare = 0.92;      // of memory; the rest is for what is not ours to count
+constexpr double kKeyShare = 0.4;          // of memory that kept entries may fill: ops need the larger part
+constexpr double kHeldPerCore = 8;         // ops; the count bound beside the bytes, above what the finish check lets
+constexpr double kCrowdShare = 0.6;        // of the survivable crowd: returns from calls come on top by themselves
+constexpr double kAtCallsPerCore = 2;      // ops; at calls beside the run limit: all may come back at one moment
+constexpr double kFinishShare = 0.6;       // of the time to the target: predictions are means, answers must not be
+constexpr double kLeastShare = 0.35;       // of that for the least important: with plenty of room they still pass
+constexpr double kLateMatters = 0.5;       // late worth under which the target counts as the end of the wait
+constexpr double kPaceMemory = 1.5;        // s; a slow spell shows within two or three runs
+constexpr double kPacePrior = 0.1;         // core s at normal pace: nothing measured reads as normal
+constexpr double kPaceLeast = 0.02;        // a standstill still gives a finite prediction
+constexpr double kPaceMost = 3;            // a backend that warms up outruns what it learned cold
+constexpr double kOverdue = 2;             // x mean run; a run past this is no longer taken as progress
+constexpr double kAilingEnter = 0.9;       // predicted bare run over target: nothing would be in time
+constexpr double kAilingLeave = 0.6;       // and back only when clearly better, so that it does not flap
+constexpr double kErrorsEnter = 0.35;      // share of failed runs; a sound backend fails a few in a thousand
+constexpr double kErrorMemory = 12;        // runs; a dozen tell a failing backend from bad luck
+constexpr int kSoundRuns = 6;              // good runs in a row that end a failing spell
+constexpr int kProbeRuns = 1;              // ops at a time that an ailing backend takes to see whether it is well
+constexpr double kHealthPatience = 0.5;    // s of ailing before health says so: one odd second is no illness
+constexpr double kHistogramFull = 64;      // values; then halved, so that the past fades
+constexpr double kGrow = 1.25;             // x run limit a tick, while cores idle and work waits
+constexpr double kIdleCores = 0.85;        // busy share under which the cores count as idle
+constexpr double kFullCores = 0.97;        // busy share over which a raised run limit comes down again
+constexpr double kCallShare = 0.9;         // of this backend's part of the calls below; the margin is for lingerers
+constexpr double kCallsSlow = 3;           // x the usual call time: the layer below is crowded
+constexpr double kCallDrop = 0.7;          // x call bound on trouble below, at most each kCallDropEvery
+constexpr double kCallDropEvery = 0.5;     // s; about the time in which a drop shows below
+constexpr double kPatience = 4;            // x the 95th percentile of calls: past it they hardly ever return
+constexpr double kLeastPatience = 0.25;    // s; a crowded layer below must not be crowded more by early repeats
+constexpr int kCallTries = 3;              // calls for one need; more only add to a trouble below
+constexpr double kCallBackoff = 0.05;      // s; doubled a try, by chance up to twice as long
+constexpr double kQuotaRoom = 1.1;         // x the even part of a quota: callers do not spread evenly
+constexpr double kQuotaBurst = 1.5;        // s of quota that a customer may send at once
+constexpr double kHeavyPart = 0.5;         // of the pool in use by one caller or subject: it loses room first
+constexpr double kAnnounceStep = 0.02;     // smallest change that is worth announcing
+constexpr double kLevelUp = 0.04;          // a tick with nacks; the callers hear within a second
+constexpr double kLevelDown = 0.008;       // a tick without; slower, so that the level settles
+constexpr double kLevelMost = 0.9;         // never ask everyone to stay away for mere load
+constexpr double kLeastAdvice = 0.05;      // s; a shorter stay away changes nothing
+
+// Permuted congruential generator (XSH-RR), started from the instance's seed.
+class Pcg {
+ public:
+  explicit Pcg(std::uint64_t seed) : state_(seed * 2 + 1) { next(); }
+  double chance() {  // from 0 to under 1
+    return next() / 4294967296.0;
+  }
+
+ private:
+  std::uint32_t next() {
+    const std::uint64_t old = state_;
+    state_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    const auto turn = static_cast<std::uint32_t>(old >> 59);
+    return (mixed >> turn) | (mixed << ((32 - turn) & 31));
+  }
+  std::uint64_t state_;
+};
+
+// Times in a few bins, each twice as wide as the one before, halved when full.
+class Histogram {
+ public:
+  void add(double value) {
+    const int bin = value <= kFirst ? 0 : static_cast<int>(std::log2(value / kFirst)) + 1;
+    bins_[static_cast<std::size_t>(std::min(bin, kBins - 1))] += 1;
+    count_ += 1;
+    sum_ += value;
+    if (count_ < kHistogramFull) return;
+    for (double& n : bins_) n /= 2;
+    count_ /= 2;
+    sum_ /= 2;
+  }
+  bool learned() const { return count_ > 0; }
+  double mean() const { return learned() ? sum_ / count_ : 0; }
+  double quantile(double share) const {  // the upper end of the bin in which it lies
+    double seen = 0;
+    for (int bin = 0; bin < kBins; ++bin) {
+      seen += bins_[static_cast<std::size_t>(bin)];
+      if (seen >= share * count_) return kFirst * std::exp2(bin);
+    }
+    return kFirst * std::exp2(kBins - 1);
+  }
+
+ private:
+  static constexpr int kBins = 13;
+  static constexpr double kFirst = 0.005;  // s; the last bin starts at 20 s
+  std::array<double, kBins> bins_{};
+  double count_ = 0;
+  double sum_ = 0;
+};
+
+enum class Stage { kHeld, kRunning, kPaused, kWantsCall, kCalling, kJoining };
+
+struct Slot {
+  Op op;
+  Stage stage = Stage::kHeld;
+  bool answered = false;  // or nobody waits any more
+  bool has_run = false;
+  double due = 0;
+  double useful_by = 0;   // the end of the wait that the finish check uses
+  double charge = 0;      // kB in the pool
+  double since = 0;       // start of the present stage
+  double on_cores = 0;    // s of finished spells on the cores
+  double away = 0;        // s of finished spells at calls
+  int call_tries = 0;
+  double call_after = 0;  // no call before this
+  double key_until = 0;
+};
+
+// What differs by op type.
+struct Row {
+  Histogram run;   // s on the cores
+  Histogram away;  // s at calls
+};
+
+struct Bucket {
+  double tokens = 0;
+  double filled = 0;
+};
+
+}  // namespace
+
+struct Decider::State {
+  State(const Settings& settings, std::uint64_t seed, Host& host, double now)
+      : set_(settings), host_(host), chance_(seed), rows_(settings.op_types.size()),
+        buckets_(settings.customers.size()), run_limit_(settings.cores), last_(now), created_(now) {
+    for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {quota_here(i) * kQuotaBurst, now};
+    for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
+    call_ceiling_ = std::max(1.0, set_.dep_share * kCallShare);
+    call_bound_ = call_ceiling_;
+    if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
+    wake(now + kTick);
+  }
+
+  // ---- Small readings.
+  const OpType& type_of(const Slot& s) const { return set_.op_types[static_cast<std::size_t>(s.op.type)]; }
+  Row& row_of(const Slot& s) { return rows_[static_cast<std::size_t>(s.op.type)]; }
+  double quota_here(std::size_t i) const { return kQuotaRoom * set_.customers[i].quota_per_s / set_.servers; }
+  bool leaving() const { return leave_at_ >= 0; }
+  bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
+
+  // The survivable crowd while cold counts on the speed floor only: the true speed is not told.
+  double survivable(double now) const {
+    double speed = 1;
+    if (cold(now)) {
+      speed = set_.cold_from + (1 - set_.cold_from) * (now - created_) / std::max(set_.cold_time, kTick);
+    }
+    return (1 + (set_.crowd_multiple - 1) * speed) * set_.cores;
+  }
+
+  double mean_run(int type) const {
+    const Row& row = rows_[static_cast<std::size_t>(type)];
+    if (row.run.learned()) return row.run.mean();
+    double sum = 0, n = 0;
+    for (const Row& other : rows_) {
+      if (other.run.learned()) sum += other.run.mean(), n += 1;
+    }
+    return n > 0 ? sum / n : 0;
+  }
+
+  // Learned work done per second on the cores, against what the learned run times promise. One measure for a
+  // slow machine, a stolen one, a slow dependency of all and a hung one: it sees only that runs do not end.
+  double pace() const {
+    double done = done_work_;
+    for (const auto& [id, s] : ops_) {
+      if (s.stage != Stage::kRunning) continue;
+      const double mean = mean_run(s.op.type), spent = s.on_cores + last_ - s.since;
+      if (spent <= kOverdue * mean) done += std::min(spent, mean);
+    }
+    return std::clamp((done + kPacePrior) / (core_time_ + kPacePrior), kPaceLeast, kPaceMost);
+  }
+
+  double predicted_wait() const {
+    double ahead = 0;
+    for (const auto& line : lines_) {
+      for (const OpId id : line) ahead += mean_run(ops_.at(id).op.type);
+    }
+    for (const auto& [id, s] : ops_) {
+      if (s.stage == Stage::kRunning) ahead += mean_run(s.op.type) / 2;
+    }
+    return ahead / (run_limit_ * pace_);
+  }
+  double own_time(const Slot& s) {
+    return mean_run(s.op.type) / pace_ + (row_of(s).away.learned() ? row_of(s).away.mean() : 0);
+  }
+  bool work_waits() const { return !lines_[0].empty() || !lines_[1].empty() || running_ >= limit(); }
+  int limit() const { return static_cast<int>(std::min(run_limit_, survivable(last_) * kCrowdShare)); }
+
+  double budget() const {
+    return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor;
+  }
+
+  // ---- Time: every method starts here.
+  void advance(double now) {
+    const double dt = std::max(0.0, now - last_);
+    const double keep = std::exp(-dt / kPaceMemory);
+    core_time_ = core_time_ * keep + running_ * dt;
+    done_work_ *= keep;
+    last_ = now;
+    while (!key_ends_.empty() && key_ends_.begin()->first <= now) {
+      key_kb_ -= set_.key_kb;
+      key_ends_.erase(key_ends_.begin());
+    }
+    while (!lingering_.empty() && lingering_.front() <= now) lingering_.pop_front();
+    pace_ = pace();
+  }
+  // One pending timer: the earliest of the next tick, due time or call. Older wakes are told by their token.
+  void wake(double at) {
+    if (wake_at_ >= 0 && at >= wake_at_) return;
+    wake_at_ = at;
+    host_.wake_at(at, ++wake_token_);
+  }
+
+  // ---- The pool.
+  void charge(Slot& s, double kb) {
+    pool_used_ += kb - s.charge;
+    s.charge = kb;
+  }
+  void erase(OpId id) {
+    const auto at = ops_.find(id);
+    if (at == ops_.end()) return;
+    charge(at->second, 0);
+    due_.erase({at->second.due, id});
+    std::erase(lines_[0], id);
+    std::erase(lines_[1], id);
+    std::erase(call_line_, id);
+    ops_.erase(at);
+    if (ops_.empty()) pool_used_ = 0;  // no drift of sums
+  }
+
+  // ---- Answers.
+  double advice(double wait) {
+    if (!set_.retry_after) return 0;
+    if (ailing_ || leaving()) wait = set_.max_retry_after;
+    wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
+    return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
+  }
+  void nack(OpId id, double wait) {
+    const auto at = ops_.find(id);
+    if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
+    host_.nack(id, advice(wait), false);
+    erase(id);
+  }
+  void fail(OpId id) {
+    Slot& s = ops_.at(id);
+    host_.fail(id);
+    stop_unwanted(id, s);
+  }
+  // Nobody waits for this op any more: what is held goes, what runs is stopped where that is allowed. A run that
+  // cannot be stopped keeps its charge and its core until its end is told.
+  void stop_unwanted(OpId id, Slot& s) {
+    s.answered = true;
+    due_.erase({s.due, id});
+    if (s.stage == Stage::kHeld || s.stage == Stage::kPaused || s.stage == Stage::kJoining) return erase(id);
+    if (s.stage == Stage::kRunning && set_.halt != Halt::kOff) host_.interrupt(id);
+  }
+
+  // ---- Kept entries.
+  bool key_room() const {
+    return key_kb_ + set_.key_kb <= set_.memory_kb * kKeyShare &&
+           pool_used_ + key_kb_ + set_.key_kb + largest_kb_ * set_.run_factor <= set_.memory_kb * kMemoryShare;
+  }
+  void keep_key(OpId id, Slot& s, double ttl) {
+    host_.remember(id, ttl);
+    s.key_until = last_ + ttl;
+    key_ends_.insert({s.key_until, id});
+    key_kb_ += set_.key_kb;
+  }
+  void drop_key(Slot& s) {
+    if (key_ends_.erase({s.key_until, s.op.id}) > 0) key_kb_ -= set_.key_kb;
+    host_.forget(s.op.id);
+  }
+
+  // ---- Intake.
+  bool within_quota(const Op& op) {
+    if (buckets_.empty()) return true;
+    const auto i = static_cast<std::size_t>(op.customer);
+    Bucket& b = buckets_[i];
+    b.tokens = std::min(b.tokens + (last_ - b.filled) * quota_here(i), std::max(1.0, quota_here(i) * kQuotaBurst));
+    b.filled = last_;
+    return b.tokens >= 1;
+  }
+  // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or subject
+  // that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
+  bool heavy(const Op& op) const {
+    double of_caller = 0, of_key = 0, all = 0;
+    bool others = false;
+    for (const auto& line : lines_) {
+      for (const OpId id : line) {
+        const Op& other = ops_.at(id).op;
+        all += other.held_kb;
+        if (other.caller == op.caller) of_caller += other.held_kb;
+        if (other.caller != op.caller) others = true;
+        if (op.key != 0 && other.key == op.key) of_key += other.held_kb;
+      }
+    }
+    if (lines_[0].size() + lines_[1].size() < static_cast<std::size_t>(set_.cores)) return false;
+    return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
+  }
+
+  void on_op(const Op& op) {
+    const double now = last_;
+    const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
+    const double arrival = now - op.age;
+    largest_kb_ = std::max(largest_kb_, op.held_kb);
+    Slot s;
+    s.op = op;
+    s.since = now;
+    s.due = std::max(now, (op.remaining_wait > 0 ? now + op.remaining_wait : arrival + type.op_timeout) - kDueMargin);
+    if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
+    s.useful_by = s.due;
+    if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency);
+
+    if (op.original != 0 && type.effect != Effect::kNonRetryable) {
+      // A repeat never runs beside its original: it waits for that one's outcome in held memory.
+      s.stage = Stage::kJoining;
+      admit(s);
+      host_.join(op.id);
+      return;
+    }
+    const double wait = predicted_wait();
+    const bool in_quota = within_quota(op);
+    const std::string why = refusal(s, arrival, wait, in_quota);
+    if (!why.empty()) {
+      if (why == "busy") nacked_since_tick_ += 1;
+      return nack(op.id, wait);
+    }
+    if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
+    Slot& kept = admit(s);
+    if (type.effect == Effect::kKeyed) keep_key(op.id, kept, std::max(set_.resolution, type.window - op.age));
+    const double usual = mean_run(op.type);
+    double mean = 0;
+    for (std::size_t i = 0; i < rows_.size(); ++i) mean += mean_run(static_cast<int>(i)) / rows_.size();
+    lines_[usual < mean ? 0 : 1].push_back(op.id);
+    start_more();
+  }
+  Slot& admit(const Slot& s) {
+    Slot& kept = ops_[s.op.id] = s;
+    charge(kept, s.op.held_kb);
+    due_.insert({kept.due, s.op.id});
+    wake(kept.due);
+    return kept;
+  }
+
+  // Why a newcomer is nacked, or nothing.
+  std::string refusal(const Slot& s, double arrival, double wait, bool in_quota) {
+    const OpType& type = type_of(s);
+    if (leaving() && arrival > leave_at_ + set_.drain_grace) return "leaving";
+    if (s.due <= last_) return "due";
+    if (pool_used_ >= budget() || held() >= kHeldPerCore * set_.cores) return "busy";
+    if (type.effect == Effect::kKeyed && !key_room()) return "keys";
+    // Ailing: what runs does not get done in time or fails, whatever the cause. Take single probes.
+    if (ailing_ && running_ + at_calls() + held() >= kProbeRuns) return "ailing";
+    if (!work_waits()) return {};
+    if (heavy(s.op)) return "busy";
+    // The finish check; ops of types with nothing learned are held. Importance: the less an op is worth against
+    // the most important, the shorter the line it may join, so that under shortage room is left for the rest.
+    if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
+    const double worth = type.importance * (in_quota ? 1 : set_.over_share_worth) / most_important_;
+    const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
+    return wait + own_time(s) > share * (s.useful_by - last_) ? "busy" : "";
+  }
+  double held() const { return static_cast<double>(lines_[0].size() + lines_[1].size()); }
+  int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
+
+  // ---- Starts.
+  void start_more() {
+    while (running_ < limit() && running_ + at_calls() < survivable(last_) * kCrowdShare) {
+      const bool calls_full = at_calls() >= kAtCallsPerCore * set_.cores;
+      int pick = -1;
+      double least_slack = 0;
+      for (int i = 0; i < 2; ++i) {
+        if (lines_[i].empty()) continue;
+        const Slot& s = ops_.at(lines_[i].front());
+        if (calls_full && type_of(s).calls) continue;
+        const double slack = s.useful_by - mean_run(s.op.type);
+        if (pick < 0 || slack < least_slack) pick = i, least_slack = slack;
+      }
+      if (pick < 0) return;
+      const OpId id = lines_[pick].front();
+      Slot& s = ops_.at(id);
+      if (s.stage == Stage::kHeld && !s.has_run && last_ + own_time(s) > s.useful_by && running_ > 0) {
+        nack(id, predicted_wait());  // given up: answered at once
+        continue;
+      }
+      const double running_kb = s.op.held_kb * set_.run_factor;
+      if (pool_used_ + running_kb - s.charge > budget() && running_ + at_calls() > 0) return;
+      lines_[pick].pop_front();
+      charge(s, running_kb);
+      s.stage = Stage::kRunning;
+      s.has_run = true;
+      s.since = last_;
+      ++running_;
+      host_.start(id);
+    }
+  }
+
+  void leave_cores(Slot& s) {
+    --running_;
+    s.on_cores += last_ - s.since;
+    s.since = last_;
+  }
+
+  void on_run_end(OpId id, Outcome outcome) {
+    const auto at = ops_.find(id);
+    if (at == ops_.end()) return;
+    Slot& s = at->second;
+    if (s.stage == Stage::kRunning) leave_cores(s);
+    if (s.stage == Stage::kCalling) end_call(s, true);
+    if (s.stage == Stage::kJoining || outcome == Outcome::kMoot) return erase(id);
+    if (outcome == Outcome::kCancelled && !s.answered) {
+      std::erase(call_line_, id);
+      if (set_.halt != Halt::kPause && type_of(s).effect != Effect::kRetryable) return fail(id);
+      s.stage = set_.halt == Halt::kPause ? Stage::kPaused : Stage::kHeld;
+      if (s.stage == Stage::kHeld) charge(s, s.op.held_kb);
+      lines_[1].push_front(id);
+      return start_more();
+    }
+    if (outcome == Outcome::kOk) {
+      row_of(s).run.add(s.on_cores);
+      row_of(s).away.add(s.away);
+      done_work_ += mean_run(s.op.type);
+      ++sound_runs_;
+    }
+    if (outcome == Outcome::kError) sound_runs_ = 0;
+    if (outcome != Outcome::kCancelled) {
+      errors_ += ((outcome == Outcome::kError ? 1 : 0) - errors_) / kErrorMemory;
+    }
+    erase(id);
+    look_at_self();
+    start_more();
+  }
+
+  // ---- Calls below.
+  void on_call_needed(OpId id) {
+    const auto at = ops_.find(id);
+    if (at == ops_.end()) return;
+    Slot& s = at->second;
+    if (s.stage == Stage::kRunning) leave_cores(s);
+    s.stage = Stage::kWantsCall;
+    s.call_tries = 0;
+    if (s.answered) return host_.fail(id);
+    call_line_.push_back(id);
+    let_calls_out();
+    start_more();
+  }
+  bool calls_slow() const { return calls_.learned() && recent_call_ > kCallsSlow * calls_.quantile(0.5); }
+  // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the more
+  // important go first. A call that could only return too late is left out where its answer is still worth something.
+  void let_calls_out() {
+    const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
+    while (calling_ + static_cast<int>(lingering_.size()) < static_cast<int>(call_bound_) && last_ >= next_call_at_) {
+      auto pick = call_line_.end();
+      for (auto it = call_line_.begin(); it != call_line_.end(); ++it) {
+        if (ops_.at(*it).call_after > last_) continue;
+        if (pick == call_line_.end()) pick = it;
+        const double gain = type_of(ops_.at(*it)).importance - type_of(ops_.at(*pick)).importance;
+        if (by_importance && gain > 0) pick = it;
+      }
+      if (pick == call_line_.end()) break;
+      const OpId id = *pick;
+      Slot& s = ops_.at(id);
+      call_line_.erase(pick);
+      s.stage = Stage::kCalling;
+      s.away += last_ - s.since;
+      s.since = last_;
+      ++s.call_tries;
+      ++calling_;
+      double patience = std::max(kLeastPatience, kPatience * calls_.quantile(0.95));
+      if (!calls_.learned()) patience = s.due - last_;
+      host_.call(id, std::max(set_.resolution, std::min(patience, s.due - last_)));
+    }
+    for (std::size_t i = 0; i < call_line_.size();) {
+      const OpId id = call_line_[i];
+      Slot& s = ops_.at(id);
+      const double left = s.useful_by - last_ - (calls_.learned() ? calls_.mean() : 0);
+      if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
+        call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
+        skip(id, s);
+      } else {
+        ++i;
+      }
+    }
+  }
+  void skip(OpId id, Slot& s) {
+    s.away += last_ - s.since;
+    back_on_cores(s);
+    host_.skip_call(id);
+  }
+  void back_on_cores(Slot& s) {
+    s.stage = Stage::kRunning;
+    s.since = last_;
+    ++running_;
+  }
+  void end_call(Slot& s, bool abandoned) {
+    const double spent = last_ - s.since;
+    --calling_;
+    s.away += spent;
+    s.since = last_;
+    if (abandoned && set_.linger > 0) lingering_.push_back(last_ + set_.linger);
+    if (set_.dep_share * kCallShare < 1) {  // less than one call on the mean: rest after each
+      const double in_hand = spent + (abandoned ? set_.linger : 0);
+      next_call_at_ = last_ + in_hand * (1 / std::max(set_.dep_share * kCallShare, 0.01) - 1);
+    }
+  }
+  void on_call_end(OpId id, Outcome outcome) {
+    const auto at = ops_.find(id);
+    if (at == ops_.end() || at->second.stage != Stage::kCalling) return;
+    Slot& s = at->second;
+    const double spent = last_ - s.since;
+    end_call(s, outcome == Outcome::kTimeout);
+    if (outcome == Outcome::kOk) {
+      calls_.add(spent);
+      recent_call_ += (spent - recent_call_) / kErrorMemory;
+      if (!calls_slow()) call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
+    }
+    if ((outcome != Outcome::kOk || calls_slow()) && last_ >= call_drop_at_) {
+      call_bound_ = std::max(1.0, call_bound_ * kCallDrop);
+      call_drop_at_ = last_ + kCallDropEvery;
+    }
+    if (outcome == Outcome::kOk) {
+      back_on_cores(s);
+    } else {
+      const bool never_ran = outcome == Outcome::kRefused || outcome == Outcome::kUnreachable ||
+                             outcome == Outcome::kMoot;
+      const double pause = kCallBackoff * std::exp2(s.call_tries - 1) * (1 + chance_.chance());
+      const bool again = s.call_tries < kCallTries && last_ + pause < s.useful_by &&
+                         (never_ran || type_of(s).effect == Effect::kRetryable);
+      s.stage = Stage::kWantsCall;
+      if (again) {
+        s.call_after = last_ + pause;
+        wake(s.call_after);
+        call_line_.push_back(id);
+      } else if (type_of(s).worth_without > 0) {
+        skip(id, s);
+      } else {
+        fail(id);
+      }
+    }
+    let_calls_out();
+    start_more();
+  }
+
+  // ---- Callers that go, and the notice to leave.
+  void on_gone(OpId id) {
+    const auto at = ops_.find(id);
+    if (at == ops_.end()) return;
+    stop_unwanted(id, at->second);
+    start_more();
+  }
+  void on_leave(double left) {
+    leave_at_ = last_;
+    stop_at_ = last_ + left;
+    due_.clear();
+    for (auto& [id, s] : ops_) {
+      s.due = std::min(s.due, std::max(last_, stop_at_ - kStopMargin));
+      s.useful_by = std::min(s.useful_by, s.due);
+      if (!s.answered) due_.insert({s.due, id}), wake(s.due);
+    }
+    show_health();
+  }
+
+  // ---- Time passing.
+  void on_wake(std::uint64_t token, const Gauges& gauges) {
+    if (token != wake_token_) return;
+    wake_at_ = -1;
+    while (!due_.empty() && due_.begin()->first <= last_) {
+      const OpId id = due_.begin()->second;
+      const Slot& s = ops_.at(id);
+      if (s.has_run || s.stage == Stage::kJoining || type_of(s).effect != Effect::kRetryable) {
+        fail(id);
+      } else {
+        nack(id, 0);
+      }
+    }
+    if (last_ >= next_tick_) tick(gauges);
+    let_calls_out();
+    start_more();
+    double next = std::max(next_tick_, last_ + set_.resolution);
+    if (!due_.empty()) next = std::min(next, std::max(due_.begin()->first, last_));
+    wake(next);
+  }
+  void tick(const Gauges& gauges) {
+    next_tick_ = last_ + kTick;
+    const bool waits = held() > 0;
+    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores && waits && running_ >= limit()) {
+      run_limit_ = run_limit_ * kGrow;
+    } else if (gauges.cpu_busy > kFullCores || !waits) {
+      run_limit_ = run_limit_ - 1;
+    }
+    run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable(last_) * kCrowdShare);
+    look_at_self();
+    steer();
+  }
+
+  // Whether runs still get done in time, and whether they succeed, against their own targets and past.
+  void look_at_self() {
+    double need = 0, n = 0;
+    for (std::size_t i = 0; i < rows_.size(); ++i) {
+      if (!rows_[i].run.learned() || set_.op_types[i].target_latency <= 0) continue;
+      need += rows_[i].run.mean() / pace_ / set_.op_types[i].target_latency;
+      n += 1;
+    }
+    const bool slow = !cold(last_) && n > 0 && need / n > (ailing_ ? kAilingLeave : kAilingEnter);
+    if (failing_ && sound_runs_ >= kSoundRuns) failing_ = false, errors_ = 0;
+    if (errors_ > kErrorsEnter) failing_ = true;
+    const bool was = ailing_;
+    ailing_ = slow || failing_;
+    if (ailing_ && !was) ailing_since_ = last_;
+    show_health();
+  }
+  void show_health() {
+    const bool good = !leaving() && !(ailing_ && last_ >= ailing_since_ + kHealthPatience);
+    if (good == healthy_) return;
+    healthy_ = good;
+    host_.set_health(good, set_.deep_checks);
+  }
+  // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
+  void steer() {
+    level_ += nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
+    level_ = std::clamp(level_, 0.0, kLevelMost);
+    nacked_since_tick_ = 0;
+    if (set_.say == Say::kOff) return;
+    const double less = ailing_ || leaving() ? 0.98 : level_;
+    double value = less;
+    if (set_.say == Say::kWeight) value = 1 - less;
+    if (set_.say == Say::kCredit) value = (1 - less) * kHeldPerCore * set_.cores / std::max(1, set_.callers);
+    if (std::abs(value - said_) < kAnnounceStep && said_ >= 0) return;
+    said_ = value;
+    host_.announce(value);
+  }
+
+  const Settings set_;
+  Host& host_;
+  Pcg chance_;
+  std::vector<Row> rows_;
+  std::vector<Bucket> buckets_;
+  std::map<OpId, Slot> ops_;
+  std::array<std::deque<OpId>, 2> lines_;  // short work, long work
+  std::deque<OpId> call_line_;
+  std::set<std::pair<double, OpId>> due_;
+  std::set<std::pair<double, OpId>> key_ends_;
+  std::deque<double> lingering_;  // ends of abandoned calls below
+  double pool_used_ = 0, key_kb_ = 0, largest_kb_ = 0;
+  double run_limit_;
+  int running_ = 0, calling_ = 0;
+  double core_time_ = 0, done_work_ = 0, pace_ = 1;
+  Histogram calls_;
+  double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0, next_call_at_ = 0;
+  double most_important_ = 0;
+  double errors_ = 0;
+  int sound_runs_ = 0;
+  bool failing_ = false, ailing_ = false, healthy_ = true;
+  double ailing_since_ = 0;
+  double level_ = 0, said_ = -1;
+  int nacked_since_tick_ = 0;
+  double last_, created_;
+  double leave_at_ = -1, stop_at_ = 0;
+  double next_tick_ = 0, wake_at_ = -1;
+  std::uint64_t wake_token_ = 0;
+};
+
+Decider::Decider(const Settings& settings, std::uint64_t seed, Host& host, double now)
+    : state_(std::make_unique<State>(settings, seed, host, now)) {}
+Decider::~Decider() = default;
+
+void Decider::on_op(double now, const Op& op) {
+  state_->advance(now);
+  state_->on_op(op);
+}
+void Decider::on_run_end(double now, OpId id, Outcome outcome, double /*spent*/) {
+  state_->advance(now);
+  state_->on_run_end(id, outcome);
+}
+void Decider::on_call_needed(double now, OpId id) {
+  state_->advance(now);
+  state_->on_call_needed(id);
+}
+void Decider::on_call_end(double now, OpId id, Outcome outcome, double /*spent*/) {
+  state_->advance(now);
+  state_->on_call_end(id, outcome);
+}
+void Decider::on_gone(double now, OpId id) {
+  state_->advance(now);
+  state_->on_gone(id);
+}
+void Decider::on_leave(double now, double time_left) {
+  state_->advance(now);
+  state_->on_leave(time_left);
+}
+void Decider::on_wake(double now, std::uint64_t token, const Gauges& gauges) {
+  state_->advance(now);
+  state_->on_wake(token, gauges);
+}
+double Decider::pool_in_use() const { return state_->pool_used_; }
+
+}  // namespace damsonspoke
