--- a/src/benchlink/frames.h
+++ b/src/benchlink/frames.h
@@ -11,7 +11,8 @@
 
 namespace damsonspoke::benchlink {
 
-static_assert(std::endian::native == std::endian::little, "the codec copies little-endian fields as they are");
+static_assert(std::endian::native == std::endian::little,
+              "the codec copies little-endian fields as they are");
 
 struct MalformedInput : std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -1,5 +1,5 @@
-// The adapter: decodes the bench's batches into calls of Deciders and encodes what their Hosts are told to do.
-// One process carries many instances; they share nothing but the stream.
+// The adapter: decodes the bench's batches into calls of Deciders and encodes what their Hosts are told to
+// do. One process carries many instances; they share nothing but the stream.
 #include <cstdio>
 #include <exception>
 #include <map>
@@ -18,11 +18,32 @@
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 30;  // a longer frame is a broken stream
 
 enum EventCode : std::uint8_t {
-  kSubmit = 1, kWake, kRunOver, kCreate, kTerminateSoon, kGone, kBlocked, kReturned, kCrashNow
+  kSubmit = 1,
+  kWake,
+  kRunOver,
+  kCreate,
+  kTerminateSoon,
+  kGone,
+  kBlocked,
+  kReturned,
+  kCrashNow
 };
 enum ActionCode : std::uint8_t {
-  kSetHealth = 1, kBug, kPushBack, kJournalLine, kAnnounce, kProcess, kRemember, kAfter, kDegrade, kIdle, kJoin,
-  kDial, kSurrender, kInterrupt, kEvict
+  kSetHealth = 1,
+  kBug,
+  kPushBack,
+  kJournalLine,
+  kAnnounce,
+  kProcess,
+  kRemember,
+  kAfter,
+  kDegrade,
+  kIdle,
+  kJoin,
+  kDial,
+  kSurrender,
+  kInterrupt,
+  kEvict
 };
 
 // Encodes one instance's actions in the order in which they are taken.
@@ -84,7 +105,9 @@
 
 struct Instance {
   Instance(Writer& out, std::uint32_t who, const StartSettings& start, std::uint64_t seed, double now)
-      : host(out, who), gauges(start.gauges), op_types(start.settings.op_types.size()),
+      : host(out, who),
+        gauges(start.gauges),
+        op_types(start.settings.op_types.size()),
         customers(start.settings.customers.size()) {
     try {
       decider = std::make_unique<Decider>(start.settings, seed, host, now);
@@ -131,7 +154,8 @@
   op.caller = in.take<std::uint32_t>();
   op.age = in.take_number<double>("age") * kSecondsPerMs;
   op.original = in.take<std::uint64_t>();
-  if (static_cast<std::size_t>(op.type) >= instance.op_types) throw MalformedInput("a class that the settings lack");
+  if (static_cast<std::size_t>(op.type) >= instance.op_types)
+    throw MalformedInput("a class that the settings lack");
   if (op.customer != 0 && static_cast<std::size_t>(op.customer) >= instance.customers) {
     throw MalformedInput("a customer that the settings lack");
   }
@@ -223,7 +247,8 @@
 }
 
 void write_fully(const std::string& bytes) {
-  if (std::fwrite(bytes.data(), 1, bytes.size(), stdout) != bytes.size()) throw MalformedInput("cannot write a reply");
+  if (std::fwrite(bytes.data(), 1, bytes.size(), stdout) != bytes.size())
+    throw MalformedInput("cannot write a reply");
 }
 
 void serve() {
--- a/src/benchlink/settings.cpp
+++ b/src/benchlink/settings.cpp
@@ -13,12 +13,15 @@
 
 constexpr double kSecondsPerMs = 0.001;
 
-[[noreturn]] void bad(const std::string& key) { throw MalformedInput("settings: bad value of '" + key + "'"); }
+[[noreturn]] void bad(const std::string& key) {
+  throw MalformedInput("settings: bad value of '" + key + "'");
+}
 
 // The value of a key, or null where it is absent.
 const Json& find(const Json& from, const char* key) {
   static const Json absent;
-  if (!from.is_object()) throw MalformedInput(std::string("settings: '") + key + "' is looked for in no object");
+  if (!from.is_object())
+    throw MalformedInput(std::string("settings: '") + key + "' is looked for in no object");
   const auto at = from.find(key);
   return at == from.end() ? absent : *at;
 }
@@ -86,10 +89,9 @@
     type.window = seconds(entry, "window");
     type.importance = number(entry, "worth", 1);
     type.late_worth = number(entry, "late-worth", 0);
-    type.effect = word<Effect>(entry, "semantics",
-                               {{"retryable", Effect::kRetryable},
-                                {"dedup", Effect::kKeyed},
-                                {"fragile", Effect::kNonRetryable}});
+    type.effect = word<Effect>(
+        entry, "semantics",
+        {{"retryable", Effect::kRetryable}, {"dedup", Effect::kKeyed}, {"fragile", Effect::kNonRetryable}});
     if (at < calls.size()) {
       if (!calls[at].is_boolean()) bad("calls-by-class");
       type.calls = calls[at].get<bool>();
@@ -112,12 +114,14 @@
   s.key_kb = number(family, "key-kb", 0);
   s.fresh = seconds(family, "fresh");
   s.halt = word<Halt>(family, "halt", {{"off", Halt::kOff}, {"drop", Halt::kDrop}, {"pause", Halt::kPause}});
-  s.say = word<Say>(family, "say",
-                    {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
+  s.say = word<Say>(
+      family, "say",
+      {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
   s.deep_checks = flag(family, "deep-checks");
   s.tells_gone = flag(family, "tells-gone");
   s.caller_idle = seconds(family, "caller-idle");
-  s.below = word<Below>(family, "below", {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
+  s.below = word<Below>(family, "below",
+                        {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
   s.dep_share = number(family, "dep-share", 0);
   s.calls_over = seconds(family, "calls-over");
   s.linger = seconds(family, "linger");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,6 +1,7 @@
-// All decisions of a damsonspoke backend. The front (in the bench: src/benchlink) calls one method of Decider for
-// each thing that happens, in the order in which it happens; the methods act at once through the Host that was
-// handed over at start. Interface: decide.h. The mechanism and every departure from it: docs/design.md.
+// All decisions of a damsonspoke backend. The front (in the bench: src/benchlink) calls one method of Decider
+// for each thing that happens, in the order in which it happens; the methods act at once through the Host
+// that was handed over at start. Interface: decide.h. The mechanism and every departure from it:
+// docs/design.md.
 #include "decide.h"
 
 #include <algorithm>
@@ -15,49 +16,49 @@
 namespace {
 
 // ---- Constants: all of them, with unit and reason.
-constexpr double kTick = 0.1;              // s; between looks at the gauges: short beside any target latency
-constexpr double kDueMargin = 0.010;       // s; an answer owed leaves this early, well inside the allowed slack
-constexpr double kStopMargin = 0.200;      // s; before the stop: all answers are out even after a slow batch
-constexpr double kMemoryShare = 0.92;      // of memory; the rest is for what is not ours to count
-constexpr double kKeyShare = 0.4;          // of memory that kept entries may fill: ops need the larger part
-constexpr double kHeldPerCore = 8;         // ops; the count bound beside the bytes, above what the finish check lets
-constexpr double kCrowdShare = 0.6;        // of the survivable crowd: returns from calls come on top by themselves
-constexpr double kAtCallsPerCore = 2;      // ops; at calls beside the run limit: all may come back at one moment
-constexpr double kFinishShare = 0.6;       // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.35;       // of that for the least important: with plenty of room they still pass
-constexpr double kLateMatters = 0.5;       // late worth under which the target counts as the end of the wait
-constexpr double kPaceMemory = 1.5;        // s; a slow spell shows within two or three runs
-constexpr double kPacePrior = 0.1;         // core s at normal pace: nothing measured reads as normal
-constexpr double kPaceLeast = 0.02;        // a standstill still gives a finite prediction
-constexpr double kPaceMost = 3;            // a backend that warms up outruns what it learned cold
-constexpr double kOverdue = 2;             // x mean run; a run past this is no longer taken as progress
-constexpr double kAilingEnter = 0.9;       // predicted bare run over target: nothing would be in time
-constexpr double kAilingLeave = 0.6;       // and back only when clearly better, so that it does not flap
-constexpr double kErrorsEnter = 0.35;      // share of failed runs; a sound backend fails a few in a thousand
-constexpr double kErrorMemory = 12;        // runs; a dozen tell a failing backend from bad luck
-constexpr int kSoundRuns = 6;              // good runs in a row that end a failing spell
-constexpr int kProbeRuns = 1;              // ops at a time that an ailing backend takes to see whether it is well
-constexpr double kHealthPatience = 0.5;    // s of ailing before health says so: one odd second is no illness
-constexpr double kHistogramFull = 64;      // values; then halved, so that the past fades
-constexpr double kGrow = 1.25;             // x run limit a tick, while cores idle and work waits
-constexpr double kIdleCores = 0.85;        // busy share under which the cores count as idle
-constexpr double kFullCores = 0.97;        // busy share over which a raised run limit comes down again
-constexpr double kCallShare = 0.9;         // of this backend's part of the calls below; the margin is for lingerers
-constexpr double kCallsSlow = 3;           // x the usual call time: the layer below is crowded
-constexpr double kCallDrop = 0.7;          // x call bound on trouble below, at most each kCallDropEvery
-constexpr double kCallDropEvery = 0.5;     // s; about the time in which a drop shows below
-constexpr double kPatience = 4;            // x the 95th percentile of calls: past it they hardly ever return
-constexpr double kLeastPatience = 0.25;    // s; a crowded layer below must not be crowded more by early repeats
-constexpr int kCallTries = 3;              // calls for one need; more only add to a trouble below
-constexpr double kCallBackoff = 0.05;      // s; doubled a try, by chance up to twice as long
-constexpr double kQuotaRoom = 1.1;         // x the even part of a quota: callers do not spread evenly
-constexpr double kQuotaBurst = 1.5;        // s of quota that a customer may send at once
-constexpr double kHeavyPart = 0.5;         // of the pool in use by one caller or subject: it loses room first
-constexpr double kAnnounceStep = 0.02;     // smallest change that is worth announcing
-constexpr double kLevelUp = 0.04;          // a tick with nacks; the callers hear within a second
-constexpr double kLevelDown = 0.008;       // a tick without; slower, so that the level settles
-constexpr double kLevelMost = 0.9;         // never ask everyone to stay away for mere load
-constexpr double kLeastAdvice = 0.05;      // s; a shorter stay away changes nothing
+constexpr double kTick = 0.1;          // s; between looks at the gauges: short beside any target latency
+constexpr double kDueMargin = 0.010;   // s; an answer owed leaves this early, well inside the allowed slack
+constexpr double kStopMargin = 0.200;  // s; before the stop: all answers are out even after a slow batch
+constexpr double kMemoryShare = 0.92;  // of memory; the rest is for what is not ours to count
+constexpr double kKeyShare = 0.4;      // of memory that kept entries may fill: ops need the larger part
+constexpr double kHeldPerCore = 8;  // ops; the count bound beside the bytes, above what the finish check lets
+constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
+constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
+constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
+constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
+constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
+constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
+constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
+constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
+constexpr double kPaceMost = 3;       // a backend that warms up outruns what it learned cold
+constexpr double kOverdue = 2;        // x mean run; a run past this is no longer taken as progress
+constexpr double kAilingEnter = 0.9;  // predicted bare run over target: nothing would be in time
+constexpr double kAilingLeave = 0.6;  // and back only when clearly better, so that it does not flap
+constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
+constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
+constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
+constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
+constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
+constexpr double kHistogramFull = 64;    // values; then halved, so that the past fades
+constexpr double kGrow = 1.25;           // x run limit a tick, while cores idle and work waits
+constexpr double kIdleCores = 0.85;      // busy share under which the cores count as idle
+constexpr double kFullCores = 0.97;      // busy share over which a raised run limit comes down again
+constexpr double kCallShare = 0.9;  // of this backend's part of the calls below; the margin is for lingerers
+constexpr double kCallsSlow = 3;    // x the usual call time: the layer below is crowded
+constexpr double kCallDrop = 0.7;   // x call bound on trouble below, at most each kCallDropEvery
+constexpr double kCallDropEvery = 0.5;   // s; about the time in which a drop shows below
+constexpr double kPatience = 4;          // x the 95th percentile of calls: past it they hardly ever return
+constexpr double kLeastPatience = 0.25;  // s; a crowded layer below must not be crowded more by early repeats
+constexpr int kCallTries = 3;            // calls for one need; more only add to a trouble below
+constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
+constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
+constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
+constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
+constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
+constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
+constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
+constexpr double kLevelMost = 0.9;       // never ask everyone to stay away for mere load
+constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
 class Pcg {
@@ -118,11 +119,11 @@
   bool answered = false;  // or nobody waits any more
   bool has_run = false;
   double due = 0;
-  double useful_by = 0;   // the end of the wait that the finish check uses
-  double charge = 0;      // kB in the pool
-  double since = 0;       // start of the present stage
-  double on_cores = 0;    // s of finished spells on the cores
-  double away = 0;        // s of finished spells at calls
+  double useful_by = 0;  // the end of the wait that the finish check uses
+  double charge = 0;     // kB in the pool
+  double since = 0;      // start of the present stage
+  double on_cores = 0;   // s of finished spells on the cores
+  double away = 0;       // s of finished spells at calls
   int call_tries = 0;
   double call_after = 0;  // no call before this
   double key_until = 0;
@@ -143,8 +144,14 @@
 
 struct Decider::State {
   State(const Settings& settings, std::uint64_t seed, Host& host, double now)
-      : set_(settings), host_(host), chance_(seed), rows_(settings.op_types.size()),
-        buckets_(settings.customers.size()), run_limit_(settings.cores), last_(now), created_(now) {
+      : set_(settings),
+        host_(host),
+        chance_(seed),
+        rows_(settings.op_types.size()),
+        buckets_(settings.customers.size()),
+        run_limit_(settings.cores),
+        last_(now),
+        created_(now) {
     for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {quota_here(i) * kQuotaBurst, now};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
     call_ceiling_ = std::max(1.0, set_.dep_share * kCallShare);
@@ -207,9 +214,7 @@
   bool work_waits() const { return !lines_[0].empty() || !lines_[1].empty() || running_ >= limit(); }
   int limit() const { return static_cast<int>(std::min(run_limit_, survivable(last_) * kCrowdShare)); }
 
-  double budget() const {
-    return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor;
-  }
+  double budget() const { return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor; }
 
   // ---- Time: every method starts here.
   void advance(double now) {
@@ -267,8 +272,8 @@
     host_.fail(id);
     stop_unwanted(id, s);
   }
-  // Nobody waits for this op any more: what is held goes, what runs is stopped where that is allowed. A run that
-  // cannot be stopped keeps its charge and its core until its end is told.
+  // Nobody waits for this op any more: what is held goes, what runs is stopped where that is allowed. A run
+  // that cannot be stopped keeps its charge and its core until its end is told.
   void stop_unwanted(OpId id, Slot& s) {
     s.answered = true;
     due_.erase({s.due, id});
@@ -279,7 +284,8 @@
   // ---- Kept entries.
   bool key_room() const {
     return key_kb_ + set_.key_kb <= set_.memory_kb * kKeyShare &&
-           pool_used_ + key_kb_ + set_.key_kb + largest_kb_ * set_.run_factor <= set_.memory_kb * kMemoryShare;
+           pool_used_ + key_kb_ + set_.key_kb + largest_kb_ * set_.run_factor <=
+               set_.memory_kb * kMemoryShare;
   }
   void keep_key(OpId id, Slot& s, double ttl) {
     host_.remember(id, ttl);
@@ -297,12 +303,13 @@
     if (buckets_.empty()) return true;
     const auto i = static_cast<std::size_t>(op.customer);
     Bucket& b = buckets_[i];
-    b.tokens = std::min(b.tokens + (last_ - b.filled) * quota_here(i), std::max(1.0, quota_here(i) * kQuotaBurst));
+    b.tokens =
+        std::min(b.tokens + (last_ - b.filled) * quota_here(i), std::max(1.0, quota_here(i) * kQuotaBurst));
     b.filled = last_;
     return b.tokens >= 1;
   }
-  // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or subject
-  // that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
+  // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or
+  // subject that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
   bool heavy(const Op& op) const {
     double of_caller = 0, of_key = 0, all = 0;
     bool others = false;
@@ -327,7 +334,8 @@
     Slot s;
     s.op = op;
     s.since = now;
-    s.due = std::max(now, (op.remaining_wait > 0 ? now + op.remaining_wait : arrival + type.op_timeout) - kDueMargin);
+    s.due = std::max(
+        now, (op.remaining_wait > 0 ? now + op.remaining_wait : arrival + type.op_timeout) - kDueMargin);
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency);
@@ -374,8 +382,9 @@
     if (ailing_ && running_ + at_calls() + held() >= kProbeRuns) return "ailing";
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
-    // The finish check; ops of types with nothing learned are held. Importance: the less an op is worth against
-    // the most important, the shorter the line it may join, so that under shortage room is left for the rest.
+    // The finish check; ops of types with nothing learned are held. Importance: the less an op is worth
+    // against the most important, the shorter the line it may join, so that under shortage room is left for
+    // the rest.
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
     const double worth = type.importance * (in_quota ? 1 : set_.over_share_worth) / most_important_;
     const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
@@ -431,8 +440,8 @@
     if (s.stage == Stage::kJoining || outcome == Outcome::kMoot) return erase(id);
     if (outcome == Outcome::kCancelled && !s.answered) {
       std::erase(call_line_, id);
-      if (set_.halt != Halt::kPause && type_of(s).effect != Effect::kRetryable) return fail(id);
       s.stage = set_.halt == Halt::kPause ? Stage::kPaused : Stage::kHeld;
+      if (s.stage == Stage::kHeld && type_of(s).effect != Effect::kRetryable) return fail(id);
       if (s.stage == Stage::kHeld) charge(s, s.op.held_kb);
       lines_[1].push_front(id);
       return start_more();
@@ -442,6 +451,7 @@
       row_of(s).away.add(s.away);
       done_work_ += mean_run(s.op.type);
       ++sound_runs_;
+      pace_ = pace();
     }
     if (outcome == Outcome::kError) sound_runs_ = 0;
     if (outcome != Outcome::kCancelled) {
@@ -466,11 +476,13 @@
     start_more();
   }
   bool calls_slow() const { return calls_.learned() && recent_call_ > kCallsSlow * calls_.quantile(0.5); }
-  // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the more
-  // important go first. A call that could only return too late is left out where its answer is still worth something.
+  // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the
+  // more important go first. A call that could only return too late is left out where its answer is still
+  // worth something.
   void let_calls_out() {
     const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
-    while (calling_ + static_cast<int>(lingering_.size()) < static_cast<int>(call_bound_) && last_ >= next_call_at_) {
+    while (calling_ + static_cast<int>(lingering_.size()) < static_cast<int>(call_bound_) &&
+           last_ >= next_call_at_) {
       auto pick = call_line_.end();
       for (auto it = call_line_.begin(); it != call_line_.end(); ++it) {
         if (ops_.at(*it).call_after > last_) continue;
@@ -487,9 +499,11 @@
       s.since = last_;
       ++s.call_tries;
       ++calling_;
-      double patience = std::max(kLeastPatience, kPatience * calls_.quantile(0.95));
-      if (!calls_.learned()) patience = s.due - last_;
-      host_.call(id, std::max(set_.resolution, std::min(patience, s.due - last_)));
+      double patience = s.due - last_;
+      if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(s.op.type) / pace_ - last_;
+      if (calls_.learned())
+        patience = std::min(patience, std::max(kLeastPatience, kPatience * calls_.quantile(0.95)));
+      host_.call(id, std::max(set_.resolution, patience));
     }
     for (std::size_t i = 0; i < call_line_.size();) {
       const OpId id = call_line_[i];
@@ -542,8 +556,8 @@
     if (outcome == Outcome::kOk) {
       back_on_cores(s);
     } else {
-      const bool never_ran = outcome == Outcome::kRefused || outcome == Outcome::kUnreachable ||
-                             outcome == Outcome::kMoot;
+      const bool never_ran =
+          outcome == Outcome::kRefused || outcome == Outcome::kUnreachable || outcome == Outcome::kMoot;
       const double pause = kCallBackoff * std::exp2(s.call_tries - 1) * (1 + chance_.chance());
       const bool again = s.call_tries < kCallTries && last_ + pause < s.useful_by &&
                          (never_ran || type_of(s).effect == Effect::kRetryable);
@@ -643,11 +657,11 @@
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
     const double less = ailing_ || leaving() ? 0.98 : level_;
+    if (std::abs(less - said_) < kAnnounceStep && said_ >= 0) return;
+    said_ = less;
     double value = less;
     if (set_.say == Say::kWeight) value = 1 - less;
     if (set_.say == Say::kCredit) value = (1 - less) * kHeldPerCore * set_.cores / std::max(1, set_.callers);
-    if (std::abs(value - said_) < kAnnounceStep && said_ >= 0) return;
-    said_ = value;
     host_.announce(value);
   }
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -1,5 +1,6 @@
 // The interface of the decisions: what a backend can be told (Decider), what it can do (Host), and the plain
-// data between them. No decision, default that tunes, or table lives here. Times are seconds, sizes kilobytes.
+// data between them. No decision, default that tunes, or table lives here. Times are seconds, sizes
+// kilobytes.
 #pragma once
 
 #include <cstdint>
--- /dev/null
+++ b/tests/traces.cpp
@@ -0,0 +1,273 @@
+// Prints the trace of one scenario; CTest compares it with tests/traces/NAME.txt.
+#include <cstring>
+
+#include "backend.h"
+
+using namespace damsonspoke;
+using damsonspoke::testing::Backend;
+using damsonspoke::testing::plain_settings;
+
+namespace {
+
+// Every way in which an op can end gives its bytes back, once.
+void pool() {
+  Backend b(plain_settings());
+  for (OpId id = 1; id <= 5; ++id) b.arrives(b.op(id));
+  b.pool();
+  b.until(0.1);
+  b.ends(1);
+  b.ends(2, Outcome::kError);
+  b.gone(3);  // runs: stopped, its bytes stay until the run is over
+  b.pool();
+  b.ends(3, Outcome::kCancelled);
+  b.ends(4, Outcome::kCancelled);  // stopped by nobody's wish: back in the hold, then started again
+  b.pool();
+  b.gone(5);
+  b.ends(5, Outcome::kCancelled);
+  b.until(4.5);  // 4 comes due while it runs
+  b.pool();
+  b.ends(4, Outcome::kCancelled);
+  b.pool();
+}
+
+// An empty pool refuses newcomers, though one run may go when none is running.
+void empty_pool() {
+  Settings s = plain_settings();
+  s.memory_kb = 200;
+  Backend b(s);
+  Op large = b.op(1);
+  large.held_kb = 40;
+  b.arrives(large);
+  for (OpId id = 2; id <= 4; ++id) b.arrives(b.op(id));
+  b.until(0.5);
+  b.ends(1);
+  b.pool();
+}
+
+// Nothing learned: held. Learned: an op that cannot be in time is nacked on intake, the important one is not.
+void finish_check() {
+  Backend b(plain_settings());
+  for (OpId id = 1; id <= 6; ++id) b.arrives(b.op(id));
+  b.until(0.6);
+  for (OpId id = 1; id <= 4; ++id) b.ends(id);
+  b.learn(1, 0.6);
+  b.arrives(b.op(7, 0));
+  b.arrives(b.op(8, 1));
+  b.arrives(b.op(9, 0));
+  b.arrives(b.op(10, 1));
+  Op hurried = b.op(11, 1);
+  hurried.remaining_wait = 0.5;
+  b.arrives(hurried);
+}
+
+// The answer owed leaves by the due time, whatever the work does.
+void due() {
+  Settings s = plain_settings();
+  for (const Halt halt : {Halt::kDrop, Halt::kOff}) {
+    s.halt = halt;
+    Backend b(s);
+    Op told = b.op(1);
+    told.remaining_wait = 1.5;
+    told.age = 1;
+    b.arrives(told);
+    Op untold = b.op(2);
+    untold.age = 1;
+    b.arrives(untold);
+    b.arrives(b.op(3));
+    b.until(5);
+    b.pool();  // with halt off the unfinished runs keep their charge and their cores
+  }
+}
+
+// A stopped run: dropped work goes back to the hold at its held size, paused work keeps its running bytes.
+void halts() {
+  Settings s = plain_settings();
+  for (const Halt halt : {Halt::kDrop, Halt::kPause}) {
+    s.halt = halt;
+    Backend b(s);
+    for (OpId id = 1; id <= 3; ++id) b.arrives(b.op(id));
+    b.ends(1, Outcome::kCancelled);
+    b.pool();
+    b.ends(2);
+    b.ends(3);
+    b.ends(1);
+    b.pool();
+  }
+}
+
+// Keyed: the entry is kept from intake, a repeat joins, what has run is never nacked nor run again.
+void keyed() {
+  Settings s = plain_settings();
+  s.op_types[0].effect = Effect::kKeyed;
+  s.key_kb = 1500;
+  Backend b(s);
+  Op first = b.op(1);
+  first.age = 0.5;
+  b.arrives(first);
+  Op repeat = b.op(2);
+  repeat.original = 1;
+  b.arrives(repeat);
+  b.arrives(b.op(3));
+  b.arrives(b.op(4));  // no room for its entry
+  b.ends(1, Outcome::kCancelled);
+  b.ends(2, Outcome::kError);
+  b.until(4.0);
+  b.until(4.6);
+  b.pool();
+  b.arrives(b.op(5));  // the first entry has expired
+}
+
+// Calls: a non-retryable op repeats its call only when the last is proven not run.
+void calls() {
+  Settings s = plain_settings();
+  s.below = Below::kShared;
+  s.dep_share = 2;
+  s.op_types[0].calls = s.op_types[1].calls = true;
+  s.op_types[0].effect = Effect::kNonRetryable;
+  s.op_types[1].worth_without = 0.5;
+  Backend b(s);
+  for (OpId id = 1; id <= 2; ++id) b.arrives(b.op(id, 0));
+  b.needs_call(1);
+  b.needs_call(2);  // over the bound: waits off the cores
+  b.call_ends(1, Outcome::kRefused);
+  b.call_ends(2, Outcome::kTimeout);
+  b.ends(2, Outcome::kCancelled);
+  b.until(0.6);
+  b.call_ends(1, Outcome::kOk);
+  b.ends(1);
+  b.arrives(b.op(3, 0));
+  b.arrives(b.op(4, 0));
+  b.arrives(b.op(5, 1));
+  b.needs_call(3);
+  b.needs_call(4);
+  b.needs_call(5);  // slow below: the important one goes before 4
+  b.call_ends(3, Outcome::kOk);
+  b.until(2.8);  // 5 is answered without its call when that can no longer be in time
+  b.call_ends(5, Outcome::kError);
+}
+
+// Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
+void leaving() {
+  Backend b(plain_settings());
+  b.arrives(b.op(1));
+  b.leave(3);
+  b.until(0.9);
+  b.arrives(b.op(2));
+  b.until(1.5);
+  Op in_time = b.op(3);
+  in_time.age = 0.6;  // read late, but it arrived within the grace
+  b.arrives(in_time);
+  b.arrives(b.op(4));
+  b.until(3);
+  b.pool();
+}
+
+// Cold: the survivable crowd is counted from the speed floor, so fewer start than there are cores.
+void cold() {
+  Settings s = plain_settings();
+  s.cores = 6;
+  s.cold = true;
+  s.cold_from = 0.0;
+  s.cold_time = 10;
+  Backend b(s);
+  for (OpId id = 1; id <= 7; ++id) b.arrives(b.op(id));
+  b.until(2);
+}
+
+// Runs that do not end: health bad, newcomers nacked; when one ends, probes bring it back.
+void stalled() {
+  Backend b(plain_settings());
+  b.learn(0, 0.2);
+  b.arrives(b.op(1));
+  b.arrives(b.op(2));
+  b.until(2.0);
+  b.arrives(b.op(3));
+  b.until(2.4);
+  b.ends(1);
+  b.ends(2);
+  OpId id = 10;
+  for (double t = 2.6; t < 5; t += 0.3) {
+    b.until(t);
+    b.arrives(b.op(id));
+    b.until(t + 0.2);
+    b.ends(id++);
+  }
+}
+
+// Runs that mostly fail: the same answer, and good probes in a row end it.
+void failing() {
+  Backend b(plain_settings());
+  OpId id = 1;
+  for (int i = 0; i < 9; ++i) {
+    b.until(0.1 * i);
+    b.arrives(b.op(id));
+    b.ends(id++, Outcome::kError);
+  }
+  b.until(1.6);
+  b.arrives(b.op(id++));
+  b.arrives(b.op(id));  // one probe at a time
+  for (int i = 0; i < 6; ++i) {
+    b.ends(id - 1);
+    b.until(1.7 + 0.1 * i);
+    id += 2;
+    b.arrives(b.op(id - 1));
+  }
+}
+
+// Under shortage a customer over its quota, or one caller that holds most of the bytes, loses room first.
+void shares() {
+  Settings s = plain_settings();
+  s.customers = {{1}, {10}};
+  s.over_share_worth = 0.05;
+  Backend b(s);
+  b.learn(0, 0.5);
+  for (OpId id = 1; id <= 5; ++id) {
+    Op op = b.op(id);
+    op.customer = id == 5 ? 1 : 0;
+    b.arrives(op);
+  }
+  s.customers.clear();
+  Backend c(s);
+  for (OpId id = 1; id <= 8; ++id) {
+    Op op = c.op(id);
+    op.caller = id == 4 || id == 8 ? 2 : 1;
+    c.arrives(op);
+  }
+}
+
+// What is announced under pressure means something else for each kind of free value.
+void announce() {
+  Settings s = plain_settings();
+  for (const Say say : {Say::kLevel, Say::kWeight, Say::kCredit, Say::kOff}) {
+    s.say = say;
+    Backend b(s);
+    b.learn(0, 1.0);
+    for (OpId id = 1; id <= 4; ++id) b.arrives(b.op(id));
+    b.until(1.6);
+  }
+}
+
+struct Scenario {
+  const char* name;
+  void (*play)();
+};
+constexpr Scenario kScenarios[] = {
+    {"pool", pool},         {"empty_pool", empty_pool}, {"finish_check", finish_check},
+    {"due", due},           {"halts", halts},           {"keyed", keyed},
+    {"calls", calls},       {"leaving", leaving},       {"cold", cold},
+    {"stalled", stalled},   {"failing", failing},       {"shares", shares},
+    {"announce", announce},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  for (const Scenario& scenario : kScenarios) {
+    if (argc == 2 && std::strcmp(argv[1], scenario.name) == 0) {
+      scenario.play();
+      return 0;
+    }
+  }
+  std::fprintf(stderr, "usage: traces SCENARIO\n");
+  return 2;
+}
