--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -54,6 +54,7 @@
 constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
 constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
+constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
 constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
 constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
@@ -257,6 +258,7 @@
   // ---- Answers.
   double advice(double wait) {
     if (!set_.retry_after) return 0;
+    wait = std::max(wait, shortage_ * set_.max_retry_after);
     if (ailing_ || leaving()) wait = set_.max_retry_after;
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
@@ -350,6 +352,7 @@
     const double wait = predicted_wait();
     const bool in_quota = within_quota(op);
     const std::string why = refusal(s, arrival, wait, in_quota);
+    shortage_ += ((why == "busy" ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
       if (why == "busy") nacked_since_tick_ += 1;
       return nack(op.id, wait);
@@ -687,7 +690,7 @@
   int sound_runs_ = 0;
   bool failing_ = false, ailing_ = false, healthy_ = true;
   double ailing_since_ = 0;
-  double level_ = 0, said_ = -1;
+  double level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
   double last_, created_;
   double leave_at_ = -1, stop_at_ = 0;
