Long advice only in a storm of in-quota nacks, none to over-quota ops

Cause: in the lima incident half of the relays died and the repeats of nacked ops filled the reading; reading alone then took half of the cores. Should also hold against any sudden loss of capacity or burst; may hurt where callers obey and the storm is over before they return.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,6 +55,7 @@
 constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
+constexpr double kStorm = 0.6;          // share of newcomers nacked; over it most of what is read are repeats
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
 constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
 constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
@@ -258,7 +259,7 @@
   // ---- Answers.
   double advice(double wait) {
     if (!set_.retry_after) return 0;
-    wait = std::max(wait, shortage_ * set_.max_retry_after);
+    if (shortage_ > kStorm) wait = std::max(wait, shortage_ * set_.max_retry_after);
     if (ailing_ || leaving()) wait = set_.max_retry_after;
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
@@ -352,10 +353,10 @@
     const double wait = predicted_wait();
     const bool in_quota = within_quota(op);
     const std::string why = refusal(s, arrival, wait, in_quota);
-    shortage_ += ((why == "busy" ? 1 : 0) - shortage_) / kShortageMemory;
+    if (in_quota) shortage_ += ((why == "busy" ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
-      if (why == "busy") nacked_since_tick_ += 1;
-      return nack(op.id, wait);
+      if (why == "busy" && in_quota) nacked_since_tick_ += 1;
+      return nack(op.id, in_quota ? wait : 0);
     }
     if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
     Slot& kept = admit(s);
