--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -267,7 +267,7 @@
   void nack(OpId id, double wait) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    host_.nack(id, advice(wait), shortage_ > kStorm);
+    host_.nack(id, advice(wait), shortage_ > 0.3);
     erase(id);
   }
   void fail(OpId id) {
