--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -24,8 +24,8 @@
 constexpr double kHeldPerCore = 8;  // ops; the count bound beside the bytes, above what the finish check lets
 constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
 constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
-constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
+constexpr double kFinishShare = 0.75; // of the time to the target: predictions are means, answers must not be
+constexpr double kLeastShare = 0.5;   // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
@@ -267,7 +267,7 @@
   void nack(OpId id, double wait) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    host_.nack(id, advice(wait), shortage_ > 0.3);
+    host_.nack(id, advice(wait), shortage_ > kStorm);
     erase(id);
   }
   void fail(OpId id) {
@@ -629,7 +629,7 @@
     }
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable(last_) * kCrowdShare);
     look_at_self();
-    steer();
+    steer(gauges.cpu_busy);
   }
 
   // Whether runs still get done in time, and whether they succeed, against their own targets and past.
@@ -655,8 +655,9 @@
     host_.set_health(good, set_.deep_checks);
   }
   // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
-  void steer() {
-    level_ += nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
+  void steer(double cpu_busy) {
+    const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
+    level_ += idle ? -kLevelUp : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
     level_ = std::clamp(level_, 0.0, kLevelMost);
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
