--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -24,8 +24,8 @@
 constexpr double kHeldPerCore = 8;  // ops; the count bound beside the bytes, above what the finish check lets
 constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
 constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
-constexpr double kFinishShare = 0.75; // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.5;   // of that for the least important: with plenty of room they still pass
+constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
+constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
@@ -59,6 +59,7 @@
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
 constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
 constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
+constexpr double kLevelIdle = 0.02;       // a tick in which cores idle; less than the rise, or it would swing
 constexpr double kLevelMost = 0.9;       // never ask everyone to stay away for mere load
 constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
 
@@ -657,7 +658,7 @@
   // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
-    level_ += idle ? -kLevelUp : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
+    level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
     level_ = std::clamp(level_, 0.0, kLevelMost);
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
