The importance share of the finish check cuts only the wait, not the op's own run

Cause: in the second lima incident cores stood a quarter idle while 6 in 10 ops were nacked: with callers that wait under a second the op's own run alone went over the cut share.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -393,7 +393,8 @@
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
     const double worth = type.importance * (in_quota ? 1 : set_.over_share_worth) / most_important_;
     const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
-    return wait + own_time(s) > share * (s.useful_by - last_) ? "busy" : "";
+    const double room = s.useful_by - last_ - own_time(s);
+    return wait > share * room ? "busy" : "";
   }
   double held() const { return static_cast<double>(lines_[0].size() + lines_[1].size()); }
   int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
