--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -391,7 +391,9 @@
     // against the most important, the shorter the line it may join, so that under shortage room is left for
     // the rest.
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
-    const double worth = type.importance * (in_quota ? 1 : set_.over_share_worth) / most_important_;
+    // Over its quota an op takes idle room only.
+    if (!in_quota) return "busy";
+    const double worth = type.importance / most_important_;
     const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
     const double room = s.useful_by - last_ - own_time(s);
     return wait > share * room ? "busy" : "";
