A nack for going over quota asks the caller not to try elsewhere

Cause: in a parish's burst every refused op went on through the list and each backend read it again; ages at reading rose to half a second. Quotas are split evenly, so elsewhere it would be over quota too. May hurt when ops of a customer come very unevenly.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -265,10 +265,10 @@
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
   }
-  void nack(OpId id, double wait) {
+  void nack(OpId id, double wait, bool no_retry = false) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    host_.nack(id, advice(wait), shortage_ > kStorm);
+    host_.nack(id, advice(wait), no_retry || shortage_ > kStorm);
     erase(id);
   }
   void fail(OpId id) {
@@ -357,7 +357,7 @@
     if (in_quota) shortage_ += ((why == "busy" ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
       if (why == "busy" && in_quota) nacked_since_tick_ += 1;
-      return nack(op.id, in_quota ? wait : 0);
+      return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
     }
     if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
     Slot& kept = admit(s);
