--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -662,7 +662,7 @@
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    level_ = std::clamp(level_, 0.0, kLevelMost);
+    level_ = std::clamp(level_, 0.0, kLevelMost / static_cast<double>(set_.op_types.size()));
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
     const double less = ailing_ || leaving() ? 0.98 : level_;
