Errors of calls no longer shrink the call bound

Kept, since fewer calls do not help a layer that errs quickly; it may hurt where errors are the sign of crowding.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -25,7 +25,7 @@
 constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
 constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
 constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.6;   // of that for the least important: with plenty of room they still pass
+constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
@@ -557,7 +557,10 @@
       recent_call_ += (spent - recent_call_) / kErrorMemory;
       if (!calls_slow()) call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
     }
-    if ((outcome != Outcome::kOk || calls_slow()) && last_ >= call_drop_at_) {
+    // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls, and
+    // ops would pile up behind the bound with idle cores.
+    const bool crowded = outcome == Outcome::kTimeout || outcome == Outcome::kRefused || calls_slow();
+    if (crowded && last_ >= call_drop_at_) {
       call_bound_ = std::max(1.0, call_bound_ * kCallDrop);
       call_drop_at_ = last_ + kCallDropEvery;
     }
