Slow calls and ops that wait to call lengthen the predicted finish; hopeless ones at calls fail

Should hold against any slowness below, also of a second tier; may hurt where call times swing widely.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -211,10 +211,19 @@
     }
     return ahead / (run_limit_ * pace_);
   }
+  // A layer below that has turned slow, and the ops that wait to call it, lengthen the predicted finish at once;
+  // not where the call can be left out in time.
   double own_time(const Slot& s) {
-    return mean_run(s.op.type) / pace_ + (row_of(s).away.learned() ? row_of(s).away.mean() : 0);
+    double away = row_of(s).away.mean();
+    if (away > 0 && calls_.learned() && type_of(s).worth_without <= 0) {
+      away *= std::max(1.0, recent_call_ / calls_.mean());
+      away += static_cast<double>(call_line_.size()) * recent_call_ / call_bound_;
+    }
+    return mean_run(s.op.type) / pace_ + away;
+  }
+  bool work_waits() const {
+    return !lines_[0].empty() || !lines_[1].empty() || !call_line_.empty() || running_ >= limit();
   }
-  bool work_waits() const { return !lines_[0].empty() || !lines_[1].empty() || running_ >= limit(); }
   int limit() const { return static_cast<int>(std::min(run_limit_, survivable(last_) * kCrowdShare)); }
 
   double budget() const { return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor; }
@@ -520,6 +529,9 @@
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
         call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
         skip(id, s);
+      } else if (by_importance && s.useful_by < last_ + recent_call_ && !s.answered) {
+        call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
+        fail(id);  // it cannot be in time any more, and others wait for the same scarce calls
       } else {
         ++i;
       }
