--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,6 +39,10 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
+constexpr double kLagEnter = 0.8;          // age at reading over target: nothing read can still be in time
+constexpr double kLagLeave = 0.3;          // and back when most of the target is left again
+constexpr double kLagMemory = 12;          // ops read; a short stall reads a few old ones and is no illness
+constexpr double kLagFade = 0.97;          // a tick; when nothing comes any more the lag is forgotten in seconds
 constexpr double kHistogramFull = 64;    // values; then halved, so that the past fades
 constexpr double kGrow = 1.25;           // x run limit a tick, while cores idle and work waits
 constexpr double kIdleCores = 0.85;      // busy share under which the cores count as idle
@@ -344,6 +348,7 @@
     const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
     const double arrival = now - op.age;
     largest_kb_ = std::max(largest_kb_, op.held_kb);
+    if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
     Slot s;
     s.op = op;
     s.since = now;
@@ -646,12 +651,15 @@
     } else if (gauges.cpu_busy > kFullCores || !waits) {
       run_limit_ = run_limit_ - 1;
     }
+    lag_ *= kLagFade;
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable(last_) * kCrowdShare);
     look_at_self();
     steer(gauges.cpu_busy);
   }
 
-  // Whether runs still get done in time, and whether they succeed, against their own targets and past.
+  // Whether runs still get done in time, whether they succeed, and whether ops are read before they are stale. The
+  // last guards against a machine so slow, or a line of unread ops so long, that reading takes all the cores: no run
+  // ever starts, so the pace sees nothing, while callers go on sending to a backend that can serve nobody.
   void look_at_self() {
     double need = 0, n = 0;
     for (std::size_t i = 0; i < rows_.size(); ++i) {
@@ -660,10 +668,11 @@
       n += 1;
     }
     const bool slow = !cold(last_) && n > 0 && need / n > (ailing_ ? kAilingLeave : kAilingEnter);
+    const bool drowning = lag_ > (ailing_ ? kLagLeave : kLagEnter);
     if (failing_ && sound_runs_ >= kSoundRuns) failing_ = false, errors_ = 0;
     if (errors_ > kErrorsEnter) failing_ = true;
     const bool was = ailing_;
-    ailing_ = slow || failing_;
+    ailing_ = slow || failing_ || drowning;
     if (ailing_ && !was) ailing_since_ = last_;
     show_health();
   }
@@ -707,7 +716,7 @@
   Histogram calls_;
   double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0, next_call_at_ = 0;
   double most_important_ = 0;
-  double errors_ = 0;
+  double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
   bool failing_ = false, ailing_ = false, healthy_ = true;
   double ailing_since_ = 0;
