--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,9 +39,9 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
-constexpr double kLagEnter = 0.8;          // age at reading over target: nothing read can still be in time
+constexpr double kLagEnter = 0.6;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;          // and back when most of the target is left again
-constexpr double kLagMemory = 12;          // ops read; a short stall reads a few old ones and is no illness
+constexpr double kLagMemory = 8;           // ops read; a short stall reads a few old ones and is no illness
 constexpr double kLagFade = 0.97;          // a tick; when nothing comes any more the lag is forgotten in seconds
 constexpr double kHistogramFull = 64;    // values; then halved, so that the past fades
 constexpr double kGrow = 1.25;           // x run limit a tick, while cores idle and work waits
@@ -651,6 +651,7 @@
     } else if (gauges.cpu_busy > kFullCores || !waits) {
       run_limit_ = run_limit_ - 1;
     }
+    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores) lag_ = 0;  // idle cores: nothing stands unread
     lag_ *= kLagFade;
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable(last_) * kCrowdShare);
     look_at_self();
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -194,6 +194,23 @@
   }
 }
 
+// Ops that are stale when they are read: nothing here can be in time, so callers are sent away until cores
+// idle.
+void drowning() {
+  Backend b(plain_settings());
+  b.gauges.cpu_busy = 1;
+  OpId id = 1;
+  for (int i = 0; i < 12; ++i) {
+    Op op = b.op(id++);
+    op.age = 3;
+    op.remaining_wait = 0.02;
+    b.arrives(op);
+  }
+  b.until(2);
+  b.gauges.cpu_busy = 0.1;
+  b.until(2.2);
+}
+
 // Runs that mostly fail: the same answer, and good probes in a row end it.
 void failing() {
   Backend b(plain_settings());
@@ -252,11 +269,11 @@
   void (*play)();
 };
 constexpr Scenario kScenarios[] = {
-    {"pool", pool},         {"empty_pool", empty_pool}, {"finish_check", finish_check},
-    {"due", due},           {"halts", halts},           {"keyed", keyed},
-    {"calls", calls},       {"leaving", leaving},       {"cold", cold},
-    {"stalled", stalled},   {"failing", failing},       {"shares", shares},
-    {"announce", announce},
+    {"pool", pool},       {"empty_pool", empty_pool}, {"finish_check", finish_check},
+    {"due", due},         {"halts", halts},           {"keyed", keyed},
+    {"calls", calls},     {"leaving", leaving},       {"cold", cold},
+    {"stalled", stalled}, {"drowning", drowning},     {"failing", failing},
+    {"shares", shares},   {"announce", announce},
 };
 
 }  // namespace
