Quota bucket of 6 ops and 1.5 s: small quotas come in clumps

Cause: a 14 % quota split over a dozen backends is one op a second here; a bucket of 1.5 s overflowed in ordinary traffic, and the small parishes lost ops as over quota while the large one kept its part. May hurt with very many customers, each of which may send six at once.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,14 +39,14 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
-constexpr double kLagEnter = 0.6;          // age at reading over target: nothing read can still be in time
-constexpr double kLagLeave = 0.3;          // and back when most of the target is left again
-constexpr double kLagMemory = 8;           // ops read; a short stall reads a few old ones and is no illness
-constexpr double kLagFade = 0.97;          // a tick; when nothing comes any more the lag is forgotten in seconds
-constexpr double kHistogramFull = 64;    // values; then halved, so that the past fades
-constexpr double kGrow = 1.25;           // x run limit a tick, while cores idle and work waits
-constexpr double kIdleCores = 0.85;      // busy share under which the cores count as idle
-constexpr double kFullCores = 0.97;      // busy share over which a raised run limit comes down again
+constexpr double kLagEnter = 0.6;        // age at reading over target: nothing read can still be in time
+constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
+constexpr double kLagMemory = 8;         // ops read; a short stall reads a few old ones and is no illness
+constexpr double kLagFade = 0.97;      // a tick; when nothing comes any more the lag is forgotten in seconds
+constexpr double kHistogramFull = 64;  // values; then halved, so that the past fades
+constexpr double kGrow = 1.25;         // x run limit a tick, while cores idle and work waits
+constexpr double kIdleCores = 0.85;    // busy share under which the cores count as idle
+constexpr double kFullCores = 0.97;    // busy share over which a raised run limit comes down again
 constexpr double kCallShare = 0.9;  // of this backend's part of the calls below; the margin is for lingerers
 constexpr double kCallsSlow = 3;    // x the usual call time: the layer below is crowded
 constexpr double kCallDrop = 0.7;   // x call bound on trouble below, at most each kCallDropEvery
@@ -57,15 +57,16 @@
 constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
 constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
 constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
+constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
-constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
+constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
 constexpr double kStorm = 0.6;          // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
-constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
-constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
-constexpr double kLevelIdle = 0.02;       // a tick in which cores idle; less than the rise, or it would swing
-constexpr double kLevelMost = 0.9;       // never ask everyone to stay away for mere load
-constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
+constexpr double kAnnounceStep = 0.02;  // smallest change that is worth announcing
+constexpr double kLevelUp = 0.04;       // a tick with nacks; the callers hear within a second
+constexpr double kLevelDown = 0.008;    // a tick without; slower, so that the level settles
+constexpr double kLevelIdle = 0.02;     // a tick in which cores idle; less than the rise, or it would swing
+constexpr double kLevelMost = 0.9;      // never ask everyone to stay away for mere load
+constexpr double kLeastAdvice = 0.05;   // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
 class Pcg {
@@ -159,7 +160,7 @@
         run_limit_(settings.cores),
         last_(now),
         created_(now) {
-    for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {quota_here(i) * kQuotaBurst, now};
+    for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
     call_ceiling_ = std::max(1.0, set_.dep_share * kCallShare);
     call_bound_ = call_ceiling_;
@@ -171,6 +172,7 @@
   const OpType& type_of(const Slot& s) const { return set_.op_types[static_cast<std::size_t>(s.op.type)]; }
   Row& row_of(const Slot& s) { return rows_[static_cast<std::size_t>(s.op.type)]; }
   double quota_here(std::size_t i) const { return kQuotaRoom * set_.customers[i].quota_per_s / set_.servers; }
+  double bucket_size(std::size_t i) const { return kQuotaSpread + quota_here(i) * kQuotaBurst; }
   bool leaving() const { return leave_at_ >= 0; }
   bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
 
@@ -215,8 +217,8 @@
     }
     return ahead / (run_limit_ * pace_);
   }
-  // A layer below that has turned slow, and the ops that wait to call it, lengthen the predicted finish at once;
-  // not where the call can be left out in time.
+  // A layer below that has turned slow, and the ops that wait to call it, lengthen the predicted finish at
+  // once; not where the call can be left out in time.
   double own_time(const Slot& s) {
     double away = row_of(s).away.mean();
     if (away > 0 && calls_.learned() && type_of(s).worth_without <= 0) {
@@ -320,8 +322,7 @@
     if (buckets_.empty()) return true;
     const auto i = static_cast<std::size_t>(op.customer);
     Bucket& b = buckets_[i];
-    b.tokens =
-        std::min(b.tokens + (last_ - b.filled) * quota_here(i), std::max(1.0, quota_here(i) * kQuotaBurst));
+    b.tokens = std::min(b.tokens + (last_ - b.filled) * quota_here(i), bucket_size(i));
     b.filled = last_;
     return b.tokens >= 1;
   }
@@ -574,8 +575,8 @@
       recent_call_ += (spent - recent_call_) / kErrorMemory;
       if (!calls_slow()) call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
     }
-    // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls, and
-    // ops would pile up behind the bound with idle cores.
+    // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls,
+    // and ops would pile up behind the bound with idle cores.
     const bool crowded = outcome == Outcome::kTimeout || outcome == Outcome::kRefused || calls_slow();
     if (crowded && last_ >= call_drop_at_) {
       call_bound_ = std::max(1.0, call_bound_ * kCallDrop);
@@ -658,9 +659,10 @@
     steer(gauges.cpu_busy);
   }
 
-  // Whether runs still get done in time, whether they succeed, and whether ops are read before they are stale. The
-  // last guards against a machine so slow, or a line of unread ops so long, that reading takes all the cores: no run
-  // ever starts, so the pace sees nothing, while callers go on sending to a backend that can serve nobody.
+  // Whether runs still get done in time, whether they succeed, and whether ops are read before they are
+  // stale. The last guards against a machine so slow, or a line of unread ops so long, that reading takes all
+  // the cores: no run ever starts, so the pace sees nothing, while callers go on sending to a backend that
+  // can serve nobody.
   void look_at_self() {
     double need = 0, n = 0;
     for (std::size_t i = 0; i < rows_.size(); ++i) {
