--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -326,6 +326,12 @@
     b.filled = last_;
     return b.tokens >= 1;
   }
+  // From 0 to 1: how much of its part a customer has left. Who has used less may join a longer line.
+  double unused_quota(const Op& op) const {
+    if (buckets_.empty()) return 1;
+    const auto i = static_cast<std::size_t>(op.customer);
+    return buckets_[i].tokens / bucket_size(i);
+  }
   // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or
   // subject that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
   bool heavy(const Op& op) const {
@@ -408,7 +414,7 @@
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
     // Over its quota an op takes idle room only.
     if (!in_quota) return "busy";
-    const double worth = type.importance / most_important_;
+    const double worth = type.importance / most_important_ * unused_quota(s.op);
     const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
     const double room = s.useful_by - last_ - own_time(s);
     return wait > share * room ? "busy" : "";
