Lag threshold 0.6 to 1.0: overloaded fleets no longer flap; line rule for all types undone

Cause: with dear reading an overloaded fleet reads ops over a second old; at 0.6 backends left the list in turns and pushed their load onto the rest.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,7 +39,7 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
-constexpr double kLagEnter = 0.6;        // age at reading over target: nothing read can still be in time
+constexpr double kLagEnter = 1;            // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
 constexpr double kLagMemory = 8;         // ops read; a short stall reads a few old ones and is no illness
 constexpr double kLagFade = 0.97;      // a tick; when nothing comes any more the lag is forgotten in seconds
@@ -402,26 +402,16 @@
     if (ailing_ && running_ + at_calls() + held() >= kProbeRuns) return "ailing";
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
-    // The finish check; ops of types with nothing learned are held.
+    // The finish check; ops of types with nothing learned are held. Importance: the less an op is worth
+    // against the most important, the shorter the line it may join, so that under shortage room is left for
+    // the rest.
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
-    if (wait > kFinishShare * (s.useful_by - last_ - own_time(s))) return "busy";
-    if (!in_quota) return "busy";  // over its quota an op takes idle room only
-    // Importance: the less an op is worth against the most important, the shorter the line it may join, so that under
-    // shortage room is left for the rest. One measure of line for all, or types with short targets would pay alone.
-    const double share = kLeastShare + (1 - kLeastShare) * type.importance / most_important_;
-    return wait > kFinishShare * share * common_room() ? "busy" : "";
-  }
-  // The time that the op type with the least of it has for waiting.
-  double common_room() const {
-    double least = -1;
-    for (std::size_t i = 0; i < rows_.size(); ++i) {
-      const OpType& type = set_.op_types[i];
-      if (!rows_[i].run.learned()) continue;
-      const double end = type.late_worth < kLateMatters ? type.target_latency : type.op_timeout;
-      const double room = end - rows_[i].run.mean() / pace_ - rows_[i].away.mean();
-      least = least < 0 ? std::max(room, 0.0) : std::min(least, std::max(room, 0.0));
-    }
-    return least;
+    // Over its quota an op takes idle room only.
+    if (!in_quota) return "busy";
+    const double worth = type.importance / most_important_;
+    const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
+    const double room = s.useful_by - last_ - own_time(s);
+    return wait > share * room ? "busy" : "";
   }
   double held() const { return static_cast<double>(lines_[0].size() + lines_[1].size()); }
   int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
