--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -283,7 +283,7 @@
   void nack(OpId id, double wait, bool no_retry = false) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    host_.nack(id, advice(wait), no_retry || shortage_ > kStorm);
+    host_.nack(id, advice(wait), !ailing_ && (no_retry || shortage_ > kStorm));
     erase(id);
   }
   void fail(OpId id) {
@@ -369,7 +369,9 @@
     const double wait = predicted_wait();
     const bool in_quota = within_quota(op);
     const std::string why = refusal(s, arrival, wait, in_quota);
-    if (in_quota) shortage_ += ((why == "busy" ? 1 : 0) - shortage_) / kShortageMemory;
+    // What is stale when read counts as short too: its backend reads too much, whether it nacks for that or not.
+    const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
+    if (in_quota) shortage_ += ((shortage ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
       if (why == "busy" && in_quota) nacked_since_tick_ += 1;
       return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
@@ -433,6 +435,7 @@
       const OpId id = lines_[pick].front();
       Slot& s = ops_.at(id);
       if (s.stage == Stage::kHeld && !s.has_run && last_ + own_time(s) > s.useful_by && running_ > 0) {
+        shortage_ += (1 - shortage_) / kShortageMemory;
         nack(id, predicted_wait());  // given up: answered at once
         continue;
       }
