--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,7 +60,7 @@
 constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
-constexpr double kStorm = 0.4;          // share of newcomers nacked; over it most of what is read are repeats
+constexpr double kStorm = 0.5;          // share of newcomers nacked; over it most of what is read are repeats
 constexpr double kAnnounceStep = 0.02;  // smallest change that is worth announcing
 constexpr double kLevelUp = 0.04;       // a tick with nacks; the callers hear within a second
 constexpr double kLevelDown = 0.008;    // a tick without; slower, so that the level settles
@@ -404,16 +404,26 @@
     if (ailing_ && running_ + at_calls() + held() >= kProbeRuns) return "ailing";
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
-    // The finish check; ops of types with nothing learned are held. Importance: the less an op is worth
-    // against the most important, the shorter the line it may join, so that under shortage room is left for
-    // the rest.
+    // The finish check; ops of types with nothing learned are held.
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
-    // Over its quota an op takes idle room only.
-    if (!in_quota) return "busy";
-    const double worth = type.importance / most_important_;
-    const double share = kFinishShare * (kLeastShare + (1 - kLeastShare) * worth);
-    const double room = s.useful_by - last_ - own_time(s);
-    return wait > share * room ? "busy" : "";
+    if (wait > kFinishShare * (s.useful_by - last_ - own_time(s))) return "busy";
+    if (!in_quota) return "busy";  // over its quota an op takes idle room only
+    // Importance: the less an op is worth against the most important, the shorter the line it may join, so that under
+    // shortage room is left for the rest. One measure of line for all, or types with short targets would pay alone.
+    const double share = kLeastShare + (1 - kLeastShare) * type.importance / most_important_;
+    return wait > kFinishShare * share * common_room() ? "busy" : "";
+  }
+  // The time that the op type with the least of it has for waiting.
+  double common_room() const {
+    double least = -1;
+    for (std::size_t i = 0; i < rows_.size(); ++i) {
+      const OpType& type = set_.op_types[i];
+      if (!rows_[i].run.learned()) continue;
+      const double end = type.late_worth < kLateMatters ? type.target_latency : type.op_timeout;
+      const double room = end - rows_[i].run.mean() / pace_ - rows_[i].away.mean();
+      least = least < 0 ? std::max(room, 0.0) : std::min(least, std::max(room, 0.0));
+    }
+    return least;
   }
   double held() const { return static_cast<double>(lines_[0].size() + lines_[1].size()); }
   int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
