--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -39,7 +39,7 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
-constexpr double kLagEnter = 1;            // age at reading over target: nothing read can still be in time
+constexpr double kLagEnter = 1;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
 constexpr double kLagMemory = 8;         // ops read; a short stall reads a few old ones and is no illness
 constexpr double kLagFade = 0.97;      // a tick; when nothing comes any more the lag is forgotten in seconds
@@ -369,7 +369,8 @@
     const double wait = predicted_wait();
     const bool in_quota = within_quota(op);
     const std::string why = refusal(s, arrival, wait, in_quota);
-    // What is stale when read counts as short too: its backend reads too much, whether it nacks for that or not.
+    // What is stale when read counts as short too: its backend reads too much, whether it nacks for that or
+    // not.
     const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
     if (in_quota) shortage_ += ((shortage ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
@@ -406,12 +407,14 @@
     if (heavy(s.op)) return "busy";
     // The finish check; ops of types with nothing learned are held.
     if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
-    if (wait > kFinishShare * (s.useful_by - last_ - own_time(s))) return "busy";
     if (!in_quota) return "busy";  // over its quota an op takes idle room only
-    // Importance: the less an op is worth against the most important, the shorter the line it may join, so that under
-    // shortage room is left for the rest. One measure of line for all, or types with short targets would pay alone.
+    // Importance: the less an op is worth against the most important, the shorter the line it may join, so
+    // that under shortage room is left for the rest. One measure of line for all, or types with short targets
+    // would pay alone.
+    double room = s.useful_by - last_ - own_time(s);
     const double share = kLeastShare + (1 - kLeastShare) * type.importance / most_important_;
-    return wait > kFinishShare * share * common_room() ? "busy" : "";
+    if (share < 1) room = share * std::min(room, common_room());
+    return wait > kFinishShare * room ? "busy" : "";
   }
   // The time that the op type with the least of it has for waiting.
   double common_room() const {
