--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,6 +66,7 @@
 constexpr double kLevelDown = 0.008;    // a tick without; slower, so that the level settles
 constexpr double kLevelIdle = 0.02;     // a tick in which cores idle; less than the rise, or it would swing
 constexpr double kLevelMost = 0.9;      // never ask everyone to stay away for mere load
+constexpr double kLevelAway = 0.98;     // ailing or leaving: a few still come as probes
 constexpr double kLeastAdvice = 0.05;   // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
@@ -165,6 +166,10 @@
     call_ceiling_ = std::max(1.0, set_.dep_share * kCallShare);
     call_bound_ = call_ceiling_;
     if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
+    // A cold backend can hardly read a full part of the traffic, let alone run it: it starts by asking for
+    // what its speed floor allows, and for more as soon as its cores idle.
+    level_ = 1 - speed_floor();
+    steer(-1);
     wake(now + kTick);
   }
 
@@ -176,14 +181,12 @@
   bool leaving() const { return leave_at_ >= 0; }
   bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
 
-  // The survivable crowd while cold counts on the speed floor only: the true speed is not told.
-  double survivable(double now) const {
-    double speed = 1;
-    if (cold(now)) {
-      speed = set_.cold_from + (1 - set_.cold_from) * (now - created_) / std::max(set_.cold_time, kTick);
-    }
-    return (1 + (set_.crowd_multiple - 1) * speed) * set_.cores;
+  // The share of full speed that a cold backend has at least; its true speed is not told.
+  double speed_floor() const {
+    if (!cold(last_)) return 1;
+    return set_.cold_from + (1 - set_.cold_from) * (last_ - created_) / std::max(set_.cold_time, kTick);
   }
+  double survivable() const { return (1 + (set_.crowd_multiple - 1) * speed_floor()) * set_.cores; }
 
   double mean_run(int type) const {
     const Row& row = rows_[static_cast<std::size_t>(type)];
@@ -230,7 +233,7 @@
   bool work_waits() const {
     return !lines_[0].empty() || !lines_[1].empty() || !call_line_.empty() || running_ >= limit();
   }
-  int limit() const { return static_cast<int>(std::min(run_limit_, survivable(last_) * kCrowdShare)); }
+  int limit() const { return static_cast<int>(std::min(run_limit_, survivable() * kCrowdShare)); }
 
   double budget() const { return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor; }
 
@@ -433,7 +436,7 @@
 
   // ---- Starts.
   void start_more() {
-    while (running_ < limit() && running_ + at_calls() < survivable(last_) * kCrowdShare) {
+    while (running_ < limit() && running_ + at_calls() < survivable() * kCrowdShare) {
       const bool calls_full = at_calls() >= kAtCallsPerCore * set_.cores;
       int pick = -1;
       double least_slack = 0;
@@ -670,7 +673,7 @@
     }
     if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores) lag_ = 0;  // idle cores: nothing stands unread
     lag_ *= kLagFade;
-    run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable(last_) * kCrowdShare);
+    run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable() * kCrowdShare);
     look_at_self();
     steer(gauges.cpu_busy);
   }
@@ -705,10 +708,11 @@
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    level_ = std::clamp(level_, 0.0, kLevelMost / static_cast<double>(set_.op_types.size()));
+    const double most = kLevelMost / static_cast<double>(set_.op_types.size());
+    level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
-    const double less = ailing_ || leaving() ? 0.98 : level_;
+    const double less = ailing_ || leaving() ? kLevelAway : level_;
     if (std::abs(less - said_) < kAnnounceStep && said_ >= 0) return;
     said_ = less;
     double value = less;
