--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -27,6 +27,7 @@
 constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
 constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
+constexpr double kAgainSpent = 0.4;        // of the target gone before a marked further try: a wait and a nack or two
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
 constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
@@ -360,7 +361,9 @@
         now, (op.remaining_wait > 0 ? now + op.remaining_wait : arrival + type.op_timeout) - kDueMargin);
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
-    if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency);
+    // The target counts from the first try; a further try has spent an unknown part of it.
+    const double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
 
     if (op.original != 0 && type.effect != Effect::kNonRetryable) {
       // A repeat never runs beside its original: it waits for that one's outcome in held memory.
