--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -27,14 +27,19 @@
 constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
 constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
-constexpr double kAgainSpent = 0.4;        // of the target gone before a marked further try: a wait and a nack or two
-constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
-constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
-constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
-constexpr double kPaceMost = 3;       // a backend that warms up outruns what it learned cold
-constexpr double kOverdue = 2;        // x mean run; a run past this is no longer taken as progress
-constexpr double kAilingEnter = 0.9;  // predicted bare run over target: nothing would be in time
-constexpr double kAilingLeave = 0.6;  // and back only when clearly better, so that it does not flap
+constexpr double kAgainSpent =
+    0.4;  // of the target gone before a marked further try: a wait and a nack or two
+constexpr double kSameWait = 0.020;  // s; waits this near count as the same, for times of travel and jitter
+constexpr int kVotesMost = 20;       // votes; a caller that changes its wait is believed after so many ops
+constexpr std::size_t kCallersKnown =
+    256;                               // callers an op type remembers the wait of; past it they start anew
+constexpr double kPaceMemory = 1.5;    // s; a slow spell shows within two or three runs
+constexpr double kPacePrior = 0.1;     // core s at normal pace: nothing measured reads as normal
+constexpr double kPaceLeast = 0.02;    // a standstill still gives a finite prediction
+constexpr double kPaceMost = 3;        // a backend that warms up outruns what it learned cold
+constexpr double kOverdue = 2;         // x mean run; a run past this is no longer taken as progress
+constexpr double kAilingEnter = 0.9;   // predicted bare run over target: nothing would be in time
+constexpr double kAilingLeave = 0.6;   // and back only when clearly better, so that it does not flap
 constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
 constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
@@ -141,8 +146,9 @@
 
 // What differs by op type.
 struct Row {
-  Histogram run;   // s on the cores
-  Histogram away;  // s at calls
+  Histogram run;                                               // s on the cores
+  Histogram away;                                              // s at calls
+  std::map<std::uint32_t, std::pair<double, int>> usual_wait;  // by caller: s, and the votes for it
 };
 
 struct Bucket {
@@ -348,6 +354,19 @@
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
+  // The wait that most ops of this type come with from this caller, by majority vote. Who comes with less is
+  // on a further try: it has spent the difference elsewhere, and its target runs since then.
+  double usual_wait(const Op& op) {
+    auto& usual = rows_[static_cast<std::size_t>(op.type)].usual_wait;
+    if (usual.size() > kCallersKnown) usual.clear();
+    auto& [wait, votes] = usual[op.caller];
+    const double comes_with = op.remaining_wait + op.age;
+    votes += std::abs(comes_with - wait) < kSameWait ? 1 : -1;
+    if (votes < 0) wait = comes_with, votes = 1;
+    votes = std::min(votes, kVotesMost);
+    return wait;
+  }
+
   void on_op(const Op& op) {
     const double now = last_;
     const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
@@ -362,7 +381,8 @@
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
     // The target counts from the first try; a further try has spent an unknown part of it.
-    const double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    if (op.remaining_wait > 0) spent = std::max(spent, usual_wait(op) - op.remaining_wait - op.age);
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
 
     if (op.original != 0 && type.effect != Effect::kNonRetryable) {
