Tier calls, joins without room, shared reads and idle connections completed

Calls to a second tier no longer share the bound meant for a shared layer; a repeat without room fails at once; reads share an answer where the site allows it; idle connections close when the table crowds and the cores are short; an op that could never run is nacked.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,10 +29,6 @@
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kAgainSpent =
     0.4;  // of the target gone before a marked further try: a wait and a nack or two
-constexpr double kSameWait = 0.020;  // s; waits this near count as the same, for times of travel and jitter
-constexpr int kVotesMost = 20;       // votes; a caller that changes its wait is believed after so many ops
-constexpr std::size_t kCallersKnown =
-    256;                               // callers an op type remembers the wait of; past it they start anew
 constexpr double kPaceMemory = 1.5;    // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;     // core s at normal pace: nothing measured reads as normal
 constexpr double kPaceLeast = 0.02;    // a standstill still gives a finite prediction
@@ -73,7 +69,9 @@
 constexpr double kLevelIdle = 0.02;     // a tick in which cores idle; less than the rise, or it would swing
 constexpr double kLevelMost = 0.9;      // never ask everyone to stay away for mere load
 constexpr double kLevelAway = 0.98;     // ailing or leaving: a few still come as probes
-constexpr double kLeastAdvice = 0.05;   // s; a shorter stay away changes nothing
+constexpr double kSpareConnections = 3;  // x ops in hand and callers; up to there open connections are in use
+constexpr double kIdleConnection = 2;    // s; one unused that long will not be missed in a crowd
+constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
 class Pcg {
@@ -146,9 +144,8 @@
 
 // What differs by op type.
 struct Row {
-  Histogram run;                                               // s on the cores
-  Histogram away;                                              // s at calls
-  std::map<std::uint32_t, std::pair<double, int>> usual_wait;  // by caller: s, and the votes for it
+  Histogram run;   // s on the cores
+  Histogram away;  // s at calls
 };
 
 struct Bucket {
@@ -170,7 +167,10 @@
         created_(now) {
     for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
-    call_ceiling_ = std::max(1.0, set_.dep_share * kCallShare);
+    // A second tier runs this code too and refuses for itself; a shared layer below has a part for each
+    // backend.
+    call_ceiling_ = set_.below == Below::kTier ? kAtCallsPerCore * set_.cores
+                                               : std::max(1.0, set_.dep_share * kCallShare);
     call_bound_ = call_ceiling_;
     if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
     // A cold backend can hardly read a full part of the traffic, let alone run it: it starts by asking for
@@ -354,19 +354,6 @@
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
-  // The wait that most ops of this type come with from this caller, by majority vote. Who comes with less is
-  // on a further try: it has spent the difference elsewhere, and its target runs since then.
-  double usual_wait(const Op& op) {
-    auto& usual = rows_[static_cast<std::size_t>(op.type)].usual_wait;
-    if (usual.size() > kCallersKnown) usual.clear();
-    auto& [wait, votes] = usual[op.caller];
-    const double comes_with = op.remaining_wait + op.age;
-    votes += std::abs(comes_with - wait) < kSameWait ? 1 : -1;
-    if (votes < 0) wait = comes_with, votes = 1;
-    votes = std::min(votes, kVotesMost);
-    return wait;
-  }
-
   void on_op(const Op& op) {
     const double now = last_;
     const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
@@ -381,14 +368,14 @@
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
     // The target counts from the first try; a further try has spent an unknown part of it.
-    double spent = op.again ? kAgainSpent * type.target_latency : 0;
-    if (op.remaining_wait > 0) spent = std::max(spent, usual_wait(op) - op.remaining_wait - op.age);
+    const double spent = op.again ? kAgainSpent * type.target_latency : 0;
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
 
     if (op.original != 0 && type.effect != Effect::kNonRetryable) {
       // A repeat never runs beside its original: it waits for that one's outcome in held memory.
       s.stage = Stage::kJoining;
       admit(s);
+      if (pool_used_ > budget()) return fail(op.id);  // its original may have run: failed, never nacked
       host_.join(op.id);
       return;
     }
@@ -406,6 +393,9 @@
     if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
     Slot& kept = admit(s);
     if (type.effect == Effect::kKeyed) keep_key(op.id, kept, std::max(set_.resolution, type.window - op.age));
+    // Reads may share an answer where the site allows it: a hot key then costs one run, not many.
+    const bool shares = set_.fresh > 0 && type.effect == Effect::kRetryable && !op.write && op.key != 0;
+    if (shares && key_room()) keep_key(op.id, kept, set_.fresh + own_time(kept));
     const double usual = mean_run(op.type);
     double mean = 0;
     for (std::size_t i = 0; i < rows_.size(); ++i) mean += mean_run(static_cast<int>(i)) / rows_.size();
@@ -425,6 +415,7 @@
     const OpType& type = type_of(s);
     if (leaving() && arrival > leave_at_ + set_.drain_grace) return "leaving";
     if (s.due <= last_) return "due";
+    if (s.op.held_kb * set_.run_factor > set_.memory_kb * kMemoryShare) return "size";
     if (pool_used_ >= budget() || held() >= kHeldPerCore * set_.cores) return "busy";
     if (type.effect == Effect::kKeyed && !key_room()) return "keys";
     // Ailing: what runs does not get done in time or fails, whatever the cause. Take single probes.
@@ -601,7 +592,8 @@
     s.away += spent;
     s.since = last_;
     if (abandoned && set_.linger > 0) lingering_.push_back(last_ + set_.linger);
-    if (set_.dep_share * kCallShare < 1) {  // less than one call on the mean: rest after each
+    if (set_.below != Below::kTier &&
+        set_.dep_share * kCallShare < 1) {  // less than one call on the mean: rest after each
       const double in_hand = spent + (abandoned ? set_.linger : 0);
       next_call_at_ = last_ + in_hand * (1 / std::max(set_.dep_share * kCallShare, 0.01) - 1);
     }
@@ -699,6 +691,13 @@
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable() * kCrowdShare);
     look_at_self();
     steer(gauges.cpu_busy);
+    // Open connections take a part of the cores: when far more stand open than ops and callers need, and the
+    // cores are short, the idle ones go. Not otherwise, since a new one costs work too.
+    const double needed = static_cast<double>(ops_.size()) + set_.callers;
+    const bool crowd = gauges.connections > kSpareConnections * needed && gauges.cpu_busy > kFullCores;
+    if (crowd == closing_idle_ || set_.caller_idle <= 0) return;
+    closing_idle_ = crowd;
+    host_.close_idle(crowd ? std::min(kIdleConnection, set_.caller_idle) : 0);
   }
 
   // Whether runs still get done in time, whether they succeed, and whether ops are read before they are
@@ -764,7 +763,7 @@
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
-  bool failing_ = false, ailing_ = false, healthy_ = true;
+  bool failing_ = false, ailing_ = false, healthy_ = true, closing_idle_ = false;
   double ailing_since_ = 0;
   double level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
