--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -730,7 +730,9 @@
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    const double most = kLevelMost / static_cast<double>(set_.op_types.size());
+    // While ops are stale when read, only what is not sent helps: then the least important op type may go altogether.
+    const double share = lag_ > kLagLeave ? 1 : kLevelMost;
+    const double most = share / static_cast<double>(set_.op_types.size());
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
