--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -387,7 +387,7 @@
     const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
     if (in_quota) shortage_ += ((shortage ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
-      if (why == "busy" && in_quota) nacked_since_tick_ += 1;
+      if (why == "busy") nacked_since_tick_ += 1;
       return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
     }
     if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
