--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -286,7 +286,6 @@
   double advice(double wait) {
     if (!set_.retry_after) return 0;
     if (shortage_ > kStorm) wait = std::max(wait, shortage_ * set_.max_retry_after);
-    wait = std::max(wait, (1 - speed_floor()) * set_.max_retry_after);  // cold: others serve them sooner
     if (ailing_ || leaving()) wait = set_.max_retry_after;
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
