--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,13 +62,15 @@
 constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
-constexpr double kStorm = 0.5;          // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kAnnounceStep = 0.02;  // smallest change that is worth announcing
-constexpr double kLevelUp = 0.04;       // a tick with nacks; the callers hear within a second
-constexpr double kLevelDown = 0.008;    // a tick without; slower, so that the level settles
-constexpr double kLevelIdle = 0.02;     // a tick in which cores idle; less than the rise, or it would swing
-constexpr double kLevelMost = 0.9;      // never ask everyone to stay away for mere load
-constexpr double kLevelAway = 0.98;     // ailing or leaving: a few still come as probes
+constexpr double kStorm = 0.5;     // share of newcomers nacked; over it most of what is read are repeats
+constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
+constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
+constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
+constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
+constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
+constexpr double kLevelIdle = 0.02;      // a tick in which cores idle; less than the rise, or it would swing
+constexpr double kLevelMost = 0.9;       // never ask everyone to stay away for mere load
+constexpr double kLevelAway = 0.98;      // ailing or leaving: a few still come as probes
 constexpr double kSpareConnections = 3;  // x ops in hand and callers; up to there open connections are in use
 constexpr double kIdleConnection = 2;    // s; one unused that long will not be missed in a crowd
 constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
@@ -285,7 +287,7 @@
   // ---- Answers.
   double advice(double wait) {
     if (!set_.retry_after) return 0;
-    if (shortage_ > kStorm) wait = std::max(wait, shortage_ * set_.max_retry_after);
+    if (shortage_ > kStorm) wait = std::max(wait, stay_away_ * shortage_ * set_.max_retry_after);
     if (ailing_ || leaving()) wait = set_.max_retry_after;
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
@@ -729,8 +731,11 @@
   // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
+    // Few callers that all heed long advice leave the cores idle between their returns: then it is shortened.
+    stay_away_ = std::clamp(stay_away_ + (idle ? -kStayDown : kStayUp), 0.0, 1.0);
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    // While ops are stale when read, only what is not sent helps: then the least important op type may go altogether.
+    // While ops are stale when read, only what is not sent helps: then the least important op type may go
+    // altogether.
     const double share = lag_ > kLagLeave ? 1 : kLevelMost;
     const double most = share / static_cast<double>(set_.op_types.size());
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
@@ -767,7 +772,7 @@
   int sound_runs_ = 0;
   bool failing_ = false, ailing_ = false, healthy_ = true, closing_idle_ = false;
   double ailing_since_ = 0;
-  double level_ = 0, said_ = -1, shortage_ = 0;
+  double stay_away_ = 1, level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
   double last_, created_;
   double leave_at_ = -1, stop_at_ = 0;
