--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -734,9 +734,9 @@
     // Few callers that all heed long advice leave the cores idle between their returns: then it is shortened.
     stay_away_ = std::clamp(stay_away_ + (idle ? -kStayDown : kStayUp), 0.0, 1.0);
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    // While ops are stale when read, only what is not sent helps: then the least important op type may go
-    // altogether.
-    const double share = lag_ > kLagLeave ? 1 : kLevelMost;
+    // While ops are stale when read, or in a storm, only what is not sent helps: then the least important op
+    // type may go altogether.
+    const double share = lag_ > kLagLeave || shortage_ > kStorm ? 1 : kLevelMost;
     const double most = share / static_cast<double>(set_.op_types.size());
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
     nacked_since_tick_ = 0;
