--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -27,15 +27,14 @@
 constexpr double kFinishShare = 0.6;  // of the time to the target: predictions are means, answers must not be
 constexpr double kLeastShare = 0.35;  // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
-constexpr double kAgainSpent =
-    0.4;  // of the target gone before a marked further try: a wait and a nack or two
-constexpr double kPaceMemory = 1.5;    // s; a slow spell shows within two or three runs
-constexpr double kPacePrior = 0.1;     // core s at normal pace: nothing measured reads as normal
-constexpr double kPaceLeast = 0.02;    // a standstill still gives a finite prediction
-constexpr double kPaceMost = 3;        // a backend that warms up outruns what it learned cold
-constexpr double kOverdue = 2;         // x mean run; a run past this is no longer taken as progress
-constexpr double kAilingEnter = 0.9;   // predicted bare run over target: nothing would be in time
-constexpr double kAilingLeave = 0.6;   // and back only when clearly better, so that it does not flap
+constexpr double kAgainSpent = 0.4;   // of the target, gone before a marked further try comes
+constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
+constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
+constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
+constexpr double kPaceMost = 3;       // a backend that warms up outruns what it learned cold
+constexpr double kOverdue = 2;        // x mean run; a run past this is no longer taken as progress
+constexpr double kAilingEnter = 0.9;  // predicted bare run over target: nothing would be in time
+constexpr double kAilingLeave = 0.6;  // and back only when clearly better, so that it does not flap
 constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
 constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
@@ -69,7 +68,7 @@
 constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
 constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
 constexpr double kLevelIdle = 0.02;      // a tick in which cores idle; less than the rise, or it would swing
-constexpr double kLevelMost = 0.9;       // never ask everyone to stay away for mere load
+constexpr double kLevelMost = 0.9;       // of the least important op type: no type is asked away altogether
 constexpr double kLevelAway = 0.98;      // ailing or leaving: a few still come as probes
 constexpr double kSpareConnections = 3;  // x ops in hand and callers; up to there open connections are in use
 constexpr double kIdleConnection = 2;    // s; one unused that long will not be missed in a crowd
@@ -734,10 +733,7 @@
     // Few callers that all heed long advice leave the cores idle between their returns: then it is shortened.
     stay_away_ = std::clamp(stay_away_ + (idle ? -kStayDown : kStayUp), 0.0, 1.0);
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    // While ops are stale when read, or in a storm, only what is not sent helps: then the least important op
-    // type may go altogether.
-    const double share = lag_ > kLagLeave || shortage_ > kStorm ? 1 : kLevelMost;
-    const double most = share / static_cast<double>(set_.op_types.size());
+    const double most = kLevelMost / static_cast<double>(set_.op_types.size());
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
