An op given up while it waits for its call leaves the call line

Cause: found by reading; an op that came due or whose caller left stayed in the line until its end was told, and could take a place below for nobody.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -307,6 +307,7 @@
   void stop_unwanted(OpId id, Slot& s) {
     s.answered = true;
     due_.erase({s.due, id});
+    std::erase(call_line_, id);  // a call for it would take a place below for nobody
     if (s.stage == Stage::kHeld || s.stage == Stage::kPaused || s.stage == Stage::kJoining) return erase(id);
     if (s.stage == Stage::kRunning && set_.halt != Halt::kOff) host_.interrupt(id);
   }
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -142,6 +142,7 @@
   b.needs_call(4);
   b.needs_call(5);  // slow below: the important one goes before 4
   b.call_ends(3, Outcome::kOk);
+  b.gone(4);     // so that its call is not made when the way below is free again
   b.until(2.8);  // 5 is answered without its call when that can no longer be in time
   b.call_ends(5, Outcome::kError);
 }
