--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -147,7 +147,7 @@
   op.remaining_wait = in.take_number<double>("expires-in") * kSecondsPerMs;
   in.take_number<double>("predicted");
   op.held_kb = in.take_number<float>("mem-kb");
-  op.rank = in.take_number<float>("place");
+  in.take_number<float>("place");
   const auto options = in.take<std::uint8_t>();
   op.again = (options & 2) != 0;
   op.write = (options & 4) != 0;
--- a/src/benchlink/settings.cpp
+++ b/src/benchlink/settings.cpp
@@ -118,7 +118,6 @@
       family, "say",
       {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
   s.deep_checks = flag(family, "deep-checks");
-  s.tells_gone = flag(family, "tells-gone");
   s.caller_idle = seconds(family, "caller-idle");
   s.below = word<Below>(family, "below",
                         {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
--- a/src/decide.h
+++ b/src/decide.h
@@ -48,7 +48,6 @@
   Halt halt = Halt::kOff;
   Say say = Say::kOff;
   bool deep_checks = false;
-  bool tells_gone = false;
   double caller_idle = 0;
   Below below = Below::kOff;
   double dep_share = 0;
@@ -72,7 +71,6 @@
   double remaining_wait = 0;  // 0: not told
   double age = 0;
   double held_kb = 0;
-  double rank = 0;
   bool again = false;  // a further try, where such are marked
   bool write = false;
   std::uint32_t caller = 0;
--- a/tests/backend.h
+++ b/tests/backend.h
@@ -25,7 +25,6 @@
   s.memory_kb = 10000;
   s.run_factor = 4;
   s.halt = Halt::kDrop;
-  s.tells_gone = true;
   s.crowd_multiple = 8;
   s.drain_grace = 1;
   s.retry_after = true;
