Idle connections close by returns of callers, and stay while newcomers find no room

The old rule counted a connection for every caller of the fleet as needed, so with about 1,000 callers it never acted; the small twins hold under 10 callers. Now: a backend learns how often a caller returns within a sixth of the callers' idle time, and closes idle connections early where few do. Also holds against floods of tries by any cause; hurts where callers pause for long and return all at once.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,8 +70,15 @@
 constexpr double kLevelIdle = 0.02;      // a tick in which cores idle; less than the rise, or it would swing
 constexpr double kLevelMost = 0.9;       // of the least important op type: no type is asked away altogether
 constexpr double kLevelAway = 0.98;      // ailing or leaving: a few still come as probes
-constexpr double kSpareConnections = 3;  // x ops in hand and callers; up to there open connections are in use
-constexpr double kIdleConnection = 2;    // s; one unused that long will not be missed in a crowd
+constexpr double kIdleConnection = 0.3;  // s; least idle time: a try after a nack still finds its connection
+constexpr double kIdleUp = 2;            // x idle time a tick of falling behind: all stay within a second
+constexpr double kIdleDown = 0.95;       // a tick with room; slower, or all callers would come in at once
+constexpr double kIdleStep = 0.2;        // of the idle time; a smaller change is not worth telling
+constexpr double kUnreadPerCore = 6;     // wanting a core beside the runs: a fraction of a second of reading
+constexpr double kRoomAgain = 0.3;       // share of newcomers nacked under which there is room for callers
+constexpr double kReturns = 0.5;         // share of ops whose connection was worth keeping
+constexpr double kWorthKeeping = 1.0 / 6;  // of the callers' idle time; open that long costs as much as new
+constexpr std::size_t kCallersKept = 1024;  // entries; beyond what one backend meets in that time
 constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
@@ -164,6 +171,7 @@
         rows_(settings.op_types.size()),
         buckets_(settings.customers.size()),
         run_limit_(settings.cores),
+        callers_(kCallersKept, {0, -1e9}),
         last_(now),
         created_(now) {
     for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
@@ -173,6 +181,7 @@
     call_ceiling_ = set_.below == Below::kTier ? kAtCallsPerCore * set_.cores
                                                : std::max(1.0, set_.dep_share * kCallShare);
     call_bound_ = call_ceiling_;
+    said_idle_ = set_.caller_idle;
     if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
     // A cold backend can hardly read a full part of the traffic, let alone run it: it starts by asking for
     // what its speed floor allows, and for more as soon as its cores idle.
@@ -362,6 +371,7 @@
     const double arrival = now - op.age;
     largest_kb_ = std::max(largest_kb_, op.held_kb);
     if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
+    note_caller(op.caller);
     Slot s;
     s.op = op;
     s.since = now;
@@ -693,13 +703,36 @@
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable() * kCrowdShare);
     look_at_self();
     steer(gauges.cpu_busy);
-    // Open connections take a part of the cores: when far more stand open than ops and callers need, and the
-    // cores are short, the idle ones go. Not otherwise, since a new one costs work too.
-    const double needed = static_cast<double>(ops_.size()) + set_.callers;
-    const bool crowd = gauges.connections > kSpareConnections * needed && gauges.cpu_busy > kFullCores;
-    if (crowd == closing_idle_ || set_.caller_idle <= 0) return;
-    closing_idle_ = crowd;
-    host_.close_idle(crowd ? std::min(kIdleConnection, set_.caller_idle) : 0);
+    look_at_connections(gauges);
+  }
+
+  // Open connections take a part of the cores and a full table denies the next caller, while a new one costs
+  // work: worth keeping where callers come back to this backend soon, and not where many callers share many
+  // backends. But when reading and new connections fall behind, a table that fills up turns callers away for
+  // nothing: then idle ones stay, until newcomers find room again. Guards against a fleet with many callers
+  // that spends its cores on the table, and against floods of tries, of whatever cause, that drown it in new
+  // connections. It hurts where a few callers pause for longer than the window and return all at once.
+  void look_at_connections(const Gauges& gauges) {
+    if (set_.caller_idle <= 0) return;
+    if (gauges.runnable - running_ > kUnreadPerCore * set_.cores) {
+      idle_ *= kIdleUp;
+    } else if (shortage_ < kRoomAgain) {
+      idle_ *= kIdleDown;
+    }
+    idle_ = std::clamp(idle_, std::min(kIdleConnection, set_.caller_idle), set_.caller_idle);
+    const double after = returns_ > kReturns ? set_.caller_idle : idle_;
+    if (std::abs(after - said_idle_) <= kIdleStep * said_idle_) return;
+    said_idle_ = after;
+    host_.close_idle(after);
+  }
+  // Whether callers come back while their connection is still worth keeping. A small table of fixed size, so
+  // that nothing is allocated on reading; a caller that another one pushed out counts as new.
+  void note_caller(std::uint32_t caller) {
+    auto& [last_caller, at] = callers_[caller % kCallersKept];
+    const bool back = last_caller == caller && last_ - at < kWorthKeeping * set_.caller_idle;
+    returns_ += ((back ? 1 : 0) - returns_) / kShortageMemory;
+    last_caller = caller;
+    at = last_;
   }
 
   // Whether runs still get done in time, whether they succeed, and whether ops are read before they are
@@ -767,7 +800,9 @@
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
-  bool failing_ = false, ailing_ = false, healthy_ = true, closing_idle_ = false;
+  bool failing_ = false, ailing_ = false, healthy_ = true;
+  double idle_ = 0, said_idle_ = 0, returns_ = 1;
+  std::vector<std::pair<std::uint32_t, double>> callers_;
   double ailing_since_ = 0;
   double stay_away_ = 1, level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -303,6 +303,30 @@
   }
 }
 
+// Many callers that seldom return: their idle connections go soon, but stay when reading falls behind, until
+// newcomers find room again. A caller that returns keeps its connection.
+void connections() {
+  Settings s = plain_settings();
+  s.caller_idle = 30;
+  for (const bool returning : {false, true}) {
+    Backend b(s);
+    b.say("(%s)", returning ? "one caller returns" : "each op comes from another caller");
+    b.gauges.runnable = 2;
+    b.quiet(true);
+    for (OpId id = 1; id <= 40; ++id) {
+      Op op = b.op(id);
+      if (returning) op.caller = 1;
+      b.until(0.1 * static_cast<double>(id));
+      b.arrives(op);
+      b.ends(id);
+    }
+    b.gauges.runnable = 20;
+    b.until(4.5);
+    b.gauges.runnable = 2;
+    b.until(6);
+  }
+}
+
 struct Scenario {
   const char* name;
   void (*play)();
@@ -324,6 +348,7 @@
     {"announce", announce},
     {"storm", storm},
     {"further_try", further_try},
+    {"connections", connections},
 };
 
 }  // namespace
