Calls below go by a budget in call seconds, one form for all fleets

Cause: with a part below under one call, as in fleets of a few hundred backends, a backend made one call at a time, rested after each and looked again only at the next tick: ops stood at calls (0.1 to 0.3 s each, over 1 s while cold) beside idle cores, though calls took 10 to 15 ms and the layer was at a tenth of what it survives. Now: 0.6 of the part flows in as call seconds, the other 0.4 of a window may be used at once; a call sets its whole patience and linger aside and gives the rest back. So the window's mean stays within the part even if the layer hangs, for any size of part. A part of nothing: calls are left out or failed at once. Also holds against slow and refusing layers; hurts where the patience is long, for few calls then go at once.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -48,7 +48,7 @@
 constexpr double kGrow = 1.25;         // x run limit a tick, while cores idle and work waits
 constexpr double kIdleCores = 0.85;    // busy share under which the cores count as idle
 constexpr double kFullCores = 0.97;    // busy share over which a raised run limit comes down again
-constexpr double kCallShare = 0.9;  // of this backend's part of the calls below; the margin is for lingerers
+constexpr double kCallShare = 0.6;  // of this backend's part below flows in evenly, the rest may go at once
 constexpr double kCallsSlow = 3;    // x the usual call time: the layer below is crowded
 constexpr double kCallDrop = 0.7;   // x call bound on trouble below, at most each kCallDropEvery
 constexpr double kCallDropEvery = 0.5;   // s; about the time in which a drop shows below
@@ -147,6 +147,7 @@
   double away = 0;       // s of finished spells at calls
   int call_tries = 0;
   double call_after = 0;  // no call before this
+  double reserved = 0;    // call seconds set aside for the call in hand
   double key_until = 0;
 };
 
@@ -176,11 +177,16 @@
         created_(now) {
     for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
-    // A second tier runs this code too and refuses for itself; a shared layer below has a part for each
-    // backend.
-    call_ceiling_ = set_.below == Below::kTier ? kAtCallsPerCore * set_.cores
-                                               : std::max(1.0, set_.dep_share * kCallShare);
+    call_ceiling_ = kAtCallsPerCore * set_.cores;
     call_bound_ = call_ceiling_;
+    // A second tier runs this code too and refuses for itself; a shared layer below has a part for each
+    // backend, as a mean number of calls in its hands over a window. One budget for all fleets, in call
+    // seconds: what may be used at once and what flows in add up to the part, so that the backends together
+    // stay under what the layer survives even if it hangs. Guards against slow, hung and refusing layers,
+    // and against a part under one call, where resting after each left cores idle. It hurts where the
+    // patience is long: few calls go at once.
+    call_depth_ = std::max(set_.dep_share * (1 - kCallShare) * set_.calls_over, kLeastPatience + set_.linger);
+    call_budget_ = call_depth_;
     said_idle_ = set_.caller_idle;
     if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
     // A cold backend can hardly read a full part of the traffic, let alone run it: it starts by asking for
@@ -265,7 +271,7 @@
       key_kb_ -= set_.key_kb;
       key_ends_.erase(key_ends_.begin());
     }
-    while (!lingering_.empty() && lingering_.front() <= now) lingering_.pop_front();
+    call_budget_ = std::min(call_depth_, call_budget_ + set_.dep_share * kCallShare * dt);
     pace_ = pace();
   }
   // One pending timer: the earliest of the next tick, due time or call. Older wakes are told by their token.
@@ -539,6 +545,9 @@
     s.stage = Stage::kWantsCall;
     s.call_tries = 0;
     if (s.answered) return host_.fail(id);
+    if (set_.below == Below::kShared && set_.dep_share <= 0) {  // no part below: nothing may be called
+      return type_of(s).worth_without > 0 ? skip(id, s) : fail(id);
+    }
     call_line_.push_back(id);
     let_calls_out();
     start_more();
@@ -549,8 +558,8 @@
   // worth something.
   void let_calls_out() {
     const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
-    while (calling_ + static_cast<int>(lingering_.size()) < static_cast<int>(call_bound_) &&
-           last_ >= next_call_at_) {
+    const bool shared = set_.below == Below::kShared;
+    while (calling_ < static_cast<int>(call_bound_)) {
       auto pick = call_line_.end();
       for (auto it = call_line_.begin(); it != call_line_.end(); ++it) {
         if (ops_.at(*it).call_after > last_) continue;
@@ -561,17 +570,28 @@
       if (pick == call_line_.end()) break;
       const OpId id = *pick;
       Slot& s = ops_.at(id);
+      double patience = s.due - last_;
+      if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(s.op.type) / pace_ - last_;
+      if (calls_.learned())
+        patience = std::min(patience, std::max(kLeastPatience, kPatience * calls_.quantile(0.95)));
+      patience = std::max(set_.resolution, patience);
+      if (shared) {
+        const double need = std::min(patience + set_.linger, call_depth_);
+        if (call_budget_ < need) {
+          wake(last_ + set_.resolution + (need - call_budget_) / (set_.dep_share * kCallShare));
+          break;
+        }
+        patience = need - set_.linger;
+        call_budget_ -= need;
+        s.reserved = need;
+      }
       call_line_.erase(pick);
       s.stage = Stage::kCalling;
       s.away += last_ - s.since;
       s.since = last_;
       ++s.call_tries;
       ++calling_;
-      double patience = s.due - last_;
-      if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(s.op.type) / pace_ - last_;
-      if (calls_.learned())
-        patience = std::min(patience, std::max(kLeastPatience, kPatience * calls_.quantile(0.95)));
-      host_.call(id, std::max(set_.resolution, patience));
+      host_.call(id, patience);
     }
     for (std::size_t i = 0; i < call_line_.size();) {
       const OpId id = call_line_[i];
@@ -603,12 +623,8 @@
     --calling_;
     s.away += spent;
     s.since = last_;
-    if (abandoned && set_.linger > 0) lingering_.push_back(last_ + set_.linger);
-    if (set_.below != Below::kTier &&
-        set_.dep_share * kCallShare < 1) {  // less than one call on the mean: rest after each
-      const double in_hand = spent + (abandoned ? set_.linger : 0);
-      next_call_at_ = last_ + in_hand * (1 / std::max(set_.dep_share * kCallShare, 0.01) - 1);
-    }
+    call_budget_ += std::max(0.0, s.reserved - spent - (abandoned ? set_.linger : 0));
+    s.reserved = 0;
   }
   void on_call_end(OpId id, Outcome outcome) {
     const auto at = ops_.find(id);
@@ -790,13 +806,13 @@
   std::deque<OpId> call_line_;
   std::set<std::pair<double, OpId>> due_;
   std::set<std::pair<double, OpId>> key_ends_;
-  std::deque<double> lingering_;  // ends of abandoned calls below
   double pool_used_ = 0, key_kb_ = 0, largest_kb_ = 0;
   double run_limit_;
   int running_ = 0, calling_ = 0;
   double core_time_ = 0, done_work_ = 0, pace_ = 1;
   Histogram calls_;
-  double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0, next_call_at_ = 0;
+  double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0;
+  double call_depth_ = 0, call_budget_ = 0;  // call seconds below
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -147,6 +147,29 @@
   b.call_ends(5, Outcome::kError);
 }
 
+// A part below under one call: calls that return soon follow each other without rest, one that is abandoned
+// uses the budget up. No part at all: nothing is called.
+void small_part() {
+  Settings s = plain_settings();
+  s.below = Below::kShared;
+  s.op_types[0].calls = true;
+  for (const double part : {0.4, 0.0}) {
+    s.dep_share = part;
+    Backend b(s);
+    for (OpId id = 1; id <= 2; ++id) b.arrives(b.op(id, 0));
+    b.needs_call(1);
+    b.needs_call(2);
+    if (part <= 0) continue;
+    b.until(0.02);
+    b.call_ends(1, Outcome::kOk);
+    b.needs_call(1);  // its next call has room beside that of 2
+    b.until(0.6);
+    b.call_ends(2, Outcome::kTimeout);
+    b.call_ends(1, Outcome::kTimeout);
+    b.until(1.6);
+  }
+}
+
 // Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
 void leaving() {
   Backend b(plain_settings());
@@ -339,6 +362,7 @@
     {"halts", halts},
     {"keyed", keyed},
     {"calls", calls},
+    {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
     {"stalled", stalled},
