--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -38,7 +38,7 @@
 constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
 constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
-constexpr int kProbeRuns = 1;          // ops at a time that an ailing backend takes to see whether it is well
+constexpr int kProbesPerCore = 1;      // ops that an ailing backend takes: what it has cores for, nothing waits
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
 constexpr double kLagEnter = 1;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
@@ -438,8 +438,8 @@
     if (s.op.held_kb * set_.run_factor > set_.memory_kb * kMemoryShare) return "size";
     if (pool_used_ >= budget() || held() >= kHeldPerCore * set_.cores) return "busy";
     if (type.effect == Effect::kKeyed && !key_room()) return "keys";
-    // Ailing: what runs does not get done in time or fails, whatever the cause. Take single probes.
-    if (ailing_ && running_ + at_calls() + held() >= kProbeRuns) return "ailing";
+    // Ailing: what runs does not get done in time or fails, whatever the cause. Take a probe for each core.
+    if (ailing_ && running_ + at_calls() + held() >= kProbesPerCore * set_.cores) return "ailing";
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
     // The finish check; ops of types with nothing learned are held.
