--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -765,7 +765,7 @@
       n += 1;
     }
     const bool slow = !cold(last_) && n > 0 && need / n > (ailing_ ? kAilingLeave : kAilingEnter);
-    const bool drowning = lag_ > (ailing_ ? kLagLeave : pace_ < 0.5 ? 0.35 : kLagEnter);
+    const bool drowning = lag_ > (ailing_ ? kLagLeave : kLagEnter);
     if (failing_ && sound_runs_ >= kSoundRuns) failing_ = false, errors_ = 0;
     if (errors_ > kErrorsEnter) failing_ = true;
     const bool was = ailing_;
