Run limit grows only when work waited for the busy gauge's whole span

Cause: with two cores lulls are common, and the gauge tells of the last half second: a burst after a lull let the limit grow at each tick, from 2 to 6 within half a second, and the runs thrashed (seen as 5 to 8 runs on 2 cores beside learned run times half as long again). Idle cores of 20 to 25% stood beside 40% nacked newcomers. Told apart from short lines: longer lines alone changed nothing, the limit's growth alone did. Quota burst of 2 ops and heavy callers from 6 held ops on: measured, nothing.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,6 +46,7 @@
 constexpr double kLagFade = 0.97;      // a tick; when nothing comes any more the lag is forgotten in seconds
 constexpr double kHistogramFull = 64;  // values; then halved, so that the past fades
 constexpr double kGrow = 1.25;         // x run limit a tick, while cores idle and work waits
+constexpr double kGaugeSpan = 0.5;     // s; over which the busy gauge is measured
 constexpr double kIdleCores = 0.85;    // busy share under which the cores count as idle
 constexpr double kFullCores = 0.97;    // busy share over which a raised run limit comes down again
 constexpr double kCallShare = 0.6;  // of this backend's part below flows in evenly, the rest may go at once
@@ -470,6 +471,10 @@
 
   // ---- Starts.
   void start_more() {
+    start_held();
+    if (running_ < limit() || held() == 0) full_since_ = last_;
+  }
+  void start_held() {
     while (running_ < limit() && running_ + at_calls() < survivable() * kCrowdShare) {
       const bool calls_full = at_calls() >= kAtCallsPerCore * set_.cores;
       int pick = -1;
@@ -711,7 +716,10 @@
   void tick(const Gauges& gauges) {
     next_tick_ = last_ + kTick;
     const bool waits = held() > 0;
-    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores && waits && running_ >= limit()) {
+    // The gauge looks back: cores that it saw idle before the work came are no reason to run more. Guards
+    // against bursts after a lull, which with few cores tripled the limit and thrashed; it delays the growth
+    // for runs that wait off the cores by the gauge's span.
+    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores && last_ - full_since_ >= kGaugeSpan) {
       run_limit_ = run_limit_ * kGrow;
     } else if (gauges.cpu_busy > kFullCores || !waits) {
       run_limit_ = run_limit_ - 1;
@@ -809,7 +817,7 @@
   std::set<std::pair<double, OpId>> due_;
   std::set<std::pair<double, OpId>> key_ends_;
   double pool_used_ = 0, key_kb_ = 0, largest_kb_ = 0;
-  double run_limit_;
+  double run_limit_, full_since_ = 0;
   int running_ = 0, calling_ = 0;
   double core_time_ = 0, done_work_ = 0, pace_ = 1;
   Histogram calls_;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -200,6 +200,20 @@
   b.until(0.35);
 }
 
+// A burst after a lull: the gauge still tells of idle cores, but only work that has waited for the gauge's
+// span makes the run limit grow.
+void burst() {
+  Settings s = plain_settings();
+  s.memory_kb = 100000;
+  Backend b(s);
+  b.gauges.cpu_busy = 0.4;
+  b.until(1);
+  for (OpId id = 1; id <= 8; ++id) b.arrives(b.op(id));
+  b.until(1.45);
+  b.say("(the gauge has seen nothing but waiting work)");
+  b.until(2);
+}
+
 // Runs that do not end: health bad, newcomers nacked; when one ends, probes bring it back.
 void stalled() {
   Backend b(plain_settings());
@@ -374,6 +388,7 @@
     {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
+    {"burst", burst},
     {"stalled", stalled},
     {"drowning", drowning},
     {"failing", failing},
