--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -49,13 +49,11 @@
   Backend b(plain_settings());
   for (OpId id = 1; id <= 6; ++id) b.arrives(b.op(id));
   b.until(0.6);
-  for (OpId id = 1; id <= 4; ++id) b.ends(id);
+  for (OpId id = 1; id <= 6; ++id) b.ends(id);
   b.learn(1, 0.6);
-  b.arrives(b.op(7, 0));
-  b.arrives(b.op(8, 1));
-  b.arrives(b.op(9, 0));
-  b.arrives(b.op(10, 1));
-  Op hurried = b.op(11, 1);
+  for (OpId id = 7; id <= 14; ++id) b.arrives(b.op(id, 0));
+  b.arrives(b.op(15, 1));
+  Op hurried = b.op(16, 1);
   hurried.remaining_wait = 0.5;
   b.arrives(hurried);
 }
@@ -286,7 +284,7 @@
   }
   b.gauges.cpu_busy = 0.5;
   b.until(2.0);
-  b.arrives(b.op(29));
+  for (OpId id = 29; id <= 31; ++id) b.arrives(b.op(id));
   Settings fresh = plain_settings();
   fresh.cold = true;  // its shortage is its own: callers may try elsewhere
   fresh.cold_time = 10;
