--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -49,7 +49,9 @@
   Backend b(plain_settings());
   for (OpId id = 1; id <= 6; ++id) b.arrives(b.op(id));
   b.until(0.6);
-  for (OpId id = 1; id <= 6; ++id) b.ends(id);
+  for (OpId id = 1; id <= 4; ++id) b.ends(id);
+  b.until(1.2);
+  for (OpId id = 5; id <= 6; ++id) b.ends(id);
   b.learn(1, 0.6);
   for (OpId id = 7; id <= 14; ++id) b.arrives(b.op(id, 0));
   b.arrives(b.op(15, 1));
