Log lines on changes of state; settings without a default are asked for

The module says once each: ailing with its reason and its end, health, storm, calls under pressure, leaving. Settings that the decisions need (cores, memory, op timeout, target, crowd multiple, a share below where there is a shared layer) no longer get a silent default; fractions over one are refused; no servers in the list yet is allowed and never divides.

--- a/src/benchlink/settings.cpp
+++ b/src/benchlink/settings.cpp
@@ -33,6 +33,20 @@
   return value.get<double>();
 }
 
+// A number that has no default: without it the decisions would rest on one of ours.
+double needed(const Json& from, const char* key, double at_least) {
+  if (find(from, key).is_null()) throw MalformedInput(std::string("settings: no '") + key + "'");
+  const double value = number(from, key, 0);
+  if (value < at_least) bad(key);
+  return value;
+}
+
+double share(const Json& from, const char* key, double otherwise) {
+  const double value = number(from, key, otherwise);
+  if (value > 1) bad(key);
+  return value;
+}
+
 double seconds(const Json& from, const char* key) { return number(from, key, 0) * kSecondsPerMs; }
 
 int whole(const Json& from, const char* key, int at_least) {
@@ -84,11 +98,12 @@
   for (const Json& entry : array(top, "request-classes")) {
     OpType type;
     const std::size_t at = s.op_types.size();
-    type.target_latency = seconds(entry, "target");
-    type.op_timeout = seconds(entry, "give-up");
+    type.target_latency = needed(entry, "target", 0) * kSecondsPerMs;
+    type.op_timeout = needed(entry, "give-up", 0) * kSecondsPerMs;
+    if (type.op_timeout <= 0) bad("give-up");
     type.window = seconds(entry, "window");
     type.importance = number(entry, "worth", 1);
-    type.late_worth = number(entry, "late-worth", 0);
+    type.late_worth = share(entry, "late-worth", 0);
     type.effect = word<Effect>(
         entry, "semantics",
         {{"retryable", Effect::kRetryable}, {"dedup", Effect::kKeyed}, {"fragile", Effect::kNonRetryable}});
@@ -99,16 +114,17 @@
     if (at < without.size()) {
       if (!without[at].is_number()) bad("worth-without");
       type.worth_without = without[at].get<double>();
+      if (!(type.worth_without >= 0 && type.worth_without <= 1)) bad("worth-without");
     }
     s.op_types.push_back(type);
   }
   if (s.op_types.empty()) bad("request-classes");
   for (const Json& entry : array(top, "customers")) s.customers.push_back({number(entry, "quota-per-s", 0)});
-  s.over_share_worth = number(top, "over-share-worth", 1);
-  s.servers = whole(top, "servers", 1);
+  s.servers = whole(top, "servers", 0);
   s.callers = whole(family, "callers", 0);
+  needed(family, "cores", 1);
   s.cores = whole(family, "cores", 1);
-  s.memory_kb = number(family, "memory-kb", 0);
+  s.memory_kb = needed(family, "memory-kb", 0);
   if (s.memory_kb <= 0) bad("memory-kb");
   s.run_factor = number(family, "run-factor", 1);
   s.key_kb = number(family, "key-kb", 0);
@@ -123,11 +139,15 @@
                         {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
   s.dep_share = number(family, "dep-share", 0);
   s.calls_over = seconds(family, "calls-over");
+  if (s.below == Below::kShared) {  // a part of nothing is a part; an untold one is not
+    needed(family, "dep-share", 0);
+    needed(family, "calls-over", 0);
+  }
   s.linger = seconds(family, "linger");
   s.cold = flag(family, "cold");
-  s.cold_from = number(rules, "cold-from", 1);
+  s.cold_from = share(rules, "cold-from", 1);
   s.cold_time = seconds(rules, "cold");
-  s.crowd_multiple = number(rules, "fall-multiple", 1);
+  s.crowd_multiple = needed(rules, "fall-multiple", 1);
   s.drain_grace = seconds(rules, "stop-sending-within");
   s.retry_after = flag(allowed, "retry-after");
   s.max_retry_after = seconds(allowed, "max-retry-after");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -24,8 +24,9 @@
 constexpr double kHeldPerCore = 8;  // ops; the count bound beside the bytes, above what the finish check lets
 constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
 constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
-constexpr double kFinishShare = 0.85;  // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.5;  // of that for the least important: with plenty of room they still pass
+constexpr double kFinishShare =
+    0.85;                             // of the time to the target: predictions are means, answers must not be
+constexpr double kLeastShare = 0.5;   // of that for the least important: with plenty of room they still pass
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kAgainSpent = 0.4;   // of the target, gone before a marked further try comes
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
@@ -38,7 +39,7 @@
 constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
 constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
-constexpr int kProbesPerCore = 1;      // ops that an ailing backend takes: what it has cores for, nothing waits
+constexpr int kProbesPerCore = 1;  // ops that an ailing backend takes: what it has cores for, nothing waits
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
 constexpr double kLagEnter = 1;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
@@ -78,9 +79,9 @@
 constexpr double kUnreadPerCore = 6;     // wanting a core beside the runs: a fraction of a second of reading
 constexpr double kRoomAgain = 0.3;       // share of newcomers nacked under which there is room for callers
 constexpr double kReturns = 0.5;         // share of ops whose connection was worth keeping
-constexpr double kWorthKeeping = 1.0 / 6;  // of the callers' idle time; open that long costs as much as new
+constexpr double kWorthKeeping = 1.0 / 6;   // of the callers' idle time; open that long costs as much as new
 constexpr std::size_t kCallersKept = 1024;  // entries; beyond what one backend meets in that time
-constexpr double kLeastAdvice = 0.05;    // s; a shorter stay away changes nothing
+constexpr double kLeastAdvice = 0.05;       // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
 class Pcg {
@@ -200,7 +201,10 @@
   // ---- Small readings.
   const OpType& type_of(const Slot& s) const { return set_.op_types[static_cast<std::size_t>(s.op.type)]; }
   Row& row_of(const Slot& s) { return rows_[static_cast<std::size_t>(s.op.type)]; }
-  double quota_here(std::size_t i) const { return kQuotaRoom * set_.customers[i].quota_per_s / set_.servers; }
+  // The list may not hold anyone yet: then this backend counts itself.
+  double quota_here(std::size_t i) const {
+    return kQuotaRoom * set_.customers[i].quota_per_s / std::max(1, set_.servers);
+  }
   double bucket_size(std::size_t i) const { return kQuotaSpread + quota_here(i) * kQuotaBurst; }
   bool leaving() const { return leave_at_ >= 0; }
   bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
@@ -642,12 +646,16 @@
     if (outcome == Outcome::kOk) {
       calls_.add(spent);
       recent_call_ += (spent - recent_call_) / kErrorMemory;
-      if (!calls_slow()) call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
+      if (!calls_slow() && call_bound_ < call_ceiling_) {
+        call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
+        if (call_bound_ >= call_ceiling_) host_.log("calls: bound back at its usual");
+      }
     }
     // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls,
     // and ops would pile up behind the bound with idle cores.
     const bool crowded = outcome == Outcome::kTimeout || outcome == Outcome::kRefused || calls_slow();
     if (crowded && last_ >= call_drop_at_) {
+      if (call_bound_ >= call_ceiling_) host_.log("calls: under pressure, bound lowered");
       call_bound_ = std::max(1.0, call_bound_ * kCallDrop);
       call_drop_at_ = last_ + kCallDropEvery;
     }
@@ -682,6 +690,7 @@
     start_more();
   }
   void on_leave(double left) {
+    host_.log("leaving: " + std::to_string(ops_.size()) + " ops in hand");
     leave_at_ = last_;
     stop_at_ = last_ + left;
     due_.clear();
@@ -728,6 +737,9 @@
     lag_ *= kLagFade;
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable() * kCrowdShare);
     look_at_self();
+    const bool storm = shortage_ > (storm_ ? kRoomAgain : kStorm);
+    if (storm != storm_) host_.log(storm ? "storm: most newcomers find no room" : "storm: over");
+    storm_ = storm;
     steer(gauges.cpu_busy);
     look_at_connections(gauges);
   }
@@ -779,12 +791,19 @@
     const bool was = ailing_;
     ailing_ = slow || failing_ || drowning;
     if (ailing_ && !was) ailing_since_ = last_;
+    if (ailing_ != was) {
+      host_.log(!ailing_   ? "ailing: over"
+                : failing_ ? "ailing: runs fail"
+                : drowning ? "ailing: ops are stale when read"
+                           : "ailing: runs are too slow for their targets");
+    }
     show_health();
   }
   void show_health() {
     const bool good = !leaving() && !(ailing_ && last_ >= ailing_since_ + kHealthPatience);
     if (good == healthy_) return;
     healthy_ = good;
+    host_.log(good ? "health: good" : "health: bad");
     host_.set_health(good, set_.deep_checks);
   }
   // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
@@ -826,7 +845,7 @@
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
-  bool failing_ = false, ailing_ = false, healthy_ = true;
+  bool failing_ = false, ailing_ = false, healthy_ = true, storm_ = false;
   double idle_ = 0, said_idle_ = 0, returns_ = 1;
   std::vector<std::pair<std::uint32_t, double>> callers_;
   double ailing_since_ = 0;
--- a/src/decide.h
+++ b/src/decide.h
@@ -37,7 +37,6 @@
 struct Settings {
   std::vector<OpType> op_types;
   std::vector<Customer> customers;
-  double over_share_worth = 1;
   int servers = 1;
   int callers = 1;
   int cores = 1;
