An ailing backend that hears nothing any more turns good again to be probed

Cause: where the list follows health, bad health sends all callers away, so no probe ever ran and six good runs in a row could not happen. Told apart from real illness: those backends' cores were at 0 and nothing was read for 20 s. Now: after 2 s without an op read health is good again; it stays ailing and takes one probe a core until runs succeed. Also holds after any trouble that leaves errors or a bad estimate behind; it costs a truly failing backend a few ops each time.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -41,6 +41,7 @@
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
 constexpr int kProbesPerCore = 1;  // ops that an ailing backend takes: what it has cores for, nothing waits
 constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
+constexpr double kSilence = 2;           // s without an op read; a list and its callers follow within 2
 constexpr double kLagEnter = 1;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
 constexpr double kLagMemory = 8;         // ops read; a short stall reads a few old ones and is no illness
@@ -385,6 +386,7 @@
     largest_kb_ = std::max(largest_kb_, op.held_kb);
     if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
     note_caller(op.caller);
+    last_read_ = now;
     Slot s;
     s.op = op;
     s.since = now;
@@ -800,7 +802,11 @@
     show_health();
   }
   void show_health() {
-    const bool good = !leaving() && !(ailing_ && last_ >= ailing_since_ + kHealthPatience);
+    // Where the list follows health, bad health ends the probes too. So after a silence it is good again, for
+    // as long as it takes the list to send some: they show whether this backend is well. Guards against
+    // staying away for ever after any short trouble; it costs the failing a few ops each time.
+    const bool silent = last_ >= last_read_ + kSilence;
+    const bool good = !leaving() && !(ailing_ && !silent && last_ >= ailing_since_ + kHealthPatience);
     if (good == healthy_) return;
     healthy_ = good;
     host_.log(good ? "health: good" : "health: bad");
@@ -848,7 +854,7 @@
   bool failing_ = false, ailing_ = false, healthy_ = true, storm_ = false;
   double idle_ = 0, said_idle_ = 0, returns_ = 1;
   std::vector<std::pair<std::uint32_t, double>> callers_;
-  double ailing_since_ = 0;
+  double ailing_since_ = 0, last_read_ = 0;
   double stay_away_ = 1, level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
   double last_, created_;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -274,6 +274,21 @@
   }
 }
 
+// Bad health that sends all callers away also ends the probes: after a silence it is good again for a while.
+void silence() {
+  Backend b(plain_settings());
+  b.quiet(true);
+  for (OpId id = 1; id <= 9; ++id) {
+    b.until(0.1 * static_cast<double>(id));
+    b.arrives(b.op(id));
+    b.ends(id, Outcome::kError);
+  }
+  b.until(4);
+  b.say("(a probe)");
+  b.arrives(b.op(10));
+  b.until(5);
+}
+
 // Most newcomers nacked: callers are asked to stay away longer and not to try elsewhere, but for less long
 // while cores idle all the same.
 void storm() {
@@ -394,6 +409,7 @@
     {"failing", failing},
     {"shares", shares},
     {"announce", announce},
+    {"silence", silence},
     {"storm", storm},
     {"further_try", further_try},
     {"connections", connections},
