--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -315,9 +315,8 @@
   void nack(OpId id, double wait, bool no_retry = false) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    // A nack for weakness of its own (ailing, cold) says nothing of the fleet: others may well have room.
-    const bool storm = shortage_ > kStorm && !cold(last_);
-    host_.nack(id, advice(wait), !ailing_ && (no_retry || storm));
+    // Ailing is this backend's own trouble: others may well have room.
+    host_.nack(id, advice(wait), !ailing_ && (no_retry || shortage_ > kStorm));
     erase(id);
   }
   void fail(OpId id) {
