--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -8,7 +8,7 @@
 
 #include "decide.h"
 #include "frames.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace damsonspoke::benchlink {
 namespace {
--- a/src/benchlink/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,9 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "frames.h"
-
-namespace damsonspoke::benchlink {
+namespace damsonspoke {
 namespace {
 
 using Json = nlohmann::json;
@@ -14,14 +12,14 @@
 constexpr double kSecondsPerMs = 0.001;
 
 [[noreturn]] void bad(const std::string& key) {
-  throw MalformedInput("settings: bad value of '" + key + "'");
+  throw SettingsError("settings: bad value of '" + key + "'");
 }
 
 // The value of a key, or null where it is absent.
 const Json& find(const Json& from, const char* key) {
   static const Json absent;
   if (!from.is_object())
-    throw MalformedInput(std::string("settings: '") + key + "' is looked for in no object");
+    throw SettingsError(std::string("settings: '") + key + "' is looked for in no object");
   const auto at = from.find(key);
   return at == from.end() ? absent : *at;
 }
@@ -35,7 +33,7 @@
 
 // A number that has no default: without it the decisions would rest on one of ours.
 double needed(const Json& from, const char* key, double at_least) {
-  if (find(from, key).is_null()) throw MalformedInput(std::string("settings: no '") + key + "'");
+  if (find(from, key).is_null()) throw SettingsError(std::string("settings: no '") + key + "'");
   const double value = number(from, key, 0);
   if (value < at_least) bad(key);
   return value;
@@ -83,8 +81,11 @@
 }  // namespace
 
 StartSettings read_settings(std::string_view text) {
-  const Json top = Json::parse(text, nullptr, false);
-  if (!top.is_object()) throw MalformedInput("settings: not a JSON object");
+  return read_settings(Json::parse(text, nullptr, false));
+}
+
+StartSettings read_settings(const Json& top) {
+  if (!top.is_object()) throw SettingsError("settings: not a JSON object");
   const Json& family = find(top, "family-info");
   if (!family.is_object()) bad("family-info");
   static const Json empty = Json::object();
@@ -116,6 +117,9 @@
       type.worth_without = without[at].get<double>();
       if (!(type.worth_without >= 0 && type.worth_without <= 1)) bad("worth-without");
     }
+    const Json& name = find(entry, "name");
+    if (!name.is_null() && !name.is_string()) bad("name");
+    start.type_names.push_back(name.is_null() ? std::string() : name.get<std::string>());
     s.op_types.push_back(type);
   }
   if (s.op_types.empty()) bad("request-classes");
@@ -134,6 +138,7 @@
       family, "say",
       {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
   s.deep_checks = flag(family, "deep-checks");
+  start.list_follows = flag(family, "list-follows");
   s.caller_idle = seconds(family, "caller-idle");
   s.below = word<Below>(family, "below",
                         {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
@@ -162,4 +167,4 @@
   return start;
 }
 
-}  // namespace damsonspoke::benchlink
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,31 @@
+// Reads the settings that a backend is given, as JSON, into plain values; both fronts use it. Unknown keys are
+// ignored.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decide.h"
+
+namespace damsonspoke {
+
+enum class Gauge { kOther, kCpuBusy, kRunnable, kMemoryUsed, kConnections };
+
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct StartSettings {
+  Settings settings;
+  std::vector<std::string> type_names;  // by position, as the op types
+  bool list_follows = false;            // the list of backends follows health
+  std::vector<Gauge> gauges;  // in the order in which a wake conveys them
+};
+
+StartSettings read_settings(std::string_view text);
+StartSettings read_settings(const nlohmann::json& top);
+
+}  // namespace damsonspoke
