--- /dev/null
+++ b/src/app/backend.h
@@ -0,0 +1,55 @@
+// One backend: its peers and stages put together, and its life from the first link to the last answer.
+#pragma once
+
+#include <string>
+
+#include "app/counters.h"
+#include "app/logger.h"
+#include "net/reactor.h"
+#include "peers/below.h"
+#include "peers/callers.h"
+#include "peers/roster.h"
+#include "peers/runtime.h"
+#include "settings/config.h"
+#include "stages/admit.h"
+#include "stages/book.h"
+#include "stages/relay.h"
+#include "stages/route.h"
+#include "stages/send.h"
+#include "stages/take_in.h"
+
+namespace damsonspoke {
+
+class Backend {
+ public:
+  // Throws std::exception with one plain line where an address can't be used.
+  Backend(const Config& config, Logger& log);
+  // Serves until the notice to leave has been followed to its end. Returns the exit status.
+  int run();
+  std::uint16_t port() const { return callers_.port(); }
+
+ private:
+  void leave();
+  void look_at_leaving();
+  void report();
+
+  const Config config_;
+  Logger& log_;
+  Counters counters_;
+  net::Reactor reactor_;
+  // Stages and peers refer to each other: the references are bound here, and first used when the reactor runs.
+  stages::Book book_;
+  stages::Send send_;
+  stages::Route route_;
+  stages::Admit admit_;
+  stages::TakeIn take_in_;
+  stages::Relay relay_;
+  peers::Callers callers_;
+  peers::Runtime runtime_;
+  peers::Below below_;
+  peers::Roster roster_;
+  double leaving_since_ = -1;
+  bool listening_ = true;
+};
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,303 @@
+#include "net/connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Observer.h>
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <system_error>
+
+namespace damsonspoke::net {
+namespace {
+
+using Poco::Net::ErrorNotification;
+using Poco::Net::ReadableNotification;
+using Poco::Net::WritableNotification;
+
+constexpr std::size_t kReadAtOnce = 64 * 1024;  // bytes; then the other sockets get their turn
+constexpr std::size_t kKeptCapacity = 16 * 1024;  // bytes that an empty buffer may go on holding
+constexpr int kAcceptAtOnce = 64;               // connections; then the other sockets get their turn
+constexpr int kBacklog = 1024;                  // connections that may wait to be accepted
+constexpr double kAcceptRetry = 0.05;           // s; out of descriptors: until some are likely to be free
+
+void no_delay(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Connection::Connection(Reactor& reactor, ConnectionOwner& owner, Poco::Net::StreamSocket socket, State state,
+                       BufferLimits limits)
+    : reactor_(reactor), owner_(owner), socket_(std::move(socket)), state_(state), limits_(limits) {}
+
+std::shared_ptr<Connection> Connection::accepted(Reactor& reactor, ConnectionOwner& owner, int fd,
+                                                 BufferLimits limits) {
+  Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
+  no_delay(fd);
+  std::shared_ptr<Connection> made(new Connection(reactor, owner, std::move(socket), State::kOpen, limits));
+  made->want_read(true);
+  return made;
+}
+
+std::shared_ptr<Connection> Connection::connecting(Reactor& reactor, ConnectionOwner& owner,
+                                                   const Poco::Net::SocketAddress& address, BufferLimits limits) {
+  Poco::Net::StreamSocket socket(address.family());
+  std::shared_ptr<Connection> made(
+      new Connection(reactor, owner, std::move(socket), State::kConnecting, limits));
+  const int fd = made->fd();
+  made->socket_.setBlocking(false);
+  no_delay(fd);
+  if (::connect(fd, address.addr(), address.length()) == 0 || errno == EINPROGRESS) {
+    made->want_write(true);
+  } else {
+    made->close(End::kRefused);
+  }
+  return made;
+}
+
+Connection::~Connection() {
+  if (state_ == State::kClosed) return;
+  want_read(false);
+  want_write(false);
+  want_error(false);
+  release(waiting());
+  socket_.close();
+}
+
+void Connection::want_read(bool want) {
+  if (want == reading_) return;
+  reading_ = want;
+  const Poco::Observer<Connection, ReadableNotification> observer(*this, &Connection::on_readable);
+  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
+}
+
+void Connection::want_write(bool want) {
+  if (want == writing_) return;
+  writing_ = want;
+  const Poco::Observer<Connection, WritableNotification> observer(*this, &Connection::on_writable);
+  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
+}
+
+void Connection::want_error(bool want) {
+  if (want == watching_) return;
+  watching_ = want;
+  const Poco::Observer<Connection, ErrorNotification> observer(*this, &Connection::on_error);
+  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
+}
+
+void Connection::pause_reading(bool pause) {
+  paused_ = pause;
+  if (state_ != State::kOpen || input_over_) return;
+  want_read(!pause);
+  if (!pause && !in_.empty()) {
+    reactor_.post([self = shared_from_this()] { self->deliver(); });
+  }
+}
+
+void Connection::send(std::string_view bytes) {
+  if (state_ == State::kClosed) return;
+  if (waiting() + bytes.size() > limits_.output) return close(End::kOverflow);
+  if (state_ == State::kOpen && waiting() == 0) {
+    const ssize_t wrote = ::send(fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (wrote >= 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(wrote));
+    } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      return close(End::kBroken);
+    }
+    if (bytes.empty()) return;
+  }
+  if (out_at_ > 0 && out_at_ >= out_.size() / 2) {
+    out_.erase(0, out_at_);
+    out_at_ = 0;
+  }
+  if (limits_.pool != nullptr && limits_.pool->used + bytes.size() > limits_.pool->most) return close(End::kOverflow);
+  out_.append(bytes);
+  charge(bytes.size());
+  if (state_ == State::kOpen) want_write(true);
+}
+
+void Connection::write_some() {
+  while (waiting() > 0) {
+    const ssize_t wrote = ::send(fd(), out_.data() + out_at_, waiting(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (wrote < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN && errno != EWOULDBLOCK) close(End::kBroken);
+      return;
+    }
+    out_at_ += static_cast<std::size_t>(wrote);
+    release(static_cast<std::size_t>(wrote));
+  }
+  out_.clear();
+  out_at_ = 0;
+  if (out_.capacity() > kKeptCapacity) out_.shrink_to_fit();
+  want_write(false);
+  owner_.on_output_sent(*this);
+}
+
+void Connection::charge(std::size_t bytes) {
+  if (limits_.pool != nullptr) limits_.pool->used += bytes;
+}
+
+void Connection::release(std::size_t bytes) {
+  if (limits_.pool != nullptr) limits_.pool->used -= bytes;
+}
+
+void Connection::close(End why) {
+  if (state_ == State::kClosed) return;
+  want_read(false);
+  want_write(false);
+  want_error(false);
+  state_ = State::kClosed;
+  release(waiting());
+  out_.clear();
+  out_at_ = 0;
+  socket_.close();
+  reactor_.post([self = shared_from_this(), why] { self->owner_.on_end(*self, why); });
+}
+
+void Connection::read_some() {
+  char bytes[16 * 1024];
+  std::size_t taken = 0;
+  while (taken < kReadAtOnce && state_ == State::kOpen && !paused_) {
+    const ssize_t got = ::recv(fd(), bytes, sizeof bytes, MSG_DONTWAIT);
+    if (got < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN && errno != EWOULDBLOCK) close(End::kBroken);
+      return;
+    }
+    if (got == 0) {
+      input_over_ = true;
+      want_read(false);
+      want_error(true);  // a reset is still to be heard of
+      owner_.on_end_of_input(*this);
+      return;
+    }
+    in_.append(bytes, static_cast<std::size_t>(got));
+    taken += static_cast<std::size_t>(got);
+    deliver();
+    if (static_cast<std::size_t>(got) < sizeof bytes) return;
+  }
+}
+
+void Connection::deliver() {
+  if (state_ != State::kOpen || delivering_ || in_.empty()) return;
+  delivering_ = true;
+  const std::size_t used = owner_.on_input(*this, in_);
+  delivering_ = false;
+  in_.erase(0, used);
+  if (in_.empty() && in_.capacity() > kKeptCapacity) in_.shrink_to_fit();
+  if (in_.size() > limits_.input) close(End::kOverflow);
+}
+
+void Connection::on_readable(ReadableNotification* notification) {
+  notification->release();
+  const auto self = shared_from_this();
+  guarded("read", [this] { read_some(); });
+}
+
+void Connection::on_writable(WritableNotification* notification) {
+  notification->release();
+  const auto self = shared_from_this();
+  guarded("write", [this] {
+    if (state_ == State::kConnecting) {
+      int error = 0;
+      socklen_t size = sizeof error;
+      ::getsockopt(fd(), SOL_SOCKET, SO_ERROR, &error, &size);
+      if (error != 0) return close(End::kRefused);
+      state_ = State::kOpen;
+      want_read(!paused_);
+      owner_.on_connected(*this);
+      if (state_ != State::kOpen) return;
+    }
+    if (state_ == State::kOpen) write_some();
+  });
+}
+
+void Connection::on_error(ErrorNotification* notification) {
+  notification->release();
+  const auto self = shared_from_this();
+  guarded("error", [this] { close(End::kBroken); });
+}
+
+Listener::Listener(Reactor& reactor, const Poco::Net::SocketAddress& address, OnAccept on_accept)
+    : reactor_(reactor), on_accept_(std::move(on_accept)) {
+  fd_ = ::socket(address.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "cannot make a socket");
+  const int on = 1;
+  ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  socket_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd_));  // owns the descriptor from here
+  if (::bind(fd_, address.addr(), address.length()) != 0 || ::listen(fd_, kBacklog) != 0) {
+    throw std::system_error(errno, std::generic_category(), "cannot listen on " + address.toString());
+  }
+  port_ = socket_.address().port();
+  pause(false);
+}
+
+Listener::~Listener() {
+  reactor_.cancel(retry_);
+  if (!open_) return;
+  pause(true);
+  socket_.close();
+}
+
+void Listener::pause(bool pause) {
+  if (!open_ || pause == paused_) return;
+  paused_ = pause;
+  const Poco::Observer<Listener, ReadableNotification> observer(*this, &Listener::on_readable);
+  pause ? reactor_.removeEventHandler(socket_, observer) : reactor_.addEventHandler(socket_, observer);
+}
+
+// False when descriptors have run out.
+bool Listener::accept_some() {
+  for (int i = 0; i < kAcceptAtOnce && !paused_; ++i) {
+    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      on_accept_(fd);
+    } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      return false;
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      return true;
+    }
+  }
+  return true;
+}
+
+void Listener::on_readable(ReadableNotification* notification) {
+  notification->release();
+  guarded("accept", [this] {
+    if (accept_some()) return;
+    // Level-triggered: with no descriptor free the poll would return at once, again and again.
+    pause(true);
+    ++pauses_;
+    retry_ = reactor_.after(kAcceptRetry, [this] { pause(false); });
+  });
+}
+
+// A listener that closes takes down the connections that wait in it, with what callers have written to them. So
+// new ones are kept out first (the filter drops their first packet; the caller sends it again and finds the
+// address refused), then those that wait are taken, then it closes.
+void Listener::close() {
+  if (!open_) return;
+  sock_filter drop_all[] = {{BPF_RET | BPF_K, 0, 0, 0}};
+  sock_fprog program{1, drop_all};
+  ::setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+  for (;;) {
+    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) break;
+    on_accept_(fd);
+  }
+  reactor_.cancel(retry_);
+  pause(true);
+  open_ = false;
+  socket_.close();
+}
+
+}  // namespace damsonspoke::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,126 @@
+// One stream socket in the reactor, with bounded buffers. It reads while its owner lets it, and asks to be told
+// when it can write only while output waits.
+#pragma once
+
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/reactor.h"
+
+namespace damsonspoke::net {
+
+enum class End {
+  kRefused,   // never connected: nothing that was written has left
+  kInOrder,   // the peer closed, or we did
+  kBroken,    // reset, or another error
+  kOverflow,  // more output waits than is allowed
+};
+
+class Connection;
+
+class ConnectionOwner {
+ public:
+  virtual ~ConnectionOwner() = default;
+  virtual void on_connected(Connection&) {}
+  // Returns how many bytes were used; the rest is offered again with what follows.
+  virtual std::size_t on_input(Connection& connection, std::string_view bytes) = 0;
+  // The peer will write no more; what it asked may still be answered.
+  virtual void on_end_of_input(Connection& connection) = 0;
+  // Once, the last call for this connection, never from inside one of its own methods.
+  virtual void on_end(Connection& connection, End why) = 0;
+  // All output has left.
+  virtual void on_output_sent(Connection&) {}
+};
+
+// Output that waits on several connections together.
+struct OutputPool {
+  std::size_t most = 0;
+  std::size_t used = 0;
+};
+
+struct BufferLimits {
+  std::size_t input = 64 * 1024;
+  std::size_t output = 256 * 1024;
+  OutputPool* pool = nullptr;  // outlives the connection
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  // An accepted socket, or one that begins to connect to an address.
+  static std::shared_ptr<Connection> accepted(Reactor& reactor, ConnectionOwner& owner, int fd, BufferLimits limits);
+  static std::shared_ptr<Connection> connecting(Reactor& reactor, ConnectionOwner& owner,
+                                                const Poco::Net::SocketAddress& address, BufferLimits limits);
+  ~Connection();
+
+  void send(std::string_view bytes);
+  void close(End why = End::kInOrder);  // at once; on_end follows on the next turn
+  void pause_reading(bool pause);
+  bool connected() const { return state_ == State::kOpen; }
+  bool open() const { return state_ != State::kClosed; }
+  std::size_t waiting() const { return out_.size() - out_at_; }
+  std::uint64_t tag = 0;  // the owner's name for it
+
+ private:
+  enum class State { kConnecting, kOpen, kClosed };
+  Connection(Reactor& reactor, ConnectionOwner& owner, Poco::Net::StreamSocket socket, State state,
+             BufferLimits limits);
+
+  void on_readable(Poco::Net::ReadableNotification* notification);
+  void on_writable(Poco::Net::WritableNotification* notification);
+  void on_error(Poco::Net::ErrorNotification* notification);
+  void read_some();
+  void write_some();
+  void want_read(bool want);
+  void want_write(bool want);
+  void want_error(bool want);
+  void deliver();
+  void charge(std::size_t bytes);
+  void release(std::size_t bytes);
+  int fd() const { return socket_.impl()->sockfd(); }
+
+  Reactor& reactor_;
+  ConnectionOwner& owner_;
+  Poco::Net::StreamSocket socket_;
+  State state_;
+  BufferLimits limits_;
+  std::string in_;
+  std::string out_;
+  std::size_t out_at_ = 0;
+  bool reading_ = false, writing_ = false, watching_ = false;
+  bool paused_ = false, input_over_ = false, delivering_ = false;
+};
+
+// Accepts until nothing waits; out of descriptors it pauses instead of spinning.
+class Listener {
+ public:
+  using OnAccept = std::function<void(int fd)>;
+  Listener(Reactor& reactor, const Poco::Net::SocketAddress& address, OnAccept on_accept);
+  ~Listener();
+  void pause(bool pause);
+  bool paused() const { return paused_; }
+  std::uint64_t pauses() const { return pauses_; }
+  // Takes what still waits, then closes, with nothing lost in between.
+  void close();
+  bool open() const { return open_; }
+  std::uint16_t port() const { return port_; }
+
+ private:
+  void on_readable(Poco::Net::ReadableNotification* notification);
+  bool accept_some();
+
+  Reactor& reactor_;
+  OnAccept on_accept_;
+  int fd_ = -1;
+  Poco::Net::StreamSocket socket_;
+  Reactor::TimerId retry_;
+  std::uint16_t port_ = 0;
+  std::uint64_t pauses_ = 0;
+  bool open_ = true, paused_ = true;
+};
+
+}  // namespace damsonspoke::net
--- /dev/null
+++ b/src/net/datagram.h
@@ -0,0 +1,22 @@
+// A socket for datagrams that get no answer.
+#pragma once
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <string_view>
+
+namespace damsonspoke::net {
+
+class Datagrams {
+ public:
+  explicit Datagrams(const Poco::Net::SocketAddress& to);
+  // One that can't be sent now is lost, as datagrams are; false then.
+  bool send(std::string_view bytes);
+
+ private:
+  Poco::Net::SocketAddress to_;
+  Poco::Net::DatagramSocket socket_;
+};
+
+}  // namespace damsonspoke::net
--- /dev/null
+++ b/src/net/reactor.cpp
@@ -0,0 +1,118 @@
+#include "net/reactor.h"
+
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Observer.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+#include <csignal>
+#include <cstdio>
+#include <stdexcept>
+
+namespace damsonspoke::net {
+namespace {
+
+constexpr double kLongestWait = 0.25;  // s; a poll without timers
+constexpr int kMostTasks = 10000;      // in one turn; sockets are looked at in between
+
+int signal_fd = -1;
+
+void note_signal(int signal) {
+  const int kept = errno;
+  const char byte = static_cast<char>(signal);
+  const ssize_t wrote = ::send(signal_fd, &byte, 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  static_cast<void>(wrote);  // a full buffer means that the thread will wake anyway
+  errno = kept;
+}
+
+}  // namespace
+
+double monotonic_now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+double unix_now() {
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void guarded(const char* where, const Task& task) {
+  try {
+    task();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "damsonspoke: %s: %s\n", where, error.what());
+  } catch (...) {
+    std::fprintf(stderr, "damsonspoke: %s: something that is no exception was thrown\n", where);
+  }
+}
+
+Reactor::Reactor() {
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, wake_fds_) != 0)
+    throw std::runtime_error("cannot make a socket pair");
+  wake_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(wake_fds_[0]));
+  addEventHandler(wake_, Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
+  set_wait();
+}
+
+Reactor::~Reactor() {
+  for (const auto& [signal, task] : signals_) ::signal(signal, SIG_DFL);
+  removeEventHandler(wake_, Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
+  signal_fd = -1;
+  ::close(wake_fds_[1]);
+}
+
+Reactor::TimerId Reactor::at(double when, Task task) {
+  const TimerId timer{when, next_number_++};
+  timers_.emplace(std::make_pair(when, timer.number), std::move(task));
+  if (timers_.begin()->first.second == timer.number) set_wait();
+  return timer;
+}
+
+void Reactor::cancel(TimerId& timer) {
+  if (timer.number != 0) timers_.erase({timer.when, timer.number});
+  timer.number = 0;
+}
+
+void Reactor::run_due() {
+  const double now = monotonic_now();
+  // Tasks that are added meanwhile for this very time wait for the next turn, so that sockets get theirs.
+  const std::uint64_t first_new = next_number_;
+  for (int i = 0; i < kMostTasks && !timers_.empty() && timers_.begin()->first.first <= now; ++i) {
+    if (timers_.begin()->first.second >= first_new) break;
+    Task task = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    guarded("timer", task);
+  }
+  set_wait();
+}
+
+// Whole milliseconds, rounded up: the poll counts in them, and one that is cut off spins until the time is
+// reached.
+void Reactor::set_wait() {
+  double wait = kLongestWait;
+  if (!timers_.empty()) wait = std::clamp(timers_.begin()->first.first - monotonic_now(), 0.0, kLongestWait);
+  setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(std::ceil(wait * 1000)) * 1000));
+}
+
+void Reactor::on_signal(int signal, Task task) {
+  signals_[signal] = std::move(task);
+  signal_fd = wake_fds_[1];
+  struct sigaction action {};
+  action.sa_handler = note_signal;
+  action.sa_flags = SA_RESTART;
+  ::sigaction(signal, &action, nullptr);
+}
+
+void Reactor::on_wake_byte(Poco::Net::ReadableNotification* notification) {
+  notification->release();
+  char bytes[64];
+  const ssize_t got = ::recv(wake_fds_[0], bytes, sizeof bytes, MSG_DONTWAIT);
+  for (ssize_t i = 0; i < got; ++i) {
+    const auto found = signals_.find(bytes[i]);
+    if (found != signals_.end()) guarded("signal", found->second);
+  }
+}
+
+}  // namespace damsonspoke::net
--- /dev/null
+++ b/src/peers/callers.cpp
@@ -0,0 +1,261 @@
+#include "peers/callers.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "net/address.h"
+
+namespace damsonspoke::peers {
+namespace {
+
+constexpr double kSecondsPerMs = 0.001;
+constexpr std::size_t kMostOpen = 32;               // requests a connection, as the protocol allows
+constexpr std::size_t kInputBytes = 64 * 1024;      // a connection; a frame is under 20 KiB
+constexpr std::size_t kOutputBytes = 256 * 1024;    // a connection; 32 full answers take 180 KiB
+constexpr std::size_t kSlowOutput = 64 * 1024;      // waiting; over it nothing more is read from that peer
+constexpr double kIdleLook = 0.05;                  // s; between looks at the longest idle connection
+constexpr double kNoMorePatience = 5;               // s; a peer that was asked for no more and does not close
+
+}  // namespace
+
+Callers::Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names,
+                 Limits limits, CallerEvents& events, Counters& counters, Logger& log)
+    : reactor_(reactor),
+      limits_(limits),
+      events_(events),
+      counters_(counters),
+      log_(log),
+      output_{limits.output_bytes, 0},
+      listener_(reactor, net::parse_address(listen), [this](int fd) { on_accept(fd); }) {
+  for (std::size_t i = 0; i < type_names.size(); ++i) types_[type_names[i]] = static_cast<int>(i);
+}
+
+Callers::~Callers() { reactor_.cancel(idle_timer_); }
+
+void Callers::on_accept(int fd) {
+  const std::uint64_t tag = next_tag_++;
+  Caller& caller = open_[tag];
+  caller.connection = net::Connection::accepted(reactor_, *this, fd, {kInputBytes, kOutputBytes, &output_});
+  caller.connection->tag = tag;
+  caller.last_traffic = net::monotonic_now();
+  caller.place = by_traffic_.insert(by_traffic_.end(), tag);
+  counters_.add(Count::kCallersAccepted);
+  counters_.most(Count::kCallersMost, open_.size());
+  if (no_more_) ask_no_more(caller);
+  if (static_cast<int>(open_.size()) >= limits_.connections && !listener_.paused()) {
+    counters_.add(Count::kAcceptPauses);
+    log_.warn("callers", "{} connections open, accepting pauses", open_.size());
+    listener_.pause(true);
+  }
+}
+
+std::size_t Callers::on_input(net::Connection& connection, std::string_view bytes) {
+  std::size_t used = 0;
+  const std::uint64_t tag = connection.tag;
+  const auto found = open_.find(tag);
+  if (found == open_.end()) return bytes.size();
+  Caller& caller = found->second;
+  while (connection.open()) {
+    const wire::Frame frame = wire::next_frame(bytes.substr(used));
+    if (frame.state == wire::Framing::kNeedMore) break;
+    if (frame.state == wire::Framing::kBroken) {
+      counters_.add(Count::kBadFrames);
+      log_.debug("callers", "connection {}: a frame that can't be trusted, closed", tag);
+      put(caller, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
+      connection.close();
+      break;
+    }
+    used += frame.length;
+    traffic(caller);
+    take(caller, tag, frame.body);
+    if (connection.waiting() > kSlowOutput) {
+      connection.pause_reading(true);
+      break;
+    }
+  }
+  counters_.add(Count::kBytesIn, used);
+  return used;
+}
+
+// One message. What can be told to be a request gets its one answer.
+void Callers::take(Caller& caller, std::uint64_t tag, std::string_view text) {
+  wire::RpcRequest request;
+  const wire::RpcProblem problem = wire::decode_request(text, request);
+  if (problem == wire::RpcProblem::kNoJson) {
+    counters_.add(Count::kBadJson);
+    return put(caller, wire::encode_error(0, wire::RpcError::kParse, "no JSON"));
+  }
+  if (problem == wire::RpcProblem::kNoRequest || !request.has_id) {
+    counters_.add(Count::kBadRequests);
+    return put(caller, wire::encode_error(request.has_id ? request.id : 0, wire::RpcError::kRequest, "no request"));
+  }
+  if (caller.requests.contains(request.id)) {
+    // Answering under this number would give its first request a second answer.
+    counters_.add(Count::kBadIds);
+    return put(caller, wire::encode_error(0, wire::RpcError::kRequest, "id in use"));
+  }
+  if (caller.requests.size() >= kMostOpen) {
+    counters_.add(Count::kTooMany);
+    return put(caller, wire::encode_nack(request.id, 0, false));
+  }
+  if (request.method == "health") {
+    if (problem == wire::RpcProblem::kBadParams) {
+      counters_.add(Count::kBadParams);
+      return put(caller, wire::encode_error(request.id, wire::RpcError::kParams, "bad parameters"));
+    }
+    counters_.add(Count::kChecksRead);
+    caller.requests[request.id] = 0;
+    ++requests_;
+    return events_.on_check({tag, request.id}, request.probe);
+  }
+  if (problem == wire::RpcProblem::kBadParams || !request.has_txn || request.txn == 0 || request.held_kb <= 0) {
+    counters_.add(Count::kBadParams);
+    return put(caller, wire::encode_error(request.id, wire::RpcError::kParams, "bad parameters"));
+  }
+  take_op(caller, tag, request);
+}
+
+void Callers::take_op(Caller& caller, std::uint64_t tag, wire::RpcRequest& request) {
+  const auto type = types_.find(request.method);
+  if (type == types_.end()) {
+    counters_.add(Count::kBadTypes);
+    return put(caller, wire::encode_error(request.id, wire::RpcError::kMethod, "unknown op type"));
+  }
+  if (events_.in_use(request.txn)) {
+    counters_.add(Count::kBadIds);
+    return put(caller, wire::encode_error(request.id, wire::RpcError::kRequest, "txn in use"));
+  }
+  IncomingOp op;
+  op.id = request.txn;
+  op.type = type->second;
+  op.caller = request.caller;
+  op.key = request.has_item ? request.item : 0;
+  op.held_kb = request.held_kb;
+  op.door = request.door_ms * kSecondsPerMs;
+  op.limit = request.limit_ms * kSecondsPerMs;
+  op.body = std::move(request.body);
+  op.ticket = {tag, request.id};
+  caller.requests[request.id] = op.id;
+  ++requests_;
+  events_.on_op_read(std::move(op));
+}
+
+void Callers::put(Caller& caller, const std::string& text) {
+  if (!caller.connection->open()) return;
+  caller.connection->send(text);
+  if (caller.connection->open()) counters_.add(Count::kBytesOut, text.size());
+}
+
+void Callers::answer(Ticket ticket, const std::string& text) {
+  const auto found = open_.find(ticket.connection);
+  if (found == open_.end()) return;
+  Caller& caller = found->second;
+  if (caller.requests.erase(ticket.number) == 0) return;
+  --requests_;
+  traffic(caller);
+  put(caller, text);
+  after_answer(caller);
+}
+
+// A caller that has closed its side gets its last answer and then our end.
+void Callers::after_answer(Caller& caller) {
+  if (caller.requests.empty() && caller.input_over && caller.connection->waiting() == 0) caller.connection->close();
+}
+
+void Callers::answer_acked(Ticket ticket, std::string_view result) {
+  answer(ticket, wire::encode_result(ticket.number, result));
+}
+void Callers::answer_nacked(Ticket ticket, double come_back_in, bool no_retry) {
+  answer(ticket, wire::encode_nack(ticket.number, come_back_in / kSecondsPerMs, no_retry));
+}
+void Callers::answer_failed(Ticket ticket) {
+  answer(ticket, wire::encode_error(ticket.number, wire::RpcError::kFailed, "failed"));
+}
+void Callers::answer_check(Ticket ticket, bool good) {
+  if (good) counters_.add(Count::kChecksGood);
+  answer(ticket, wire::encode_check(ticket.number, good));
+}
+
+void Callers::on_output_sent(net::Connection& connection) {
+  const auto found = open_.find(connection.tag);
+  if (found == open_.end()) return;
+  connection.pause_reading(false);
+  after_answer(found->second);
+}
+
+void Callers::on_end_of_input(net::Connection& connection) {
+  const auto found = open_.find(connection.tag);
+  if (found == open_.end()) return;
+  found->second.input_over = true;
+  after_answer(found->second);
+}
+
+void Callers::on_end(net::Connection& connection, net::End why) {
+  const auto found = open_.find(connection.tag);
+  if (found == open_.end()) return;
+  const Caller caller = std::move(found->second);
+  by_traffic_.erase(caller.place);
+  open_.erase(found);
+  requests_ -= caller.requests.size();
+  counters_.add(why == net::End::kInOrder    ? Count::kCallersClosed
+                : why == net::End::kOverflow ? Count::kSlowPeers
+                                             : Count::kCallersReset);
+  std::vector<OpId> gone;
+  for (const auto& [number, id] : caller.requests) {
+    if (id != 0) gone.push_back(id);
+  }
+  std::sort(gone.begin(), gone.end());
+  for (const OpId id : gone) events_.on_caller_gone(id);
+  make_room();
+}
+
+void Callers::make_room() {
+  if (static_cast<int>(open_.size()) < limits_.connections) listener_.pause(false);
+}
+
+// ---- Idle connections and the end.
+void Callers::traffic(Caller& caller) {
+  caller.last_traffic = net::monotonic_now();
+  by_traffic_.splice(by_traffic_.end(), by_traffic_, caller.place);
+}
+
+void Callers::ask_no_more(Caller& caller) {
+  if (caller.asked_no_more >= 0) return;
+  caller.asked_no_more = net::monotonic_now();
+  counters_.add(Count::kCallersAsked);
+  put(caller, wire::encode_no_more());
+}
+
+void Callers::ask_no_more() {
+  no_more_ = true;
+  for (auto& [tag, caller] : open_) ask_no_more(caller);
+}
+
+void Callers::close_idle(double after) {
+  idle_after_ = after;
+  if (idle_timer_.number == 0 && after > 0) look_for_idle();
+}
+
+// The list is in the order of traffic, so that only those that are idle are looked at. A caller that is asked
+// for no more closes by itself: nothing that crosses is lost. One that does not is closed after a while.
+void Callers::look_for_idle() {
+  const double now = net::monotonic_now();
+  for (auto it = by_traffic_.begin(); it != by_traffic_.end();) {
+    const std::uint64_t tag = *it++;
+    Caller& caller = open_.at(tag);
+    if (now - caller.last_traffic < idle_after_) break;
+    if (!caller.requests.empty()) {  // it waits for an answer; back to the end, looked at again later
+      traffic(caller);
+    } else if (caller.asked_no_more < 0) {
+      ask_no_more(caller);
+    } else if (now - caller.asked_no_more > kNoMorePatience) {
+      caller.connection->close();
+    }
+  }
+  idle_timer_ = reactor_.after(kIdleLook, [this] { look_for_idle(); });
+}
+
+void Callers::stop_listening() { listener_.close(); }
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/peers/callers.h
@@ -0,0 +1,85 @@
+// The callers: edge nodes that send ops, and their health checks.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/counters.h"
+#include "app/logger.h"
+#include "net/connection.h"
+#include "peers/events.h"
+#include "wire/rpc.h"
+
+namespace damsonspoke::peers {
+
+class Callers : private net::ConnectionOwner {
+ public:
+  struct Limits {
+    int connections = 0;
+    std::size_t output_bytes = 0;  // of all connections together
+  };
+  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names, Limits limits,
+          CallerEvents& events, Counters& counters, Logger& log);
+  ~Callers() override;
+
+  // Answers; a connection that has gone meanwhile takes none.
+  void answer_acked(Ticket ticket, std::string_view result);
+  void answer_nacked(Ticket ticket, double come_back_in, bool no_retry);
+  void answer_failed(Ticket ticket);
+  void answer_check(Ticket ticket, bool good);
+
+  void close_idle(double after);
+  void ask_no_more();      // of everyone, and of each who connects from now on
+  void stop_listening();   // with nothing lost that has been written to us
+  std::size_t connections() const { return open_.size(); }
+  std::size_t open_requests() const { return requests_; }
+  std::uint16_t port() const { return listener_.port(); }
+
+ private:
+  struct Caller {
+    std::shared_ptr<net::Connection> connection;
+    std::unordered_map<std::uint64_t, OpId> requests;  // by number; 0 for a check
+    std::list<std::uint64_t>::iterator place;          // in by_traffic_
+    double last_traffic = 0;
+    double asked_no_more = -1;
+    bool input_over = false;
+  };
+
+  std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
+  void on_end_of_input(net::Connection& connection) override;
+  void on_end(net::Connection& connection, net::End why) override;
+  void on_output_sent(net::Connection& connection) override;
+
+  void on_accept(int fd);
+  void take(Caller& caller, std::uint64_t tag, std::string_view text);
+  void take_op(Caller& caller, std::uint64_t tag, wire::RpcRequest& request);
+  void answer(Ticket ticket, const std::string& text);
+  void put(Caller& caller, const std::string& text);
+  void traffic(Caller& caller);
+  void ask_no_more(Caller& caller);
+  void look_for_idle();
+  void after_answer(Caller& caller);
+  void make_room();
+
+  net::Reactor& reactor_;
+  std::unordered_map<std::string, int> types_;
+  Limits limits_;
+  CallerEvents& events_;
+  Counters& counters_;
+  Logger& log_;
+  net::OutputPool output_;  // before the connections that are charged to it
+  net::Listener listener_;
+  std::unordered_map<std::uint64_t, Caller> open_;
+  std::list<std::uint64_t> by_traffic_;  // the longest idle first
+  std::uint64_t next_tag_ = 1;
+  std::size_t requests_ = 0;
+  double idle_after_ = 0;  // s; 0: callers close their own
+  bool no_more_ = false;
+  net::Reactor::TimerId idle_timer_;
+};
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/peers/roster.cpp
@@ -0,0 +1,29 @@
+#include "peers/roster.h"
+
+#include "net/address.h"
+#include "wire/roster_report.h"
+
+namespace damsonspoke::peers {
+namespace {
+
+constexpr double kEvery = 0.5;  // s; an entry lapses after 3 s: five reports may be lost
+
+}  // namespace
+
+Roster::Roster(net::Reactor& reactor, const std::string& address, std::string name, Counters& counters)
+    : reactor_(reactor), name_(std::move(name)), counters_(counters), datagrams_(net::parse_address(address)) {}
+
+Roster::~Roster() { reactor_.cancel(timer_); }
+
+void Roster::report(bool takes_work) {
+  takes_work_ = takes_work;
+  reactor_.cancel(timer_);
+  send();
+}
+
+void Roster::send() {
+  if (datagrams_.send(wire::encode_report(name_, takes_work_))) counters_.add(Count::kRosterReports);
+  timer_ = reactor_.after(kEvery, [this] { send(); });
+}
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/peers/roster.h
@@ -0,0 +1,30 @@
+// The roster: callers learn of backends from it. Reports keep this one on the list, on or off.
+#pragma once
+
+#include <string>
+
+#include "app/counters.h"
+#include "net/datagram.h"
+#include "net/reactor.h"
+
+namespace damsonspoke::peers {
+
+class Roster {
+ public:
+  Roster(net::Reactor& reactor, const std::string& address, std::string name, Counters& counters);
+  ~Roster();
+  // Reports at once, and again before the entry lapses.
+  void report(bool takes_work);
+
+ private:
+  void send();
+
+  net::Reactor& reactor_;
+  std::string name_;
+  Counters& counters_;
+  net::Datagrams datagrams_;
+  bool takes_work_ = false;
+  net::Reactor::TimerId timer_;
+};
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/peers/runtime.cpp
@@ -0,0 +1,225 @@
+#include "peers/runtime.h"
+
+#include <algorithm>
+
+#include "net/address.h"
+
+namespace damsonspoke::peers {
+namespace {
+
+constexpr double kSecondsPerMs = 0.001;
+constexpr double kConnectAgain = 0.05;  // s; a runtime on the same machine that is not up yet
+constexpr double kSilence = 3;          // s without the gauges that were asked for: the link is taken for lost
+constexpr double kSilenceLook = 0.5;    // s; between looks
+constexpr double kGaugesFresh = 0.5;    // s; an older reading says nothing about now
+constexpr std::size_t kInputBytes = 256 * 1024;        // a line with its payload is under 70 KiB
+constexpr std::size_t kOutputBytes = 8 * 1024 * 1024;  // commands behind a runtime that does not read
+
+Outcome outcome_of(wire::RunEnd end) {
+  switch (end) {
+    case wire::RunEnd::kComplete: return Outcome::kOk;
+    case wire::RunEnd::kError: return Outcome::kError;
+    case wire::RunEnd::kCancelled: return Outcome::kCancelled;
+    case wire::RunEnd::kUnknown: return Outcome::kMoot;
+  }
+  return Outcome::kError;
+}
+
+}  // namespace
+
+Runtime::Runtime(net::Reactor& reactor, const std::string& address, std::vector<Gauge> gauges,
+                 RuntimeEvents& events, Counters& counters, Logger& log)
+    : reactor_(reactor),
+      address_(address),
+      order_(std::move(gauges)),
+      events_(events),
+      counters_(counters),
+      log_(log) {
+  net::parse_address(address_);  // a wrong one is told at the start
+  connect();
+  look_for_silence();
+}
+
+Runtime::~Runtime() {
+  reactor_.cancel(connect_timer_);
+  reactor_.cancel(silence_timer_);
+}
+
+void Runtime::connect() {
+  link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+}
+
+void Runtime::on_connected(net::Connection& connection) {
+  counters_.add(Count::kRuntimeLinks);
+  greeted_ = synced_ = false;
+  asked_at_ = -1;
+  heard_at_ = net::monotonic_now();
+  connection.send(wire::encode_sync(last_notice_));
+}
+
+void Runtime::on_end_of_input(net::Connection& connection) { connection.close(net::End::kBroken); }
+
+void Runtime::on_end(net::Connection& connection, net::End why) {
+  if (&connection != link_.get()) return;
+  if (why != net::End::kRefused) {
+    counters_.add(Count::kRuntimeBroken);
+    log_.warn("runtime", "link lost, connecting again");
+  }
+  greeted_ = synced_ = false;
+  asked_at_ = -1;
+  connect_timer_ = reactor_.after(kConnectAgain, [this] { connect(); });
+}
+
+std::size_t Runtime::on_input(net::Connection& connection, std::string_view bytes) {
+  std::size_t used = 0;
+  heard_at_ = net::monotonic_now();
+  while (connection.open()) {
+    const wire::NoticeRead read = wire::next_notice(bytes.substr(used));
+    if (read.state == wire::LineState::kNeedMore) break;
+    if (read.state == wire::LineState::kBroken) {
+      counters_.add(Count::kRuntimeBad);
+      log_.warn("runtime", "a line that can't be told from the next, link opened anew");
+      connection.close(net::End::kBroken);
+      break;
+    }
+    used += read.length;
+    take(read.notice);
+  }
+  return used;
+}
+
+// Notices come in the order of their numbers; one that was read before is passed over.
+bool Runtime::is_new(std::uint64_t number) {
+  if (number <= last_notice_) {
+    counters_.add(Count::kRuntimeRepeats);
+    return false;
+  }
+  if (number != last_notice_ + 1) {
+    counters_.add(Count::kRuntimeGaps);
+    log_.warn("runtime", "notice {} follows {}", number, last_notice_);
+  }
+  last_notice_ = number;
+  return true;
+}
+
+void Runtime::take(const wire::Notice& notice) {
+  switch (notice.kind) {
+    case wire::NoticeKind::kReady:
+      greeted_ = true;
+      if (!ready_) {
+        ready_ = true;
+        log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
+        events_.on_runtime_ready(notice.cold, notice.ms * kSecondsPerMs);
+      }
+      return ask_gauges();  // its answer marks the end of what was missed
+    case wire::NoticeKind::kRunEnd:
+      if (!is_new(notice.number)) return;
+      unproven_.erase(notice.id);
+      return events_.on_run_ended(notice.id, outcome_of(notice.end), notice.ms * kSecondsPerMs, notice.body);
+    case wire::NoticeKind::kCallWanted: {
+      if (!is_new(notice.number)) return;
+      const auto found = unproven_.find(notice.id);
+      if (found != unproven_.end()) found->second.work = {};
+      return events_.on_call_wanted(notice.id, notice.number, notice.body);
+    }
+    case wire::NoticeKind::kGauges: return take_gauges(notice);
+    case wire::NoticeKind::kVerdict: return events_.on_verdict(notice.tag, notice.good);
+    case wire::NoticeKind::kNack: return take_nack(notice);
+    case wire::NoticeKind::kRemark:
+      counters_.add(Count::kRuntimeInfos);
+      is_new(notice.number);
+      return;
+    case wire::NoticeKind::kUnknown:
+      counters_.add(Count::kRuntimeBad);
+      log_.warn("runtime", "a line that can't be used");
+      return;
+  }
+}
+
+void Runtime::take_nack(const wire::Notice& notice) {
+  counters_.add(Count::kRuntimeNacks);
+  log_.warn("runtime", "did not carry out '{}' of {}", notice.command, wire::format_id(notice.id));
+  if (notice.command != "start" && notice.command != "cont") return;
+  unproven_.erase(notice.id);
+  events_.on_not_started(notice.id);
+}
+
+void Runtime::take_gauges(const wire::Notice& notice) {
+  if (asked_at_ < 0 || notice.tag != tag_) return;
+  const double now = net::monotonic_now();
+  counters_.most(Count::kGaugesMostUs, static_cast<std::uint64_t>((now - asked_at_) * 1e6));
+  asked_at_ = -1;
+  if (synced_) proven_ = tag_commands_;
+  gauges_ = {};
+  for (std::size_t i = 0; i < order_.size() && i < notice.gauges.size(); ++i) {
+    const double value = notice.gauges[i];
+    switch (order_[i]) {
+      case Gauge::kCpuBusy: gauges_.cpu_busy = value; break;
+      case Gauge::kRunnable: gauges_.runnable = value; break;
+      case Gauge::kMemoryUsed: gauges_.memory_used = value; break;
+      case Gauge::kConnections: gauges_.connections = value; break;
+      case Gauge::kOther: break;
+    }
+  }
+  gauges_at_ = now;
+  if (!synced_) caught_up();
+}
+
+// All that was missed has been read. What is still unproven is sent again, in its order: a start of what runs
+// already does nothing, and a run that went on after a reply would have told so.
+void Runtime::caught_up() {
+  synced_ = true;
+  std::vector<Unproven*> again;
+  for (auto& [id, of] : unproven_) {
+    for (Unproven* one : {&of.work, &of.stop}) {
+      if (one->number > proven_) again.push_back(one);
+    }
+  }
+  std::sort(again.begin(), again.end(), [](const Unproven* a, const Unproven* b) { return a->number < b->number; });
+  for (const Unproven* one : again) send(one->text);
+  counters_.add(Count::kRuntimeResent, again.size());
+}
+
+Gauges Runtime::gauges(double now) const { return now - gauges_at_ <= kGaugesFresh ? gauges_ : Gauges{}; }
+
+void Runtime::ask_gauges() {
+  if (!greeted_ || asked_at_ >= 0 || !link_->connected()) return;
+  asked_at_ = net::monotonic_now();
+  tag_commands_ = commands_;
+  link_->send(wire::encode_ask_gauges(++tag_));
+}
+
+void Runtime::look_for_silence() {
+  if (asked_at_ >= 0 && net::monotonic_now() - std::max(asked_at_, heard_at_) > kSilence) {
+    counters_.add(Count::kRuntimeSilent);
+    link_->close(net::End::kBroken);
+  }
+  silence_timer_ = reactor_.after(kSilenceLook, [this] { look_for_silence(); });
+}
+
+void Runtime::send(std::string_view text) {
+  if (link_->connected()) link_->send(text);
+}
+
+// Until what was missed has been read, commands wait among the unproven.
+void Runtime::command(Unproven& slot, std::string text) {
+  slot.number = ++commands_;
+  slot.text = std::move(text);
+  if (synced_) send(slot.text);
+}
+
+void Runtime::start(OpId id, std::string_view type, std::string_view body) {
+  command(unproven_[id].work, wire::encode_start(id, type, body));
+}
+void Runtime::stop(OpId id) { command(unproven_[id].stop, wire::encode_stop(id)); }
+void Runtime::resume(OpId id) { command(unproven_[id].work, wire::encode_resume(id)); }
+void Runtime::give(OpId id, std::string_view reply) { command(unproven_[id].work, wire::encode_give(id, reply)); }
+void Runtime::omit(OpId id, std::uint64_t notice) {
+  command(unproven_[id].work, wire::encode_omit(id, notice));
+}
+void Runtime::self_test(std::uint64_t tag) {
+  counters_.add(Count::kSelfTests);
+  if (synced_) send(wire::encode_self_test(tag));
+}
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/peers/runtime.h
@@ -0,0 +1,88 @@
+// The link to the runtime, which does the work. It survives the loss of the link: a new one first hears what was
+// missed, and only then sends again what may not have arrived, so that nothing runs twice.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/counters.h"
+#include "app/logger.h"
+#include "net/connection.h"
+#include "peers/events.h"
+#include "settings/settings.h"
+#include "wire/runtime_lines.h"
+
+namespace damsonspoke::peers {
+
+class Runtime : private net::ConnectionOwner {
+ public:
+  Runtime(net::Reactor& reactor, const std::string& address, std::vector<Gauge> gauges, RuntimeEvents& events,
+          Counters& counters, Logger& log);
+  ~Runtime() override;
+
+  void start(OpId id, std::string_view type, std::string_view body);
+  void stop(OpId id);
+  void resume(OpId id);
+  void give(OpId id, std::string_view reply);
+  void omit(OpId id, std::uint64_t notice);
+  void self_test(std::uint64_t tag);
+  void forget(OpId id) { unproven_.erase(id); }  // its run is over
+  void ask_gauges();
+  // The last reading, or none where the last one is too old to mean anything.
+  Gauges gauges(double now) const;
+  bool ready() const { return ready_; }
+
+ private:
+  // A command that may not have arrived: kept until a later answer, or a notice about its op, shows that it has.
+  struct Unproven {
+    std::uint64_t number = 0;  // 0: none
+    std::string text;
+  };
+  struct UnprovenOf {
+    Unproven work;  // start, resume, give, omit: a run takes one at a time
+    Unproven stop;
+  };
+
+  void on_connected(net::Connection& connection) override;
+  std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
+  void on_end_of_input(net::Connection& connection) override;
+  void on_end(net::Connection& connection, net::End why) override;
+
+  void connect();
+  void take(const wire::Notice& notice);
+  bool is_new(std::uint64_t number);
+  void take_gauges(const wire::Notice& notice);
+  void take_nack(const wire::Notice& notice);
+  void caught_up();
+  void command(Unproven& slot, std::string text);
+  void send(std::string_view text);
+  void look_for_silence();
+
+  net::Reactor& reactor_;
+  std::string address_;
+  std::vector<Gauge> order_;
+  RuntimeEvents& events_;
+  Counters& counters_;
+  Logger& log_;
+  std::shared_ptr<net::Connection> link_;
+  bool greeted_ = false;  // the runtime has said on this link that it is up
+  bool synced_ = false;   // what was missed has been read on this link
+  bool ready_ = false;   // the runtime has come up
+  std::uint64_t last_notice_ = 0;
+  std::uint64_t commands_ = 0;      // sent so far, by number
+  std::uint64_t proven_ = 0;        // all up to this one have arrived
+  std::unordered_map<OpId, UnprovenOf> unproven_;
+  std::uint64_t tag_ = 0;           // of the gauges asked for
+  std::uint64_t tag_commands_ = 0;  // commands sent before that
+  double asked_at_ = -1;            // < 0: not waiting for gauges
+  Gauges gauges_;
+  double gauges_at_ = -1e9;
+  double heard_at_ = 0;
+  net::Reactor::TimerId connect_timer_, silence_timer_;
+};
+
+}  // namespace damsonspoke::peers
--- /dev/null
+++ b/src/settings/config.cpp
@@ -0,0 +1,125 @@
+#include "settings/config.h"
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace damsonspoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr double kSecondsPerMs = 0.001;
+constexpr int kLeastSockets = 64;        // below, peers and the listener alone would leave no room for callers
+constexpr double kLeastMemoryMb = 16;    // the program and its buffers at rest
+constexpr std::size_t kMostBytes = std::size_t{4} << 20;  // a longer file is no configuration
+
+[[noreturn]] void bad(const std::string& key, const char* what) {
+  throw SettingsError("configuration: '" + key + "' " + what);
+}
+
+std::string text(const Json& top, const char* key, bool needed) {
+  const auto at = top.find(key);
+  if (at == top.end() || at->is_null()) {
+    if (needed) bad(key, "is missing");
+    return {};
+  }
+  if (!at->is_string()) bad(key, "is not a string");
+  std::string value = at->get<std::string>();
+  if (needed && value.empty()) bad(key, "is empty");
+  return value;
+}
+
+// Numeric addresses only: there is no name service.
+std::string address(const Json& top, const char* key, bool needed) {
+  std::string value = text(top, key, needed);
+  if (value.empty()) return value;
+  const std::size_t colon = value.rfind(':');
+  unsigned port = 0;
+  if (colon == std::string::npos || colon == 0) bad(key, "is not address:port");
+  const char* end = value.data() + value.size();
+  const auto [stop, error] = std::from_chars(value.data() + colon + 1, end, port);
+  if (error != std::errc() || stop != end || port > 65535) bad(key, "has no port from 0 to 65535");
+  return value;
+}
+
+double number(const Json& from, const char* key, double otherwise, double least) {
+  const auto at = from.find(key);
+  if (at == from.end() || at->is_null()) return otherwise;
+  if (!at->is_number()) bad(key, "is not a number");
+  const double value = at->get<double>();
+  if (!std::isfinite(value) || value < least || value > 1e9) bad(key, "is out of range");
+  return value;
+}
+
+}  // namespace
+
+Config parse_config(const std::string& source) {
+  const Json top = Json::parse(source, nullptr, false);
+  if (!top.is_object()) throw SettingsError("configuration: not a JSON object");
+  Config config;
+  config.name = text(top, "name", true);
+  if (config.name.find_first_of(" \t\r\n") != std::string::npos) bad("name", "holds a blank");
+  config.listen = address(top, "listen", true);
+  config.runtime = address(top, "runtime", true);
+  config.roster = address(top, "roster", true);
+  config.below = address(top, "backend", false);
+  const std::string seed = text(top, "seed", false);
+  if (!seed.empty()) {
+    const auto [stop, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
+    if (error != std::errc() || stop != seed.data() + seed.size()) bad("seed", "is not up to 16 hex digits");
+  }
+  config.stop_after = number(top, "stop_ms", 3000, 0) * kSecondsPerMs;
+  const auto limits = top.find("limits");
+  if (limits != top.end() && !limits->is_null()) {
+    if (!limits->is_object()) bad("limits", "is not an object");
+    config.limits.cores = number(*limits, "cores", config.limits.cores, 0.01);
+    config.limits.memory_mb = number(*limits, "memory_mb", config.limits.memory_mb, kLeastMemoryMb);
+    config.limits.sockets = static_cast<int>(number(*limits, "sockets", config.limits.sockets, kLeastSockets));
+  }
+  const auto settings = top.find("settings");
+  if (settings == top.end()) bad("settings", "is missing");
+  config.site = read_settings(*settings);
+  for (std::size_t i = 0; i < config.site.type_names.size(); ++i) {
+    const std::string& type = config.site.type_names[i];
+    if (type.empty() || type.find_first_of(" \t\r\n") != std::string::npos) {
+      bad("request-classes", "has an entry without a 'name' of one word");
+    }
+    for (std::size_t j = 0; j < i; ++j) {
+      if (config.site.type_names[j] == type) bad("request-classes", "names a type twice");
+    }
+  }
+  if (config.site.settings.below != Below::kOff && config.below.empty()) {
+    bad("backend", "is missing, but the settings have a layer below");
+  }
+  return config;
+}
+
+Config read_config(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw SettingsError("configuration: cannot read '" + path + "'");
+  std::ostringstream all;
+  all << file.rdbuf();
+  if (file.bad() || all.str().size() > kMostBytes) throw SettingsError("configuration: cannot read '" + path + "'");
+  return parse_config(all.str());
+}
+
+std::string unserved(const StartSettings& site) {
+  for (std::size_t i = 0; i < site.settings.op_types.size(); ++i) {
+    if (site.settings.op_types[i].effect == Effect::kKeyed) {
+      return "settings: op type '" + site.type_names[i] +
+             "' is keyed; this program keeps no keys on sockets yet";
+    }
+  }
+  if (site.settings.fresh > 0) return "settings: 'fresh' is above 0; this program shares no answers on sockets yet";
+  if (site.settings.say != Say::kOff) return "settings: 'say' is not off; this program announces nothing on sockets yet";
+  if (site.settings.below == Below::kTier) return "settings: 'below' is a tier; this program calls a shared layer only";
+  if (!site.settings.customers.empty()) {
+    return "settings: 'customers' is not empty; ops on sockets do not name theirs yet";
+  }
+  return {};
+}
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/settings/config.h
@@ -0,0 +1,36 @@
+// What one backend process is told at its start: addresses, limits and the settings of its site.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "settings/settings.h"
+
+namespace damsonspoke {
+
+struct Limits {
+  double cores = 1;
+  double memory_mb = 192;
+  int sockets = 1024;
+};
+
+struct Config {
+  std::string name;
+  std::string listen;   // address:port, as all of these
+  std::string runtime;  // what does the work, on the same machine
+  std::string below;    // the layer below; may be absent where nothing calls it
+  std::string roster;
+  std::uint64_t seed = 0;
+  double stop_after = 0;  // s from the notice to leave to the kill
+  Limits limits;
+  StartSettings site;
+};
+
+// Throws SettingsError with one plain line that names the file or the key.
+Config read_config(const std::string& path);
+Config parse_config(const std::string& text);
+
+// What this program does not serve, in plain words; empty when it serves all that the settings ask for.
+std::string unserved(const StartSettings& site);
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/stages/book.cpp
@@ -0,0 +1,51 @@
+#include "stages/book.h"
+
+#include "app/invariants.h"
+#include "net/reactor.h"
+
+namespace damsonspoke::stages {
+
+OpenOp& Book::enter(OpenOp op) {
+  const OpId id = op.id;
+  counters_.add(Count::kOpsRead);
+  must_hold(!open_.contains(id), counters_);
+  ++unanswered_;
+  return open_[id] = std::move(op);
+}
+
+OpenOp* Book::find(OpId id) {
+  const auto found = open_.find(id);
+  return found == open_.end() ? nullptr : &found->second;
+}
+
+bool Book::answer(OpenOp& op, Count as) {
+  if (op.answered) return false;
+  op.answered = true;
+  must_hold(unanswered_ > 0, counters_);
+  --unanswered_;
+  counters_.add(as);
+  if (as != Count::kOpsGone && net::unix_now() > op.due) counters_.add(Count::kOpsOverdue);
+  return true;
+}
+
+void Book::ack(OpenOp& op, std::string_view result) {
+  if (answer(op, Count::kOpsAcked)) callers_.answer_acked(op.ticket, result);
+}
+void Book::nack(OpenOp& op, double come_back_in, bool no_retry) {
+  // A nack says that it never ran: one that has may only fail.
+  if (!must_hold(op.run == Run::kNone, counters_)) return fail(op);
+  if (answer(op, Count::kOpsNacked)) callers_.answer_nacked(op.ticket, come_back_in, no_retry);
+}
+void Book::fail(OpenOp& op) {
+  if (answer(op, Count::kOpsFailed)) callers_.answer_failed(op.ticket);
+}
+void Book::caller_gone(OpenOp& op) { answer(op, Count::kOpsGone); }
+
+void Book::settle(OpenOp& op) {
+  // A paused run of an op that is over is dropped by the runtime, which tells nothing more of it.
+  if (!op.answered || (op.run != Run::kNone && op.run != Run::kPaused)) return;
+  runtime_.forget(op.id);
+  open_.erase(op.id);
+}
+
+}  // namespace damsonspoke::stages
--- /dev/null
+++ b/src/stages/book.h
@@ -0,0 +1,59 @@
+// The last stage: the open ops, their one answer each, and what was counted of them.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "app/counters.h"
+#include "peers/callers.h"
+#include "peers/events.h"
+#include "peers/runtime.h"
+
+namespace damsonspoke::stages {
+
+enum class Run { kNone, kOnCores, kPaused, kAtCall };
+
+struct OpenOp {
+  OpId id = 0;
+  int type = 0;
+  peers::Ticket ticket;
+  std::string body;        // a dropped run starts with it again
+  double due = 0;          // Unix s
+  bool answered = false;   // or its caller has gone
+  Run run = Run::kNone;
+  std::uint64_t wanted = 0;  // the notice by which its run wants a call
+  std::string call_body;     // of that call, until it is over
+};
+
+class Book {
+ public:
+  Book(peers::Callers& callers, peers::Runtime& runtime, Counters& counters)
+      : callers_(callers), runtime_(runtime), counters_(counters) {}
+
+  OpenOp& enter(OpenOp op);
+  OpenOp* find(OpId id);
+  bool holds(OpId id) const { return open_.contains(id); }
+
+  // The one answer; nothing is sent where it was given before or nobody waits any more.
+  void ack(OpenOp& op, std::string_view result);
+  void nack(OpenOp& op, double come_back_in, bool no_retry);
+  void fail(OpenOp& op);
+  void caller_gone(OpenOp& op);
+  // Lets go of an op that is answered and whose run is over. To be called last: the reference ends here.
+  void settle(OpenOp& op);
+
+  std::size_t unanswered() const { return unanswered_; }
+  std::size_t open() const { return open_.size(); }
+
+ private:
+  bool answer(OpenOp& op, Count as);
+
+  peers::Callers& callers_;
+  peers::Runtime& runtime_;
+  Counters& counters_;
+  std::unordered_map<OpId, OpenOp> open_;
+  std::size_t unanswered_ = 0;
+};
+
+}  // namespace damsonspoke::stages
--- /dev/null
+++ b/src/stages/route.cpp
@@ -0,0 +1,60 @@
+#include "stages/route.h"
+
+#include "app/invariants.h"
+
+namespace damsonspoke::stages {
+
+// Acts on what is over are harmless, but the module does not take any: one here is counted.
+OpenOp* Route::known(OpId id) {
+  OpenOp* op = book_.find(id);
+  must_hold(op != nullptr, counters_);
+  return op;
+}
+
+void Route::start(OpId id) {
+  OpenOp* op = known(id);
+  if (op == nullptr) return;
+  op->run == Run::kPaused ? send_.resume(*op) : send_.start(*op);
+}
+
+void Route::interrupt(OpId id) {
+  if (OpenOp* op = known(id)) send_.stop(*op);
+}
+
+void Route::nack(OpId id, double come_back_in, bool no_retry) {
+  OpenOp* op = known(id);
+  if (op == nullptr) return;
+  book_.nack(*op, come_back_in, no_retry);
+  book_.settle(*op);
+}
+
+// A run that stands at a call ends by itself once its op is answered. Where the answer had been given before the
+// runtime told of the call, it is stopped.
+void Route::fail(OpId id) {
+  OpenOp* op = known(id);
+  if (op == nullptr) return;
+  const bool before = op->answered;
+  if (op->run == Run::kAtCall) send_.give_up_call(*op);
+  book_.fail(*op);
+  if (before && op->run != Run::kNone) send_.stop(*op);
+  book_.settle(*op);
+}
+
+void Route::call(OpId id, double patience) {
+  OpenOp* op = known(id);
+  if (op != nullptr && must_hold(op->run == Run::kAtCall, counters_)) send_.call(*op, patience);
+}
+
+void Route::skip_call(OpId id) {
+  OpenOp* op = known(id);
+  if (op != nullptr && must_hold(op->run == Run::kAtCall, counters_)) send_.omit(*op);
+}
+
+// Settings under which the module would take these acts are refused at the start (see unserved() of the
+// configuration), so none of them comes.
+void Route::remember(OpId, double) { must_hold(false, counters_); }
+void Route::forget(OpId) { must_hold(false, counters_); }
+void Route::join(OpId) { must_hold(false, counters_); }
+void Route::announce(double) { must_hold(false, counters_); }
+
+}  // namespace damsonspoke::stages
--- /dev/null
+++ b/src/stages/take_in.h
@@ -0,0 +1,49 @@
+// The first stage: ops and checks as callers send them.
+#pragma once
+
+#include <unordered_map>
+
+#include "app/counters.h"
+#include "net/reactor.h"
+#include "peers/events.h"
+#include "stages/admit.h"
+#include "stages/book.h"
+#include "stages/send.h"
+
+namespace damsonspoke::stages {
+
+class TakeIn : public peers::CallerEvents {
+ public:
+  struct Stages {
+    Book& book;
+    Admit& admit;
+    Send& send;
+  };
+  TakeIn(net::Reactor& reactor, Stages stages, peers::Callers& callers, peers::Runtime& runtime,
+         const StartSettings& site, Counters& counters)
+      : reactor_(reactor), stages_(stages), callers_(callers), runtime_(runtime), site_(site), counters_(counters) {}
+  ~TakeIn() override;
+
+  bool in_use(OpId id) const override { return stages_.book.holds(id); }
+  void on_op_read(peers::IncomingOp op) override;
+  void on_caller_gone(OpId id) override;
+  void on_check(peers::Ticket ticket, bool wants_work) override;
+  void on_verdict(std::uint64_t tag, bool good);
+
+ private:
+  struct Check {
+    peers::Ticket ticket;
+    net::Reactor::TimerId patience;
+  };
+
+  net::Reactor& reactor_;
+  Stages stages_;
+  peers::Callers& callers_;
+  peers::Runtime& runtime_;
+  const StartSettings& site_;
+  Counters& counters_;
+  std::unordered_map<std::uint64_t, Check> checks_;  // that wait for a self test, by its tag
+  std::uint64_t next_check_ = 1;
+};
+
+}  // namespace damsonspoke::stages
--- /dev/null
+++ b/src/wire/rpc.h
@@ -0,0 +1,51 @@
+// What callers speak: JSON-RPC 2.0 in frames with a Content-Length head. The words of the wire end here.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace damsonspoke::wire {
+
+enum class Framing { kNeedMore, kFrame, kBroken };
+
+struct Frame {
+  Framing state = Framing::kNeedMore;
+  std::size_t length = 0;  // of head and body, to be taken off the input
+  std::string_view body;
+};
+
+// The frame that the input starts with; the length is bounded before anything is kept for it.
+Frame next_frame(std::string_view input);
+
+enum class RpcProblem { kNone, kNoJson, kNoRequest, kBadParams };
+
+// A request as callers write it. What was absent keeps its default.
+struct RpcRequest {
+  bool has_id = false;
+  std::uint64_t id = 0;
+  std::string method;
+  std::uint64_t txn = 0;
+  bool has_txn = false;
+  double door_ms = 0;   // Unix, when it came to the machine; 0: not told
+  double limit_ms = 0;  // from then on; 0: not told
+  std::uint32_t caller = 0;
+  double held_kb = 0;
+  bool has_item = false;
+  std::uint64_t item = 0;
+  bool probe = false;
+  std::string body;
+};
+
+// On a problem the id is filled in where it can be told, so that the request can be answered.
+RpcProblem decode_request(std::string_view text, RpcRequest& out);
+
+enum class RpcError { kNacked = -32001, kFailed = -32000, kParse = -32700, kRequest = -32600, kMethod = -32601, kParams = -32602 };
+
+std::string encode_result(std::uint64_t id, std::string_view body);
+std::string encode_error(std::uint64_t id, RpcError code, std::string_view message);
+std::string encode_nack(std::uint64_t id, double later_ms, bool no_retry);
+std::string encode_check(std::uint64_t id, bool pass);
+std::string encode_no_more();
+
+}  // namespace damsonspoke::wire
