Write interest leaves the poll when no output waits

Checked: strace of an idle backend showed epoll_wait returning EPOLLOUT for the runtime's link at once, for ever; timers and the rounding of the wait were ruled out, since the wait it asked for was right (6 ms, then 5, ...). Wrong: Connection::want_write took its observer off, but POCO's reactor narrows the poll mode of a socket only with its last observer.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -65,32 +65,32 @@
 
 Connection::~Connection() {
   if (state_ == State::kClosed) return;
-  want_read(false);
-  want_write(false);
-  want_error(false);
+  watch(false, false, false);
   release(waiting());
   socket_.close();
 }
 
-void Connection::want_read(bool want) {
-  if (want == reading_) return;
-  reading_ = want;
-  const Poco::Observer<Connection, ReadableNotification> observer(*this, &Connection::on_readable);
-  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
-}
-
-void Connection::want_write(bool want) {
-  if (want == writing_) return;
-  writing_ = want;
-  const Poco::Observer<Connection, WritableNotification> observer(*this, &Connection::on_writable);
-  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
-}
-
-void Connection::want_error(bool want) {
-  if (want == watching_) return;
-  watching_ = want;
-  const Poco::Observer<Connection, ErrorNotification> observer(*this, &Connection::on_error);
-  want ? reactor_.addEventHandler(socket_, observer) : reactor_.removeEventHandler(socket_, observer);
+void Connection::want_read(bool want) { watch(want, writing_, watching_); }
+void Connection::want_write(bool want) { watch(reading_, want, watching_); }
+void Connection::want_error(bool want) { watch(reading_, writing_, want); }
+
+// All observers go before those that are wanted come back: the reactor narrows what it polls for only with the
+// last of a socket's observers. Guards against a poll that returns at once for ever, since the socket can be
+// written and nobody wants to.
+void Connection::watch(bool read, bool write, bool error) {
+  if (read == reading_ && write == writing_ && error == watching_) return;
+  const Poco::Observer<Connection, ReadableNotification> on_read(*this, &Connection::on_readable);
+  const Poco::Observer<Connection, WritableNotification> on_write(*this, &Connection::on_writable);
+  const Poco::Observer<Connection, ErrorNotification> on_error(*this, &Connection::on_error);
+  if (reading_) reactor_.removeEventHandler(socket_, on_read);
+  if (writing_) reactor_.removeEventHandler(socket_, on_write);
+  if (watching_) reactor_.removeEventHandler(socket_, on_error);
+  reading_ = read;
+  writing_ = write;
+  watching_ = error;
+  if (reading_) reactor_.addEventHandler(socket_, on_read);
+  if (writing_) reactor_.addEventHandler(socket_, on_write);
+  if (watching_) reactor_.addEventHandler(socket_, on_error);
 }
 
 void Connection::pause_reading(bool pause) {
@@ -152,9 +152,7 @@
 
 void Connection::close(End why) {
   if (state_ == State::kClosed) return;
-  want_read(false);
-  want_write(false);
-  want_error(false);
+  watch(false, false, false);
   state_ = State::kClosed;
   release(waiting());
   out_.clear();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -78,6 +78,7 @@
   void want_read(bool want);
   void want_write(bool want);
   void want_error(bool want);
+  void watch(bool read, bool write, bool error);
   void deliver();
   void charge(std::size_t bytes);
   void release(std::size_t bytes);
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -25,7 +25,7 @@
 
 void Admit::begin(bool cold, double ago) {
   settings_.cold = cold;
-  decider_ = std::make_unique<Decider>(settings_, seed_, route_, net::monotonic_now() - ago);
+  decider_ = std::make_unique<Decider>(settings_, seed_, route_, net::monotonic_now() - (cold ? ago : 0));
 }
 
 void Admit::wake_at(double time, std::uint64_t token) {
