--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -47,7 +47,8 @@
 }
 
 int Backend::run() {
-  log_.info("backend", "{} listens on {}", config_.name, config_.listen);
+  const std::string host = config_.listen.substr(0, config_.listen.rfind(':'));
+  log_.info("backend", "{} listens on {}:{}", config_.name, host, callers_.port());
   reactor_.run();
   report();
   return 0;
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -82,16 +82,19 @@
 void Callers::take(Caller& caller, std::uint64_t tag, std::string_view text) {
   wire::RpcRequest request;
   const wire::RpcProblem problem = wire::decode_request(text, request);
+  // Under a number in use an answer would be the second one to its first request.
+  const bool in_use = request.has_id && caller.requests.contains(request.id);
+  const std::uint64_t number = request.has_id && !in_use ? request.id : 0;
   if (problem == wire::RpcProblem::kNoJson) {
     counters_.add(Count::kBadJson);
-    return put(caller, wire::encode_error(0, wire::RpcError::kParse, "no JSON"));
+    return put(caller, wire::encode_error(number, wire::RpcError::kParse, "no JSON"));
   }
   if (problem == wire::RpcProblem::kNoRequest || !request.has_id) {
     counters_.add(Count::kBadRequests);
-    return put(caller, wire::encode_error(request.has_id ? request.id : 0, wire::RpcError::kRequest, "no request"));
+    if (problem == wire::RpcProblem::kNone && request.notification) return;
+    return put(caller, wire::encode_error(number, wire::RpcError::kRequest, "no request"));
   }
-  if (caller.requests.contains(request.id)) {
-    // Answering under this number would give its first request a second answer.
+  if (in_use) {
     counters_.add(Count::kBadIds);
     return put(caller, wire::encode_error(0, wire::RpcError::kRequest, "id in use"));
   }
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+// A new process is good, and not from store, until the module says otherwise: one that has no deep checks to
+// answer from store says nothing at its start, and would never come on the list.
+void Relay::on_runtime_ready(bool cold, double ago) {
+  send_.health(true, false);
+  admit_.begin(cold, ago);
+}
+
 void Relay::on_run_ended(OpId id, Outcome outcome, double spent, std::string_view result) {
   counters_.add(count_of(outcome));
   OpenOp* op = book_.find(id);
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -16,7 +16,7 @@
   Relay(Book& book, Send& send, Admit& admit, TakeIn& take_in, Halt halt, Counters& counters)
       : book_(book), send_(send), admit_(admit), take_in_(take_in), pauses_(halt == Halt::kPause), counters_(counters) {}
 
-  void on_runtime_ready(bool cold, double ago) override { admit_.begin(cold, ago); }
+  void on_runtime_ready(bool cold, double ago) override;
   void on_run_ended(OpId id, Outcome outcome, double spent, std::string_view result) override;
   void on_call_wanted(OpId id, std::uint64_t notice, std::string_view body) override;
   void on_verdict(std::uint64_t tag, bool good) override { take_in_.on_verdict(tag, good); }
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -149,6 +149,7 @@
       return in.string(out.method);
     }
     if (key == "id") {
+      out.notification = false;
       double value = 0;
       if (in.kind() != JsonKind::kNumber) return shape = false, in.skip();
       if (!in.number(value)) return false;
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -22,6 +22,7 @@
 
 // A request as callers write it. What was absent keeps its default.
 struct RpcRequest {
+  bool notification = true;  // no id at all: nothing is to be answered
   bool has_id = false;
   std::uint64_t id = 0;
   std::string method;
