An op too large to ever run no longer shrinks the budget of the pool

Seen: in the program test one op of 1,999 kB on a small backend was nacked, and so was every op after it. Checked: the trace absurd_size shows the same without sockets (four nacks, pool at 0 kB). Wrong: on_op raised the largest size seen before the op was refused for its size, and budget() takes that size times the run factor off for good. Now only what fits counts; after, the three that follow are admitted.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -264,6 +264,7 @@
   }
   int limit() const { return static_cast<int>(std::min(run_limit_, survivable() * kCrowdShare)); }
 
+  bool fits(const Op& op) const { return op.held_kb * set_.run_factor <= set_.memory_kb * kMemoryShare; }
   double budget() const { return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor; }
 
   // ---- Time: every method starts here.
@@ -382,7 +383,9 @@
     const double now = last_;
     const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
     const double arrival = now - op.age;
-    largest_kb_ = std::max(largest_kb_, op.held_kb);
+    // What could never run here takes no room and must not shrink the budget for the rest. Guards against one
+    // op of an absurd size after which nothing is admitted any more.
+    if (fits(op)) largest_kb_ = std::max(largest_kb_, op.held_kb);
     if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
     note_caller(op.caller);
     last_read_ = now;
@@ -441,7 +444,7 @@
     const OpType& type = type_of(s);
     if (leaving() && arrival > leave_at_ + set_.drain_grace) return "leaving";
     if (s.due <= last_) return "due";
-    if (s.op.held_kb * set_.run_factor > set_.memory_kb * kMemoryShare) return "size";
+    if (!fits(s.op)) return "size";
     if (pool_used_ >= budget() || held() >= kHeldPerCore * set_.cores) return "busy";
     if (type.effect == Effect::kKeyed && !key_room()) return "keys";
     // Ailing: what runs does not get done in time or fails, whatever the cause. Take a probe for each core.
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -44,6 +44,16 @@
   b.pool();
 }
 
+// One op that could never run here is nacked, and those after it find the room as it was.
+void absurd_size() {
+  Backend b(plain_settings());
+  Op absurd = b.op(1);
+  absurd.held_kb = 9000;
+  b.arrives(absurd);
+  for (OpId id = 2; id <= 4; ++id) b.arrives(b.op(id));
+  b.pool();
+}
+
 // Nothing learned: held. Learned: an op that cannot be in time is nacked on intake, the important one is not.
 void finish_check() {
   Backend b(plain_settings());
@@ -386,6 +396,7 @@
 constexpr Scenario kScenarios[] = {
     {"pool", pool},
     {"empty_pool", empty_pool},
+    {"absurd_size", absurd_size},
     {"finish_check", finish_check},
     {"due", due},
     {"halts", halts},
