--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Short names for what one does here; each is one call of CMake, CTest or a tool.
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
+CONFIG ?= docs/example.json
+
+.PHONY: build test lint format run
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF && cmake --build build -j4
+
+test:
+	cmake -S . -B build-san -DCMAKE_BUILD_TYPE=Debug -DDAMSONSPOKE_SANITIZE=ON
+	cmake --build build-san -j4
+	ctest --test-dir build-san --output-on-failure
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	cmake -B build-lint -DCMAKE_BUILD_TYPE=Debug -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P4 -n2 clang-tidy -p build-lint --quiet
+
+format:
+	clang-format -i $(SOURCES)
+
+run: build
+	build/damsonspoke serve --config $(CONFIG)
--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -8,12 +8,12 @@
 namespace damsonspoke {
 namespace {
 
-constexpr int kOwnSockets = 32;            // descriptors: listener, peers, reactor, log, and some to spare
-constexpr double kOutputShare = 0.25;      // of the memory limit: answers that callers do not take
+constexpr int kOwnSockets = 32;        // descriptors: listener, peers, reactor, log, and some to spare
+constexpr double kOutputShare = 0.25;  // of the memory limit: answers that callers do not take
 constexpr double kBytesPerMb = 1024 * 1024;
-constexpr double kLeaveLook = 0.02;        // s; between looks at whether the last answer is out
-constexpr double kListenMargin = 0.15;     // s before the kill: the last connections are taken then
-constexpr double kEndMargin = 0.06;        // s before the kill: the end in any case
+constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
+constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
+constexpr double kEndMargin = 0.06;     // s before the kill: the end in any case
 
 peers::Callers::Limits caller_limits(const Limits& limits) {
   int sockets = limits.sockets;
@@ -29,17 +29,18 @@
 Backend::Backend(const Config& config, Logger& log)
     : config_(config),
       log_(log),
-      book_(callers_, runtime_, counters_),
-      send_({callers_, runtime_, below_, roster_}, config_.site, counters_),
+      book_(ports_, counters_),
+      send_(ports_, config_.site, counters_),
       route_(book_, send_, counters_, log_),
-      admit_(reactor_, config_.site, config_.seed, route_, runtime_, counters_),
-      take_in_(reactor_, {book_, admit_, send_}, callers_, runtime_, config_.site, counters_),
+      admit_(reactor_, config_.site, config_.seed, route_, ports_, counters_),
+      take_in_(reactor_, {book_, admit_, send_}, ports_, config_.site, counters_),
       relay_(book_, send_, admit_, take_in_, config_.site.settings.halt, counters_),
-      callers_(reactor_, config_.listen, config_.site.type_names, caller_limits(config_.limits), take_in_, counters_,
-               log_),
+      callers_(reactor_, config_.listen, config_.site.type_names, caller_limits(config_.limits), take_in_,
+               counters_, log_),
       runtime_(reactor_, config_.runtime, config_.site.gauges, relay_, counters_, log_),
       below_(reactor_, config_.below, relay_, counters_, log_),
       roster_(reactor_, config_.roster, config_.name, counters_) {
+  ports_ = {&callers_, &runtime_, &below_, &roster_};
   std::signal(SIGPIPE, SIG_IGN);
   reactor_.on_signal(SIGTERM, [this] { leave(); });
   reactor_.on_signal(SIGINT, [this] { leave(); });
@@ -59,14 +60,15 @@
 void Backend::leave() {
   if (leaving_since_ >= 0) return;
   leaving_since_ = net::monotonic_now();
-  log_.info("backend", "notice to leave, {} ops open, {} connections", book_.unanswered(), callers_.connections());
+  log_.info("backend", "notice to leave, {} ops open, {} connections", book_.unanswered(),
+            callers_.connections());
   send_.leaving();
   admit_.on_leave(config_.stop_after);
   look_at_leaving();
 }
 
-// Callers hear late that this backend leaves, and what they have written to a connection that the machine took
-// is ours: so it listens, and answers, nearly to the end.
+// Callers hear late that this backend leaves, and what they have written to a connection that the machine
+// took is ours: so it listens, and answers, nearly to the end.
 void Backend::look_at_leaving() {
   const double now = net::monotonic_now() - leaving_since_;
   const bool quiet = book_.unanswered() == 0 && callers_.connections() == 0;
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -37,7 +37,7 @@
   Logger& log_;
   Counters counters_;
   net::Reactor reactor_;
-  // Stages and peers refer to each other: the references are bound here, and first used when the reactor runs.
+  peers::Ports ports_;
   stages::Book book_;
   stages::Send send_;
   stages::Route route_;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -92,8 +92,9 @@
   cxxopts::Options options(fmt::format("damsonspoke {}", command.name), command.meaning);
   options.add_options()("h,help", "print this help");
   if (command.takes_config) {
-    options.add_options()("c,config", fmt::format("the configuration; without it, the file that {} names", kConfigVariable),
-                          cxxopts::value<std::string>(), "FILE");
+    options.add_options()(
+        "c,config", fmt::format("the configuration; without it, the file that {} names", kConfigVariable),
+        cxxopts::value<std::string>(), "FILE");
   }
   if (command.takes_level) {
     options.add_options()("l,log-level", "error, warning, info or debug",
@@ -104,7 +105,8 @@
     fmt::print("{}", options.help());
     return kDone;
   }
-  if (!flags.unmatched().empty()) throw WrongUse(fmt::format("'{}' is not expected", flags.unmatched().front()));
+  if (!flags.unmatched().empty())
+    throw WrongUse(fmt::format("'{}' is not expected", flags.unmatched().front()));
   return command.run(flags);
 }
 
--- a/src/app/counters.h
+++ b/src/app/counters.h
@@ -1,5 +1,5 @@
-// What the program counts, one row a counter: its name in the report and what it says. Plain numbers that every
-// layer may raise; printed as one block on request and at exit.
+// What the program counts, one row a counter: its name in the report and what it says. Plain numbers that
+// every layer may raise; printed as one block on request and at exit.
 #pragma once
 
 #include <array>
--- a/src/app/logger.cpp
+++ b/src/app/logger.cpp
@@ -31,7 +31,8 @@
 
 void Logger::write(Level level, std::string_view who, std::string_view text) {
   static constexpr const char* kNames[] = {"error", "warning", "info", "debug"};
-  const double now = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  const double now =
+      std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
   if (std::floor(now) != second_) {
     second_ = std::floor(now);
     lines_ = 0;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -21,11 +21,11 @@
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 
-constexpr std::size_t kReadAtOnce = 64 * 1024;  // bytes; then the other sockets get their turn
+constexpr std::size_t kReadAtOnce = 64 * 1024;    // bytes; then the other sockets get their turn
 constexpr std::size_t kKeptCapacity = 16 * 1024;  // bytes that an empty buffer may go on holding
-constexpr int kAcceptAtOnce = 64;               // connections; then the other sockets get their turn
-constexpr int kBacklog = 1024;                  // connections that may wait to be accepted
-constexpr double kAcceptRetry = 0.05;           // s; out of descriptors: until some are likely to be free
+constexpr int kAcceptAtOnce = 64;                 // connections; then the other sockets get their turn
+constexpr int kBacklog = 1024;                    // connections that may wait to be accepted
+constexpr double kAcceptRetry = 0.05;             // s; out of descriptors: until some are likely to be free
 
 void no_delay(int fd) {
   const int on = 1;
@@ -34,24 +34,24 @@
 
 }  // namespace
 
-Connection::Connection(Reactor& reactor, ConnectionOwner& owner, Poco::Net::StreamSocket socket, State state,
-                       BufferLimits limits)
-    : reactor_(reactor), owner_(owner), socket_(std::move(socket)), state_(state), limits_(limits) {}
+Connection::Connection(Reactor& reactor, ConnectionOwner& owner, const Poco::Net::StreamSocket& socket,
+                       State state, BufferLimits limits)
+    : reactor_(reactor), owner_(owner), socket_(socket), state_(state), limits_(limits) {}
 
 std::shared_ptr<Connection> Connection::accepted(Reactor& reactor, ConnectionOwner& owner, int fd,
                                                  BufferLimits limits) {
   Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
   no_delay(fd);
-  std::shared_ptr<Connection> made(new Connection(reactor, owner, std::move(socket), State::kOpen, limits));
+  std::shared_ptr<Connection> made(new Connection(reactor, owner, socket, State::kOpen, limits));
   made->want_read(true);
   return made;
 }
 
 std::shared_ptr<Connection> Connection::connecting(Reactor& reactor, ConnectionOwner& owner,
-                                                   const Poco::Net::SocketAddress& address, BufferLimits limits) {
+                                                   const Poco::Net::SocketAddress& address,
+                                                   BufferLimits limits) {
   Poco::Net::StreamSocket socket(address.family());
-  std::shared_ptr<Connection> made(
-      new Connection(reactor, owner, std::move(socket), State::kConnecting, limits));
+  std::shared_ptr<Connection> made(new Connection(reactor, owner, socket, State::kConnecting, limits));
   const int fd = made->fd();
   made->socket_.setBlocking(false);
   no_delay(fd);
@@ -74,9 +74,9 @@
 void Connection::want_write(bool want) { watch(reading_, want, watching_); }
 void Connection::want_error(bool want) { watch(reading_, writing_, want); }
 
-// All observers go before those that are wanted come back: the reactor narrows what it polls for only with the
-// last of a socket's observers. Guards against a poll that returns at once for ever, since the socket can be
-// written and nobody wants to.
+// All observers go before those that are wanted come back: the reactor narrows what it polls for only with
+// the last of a socket's observers. Guards against a poll that returns at once for ever, since the socket can
+// be written and nobody wants to.
 void Connection::watch(bool read, bool write, bool error) {
   if (read == reading_ && write == writing_ && error == watching_) return;
   const Poco::Observer<Connection, ReadableNotification> on_read(*this, &Connection::on_readable);
@@ -118,7 +118,8 @@
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
-  if (limits_.pool != nullptr && limits_.pool->used + bytes.size() > limits_.pool->most) return close(End::kOverflow);
+  if (limits_.pool != nullptr && limits_.pool->used + bytes.size() > limits_.pool->most)
+    return close(End::kOverflow);
   out_.append(bytes);
   charge(bytes.size());
   if (state_ == State::kOpen) want_write(true);
@@ -279,9 +280,9 @@
   });
 }
 
-// A listener that closes takes down the connections that wait in it, with what callers have written to them. So
-// new ones are kept out first (the filter drops their first packet; the caller sends it again and finds the
-// address refused), then those that wait are taken, then it closes.
+// A listener that closes takes down the connections that wait in it, with what callers have written to them.
+// So new ones are kept out first (the filter drops their first packet; the caller sends it again and finds
+// the address refused), then those that wait are taken, then it closes.
 void Listener::close() {
   if (!open_) return;
   sock_filter drop_all[] = {{BPF_RET | BPF_K, 0, 0, 0}};
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -1,5 +1,5 @@
-// One stream socket in the reactor, with bounded buffers. It reads while its owner lets it, and asks to be told
-// when it can write only while output waits.
+// One stream socket in the reactor, with bounded buffers. It reads while its owner lets it, and asks to be
+// told when it can write only while output waits.
 #pragma once
 
 #include <Poco/Net/SocketNotification.h>
@@ -52,7 +52,8 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   // An accepted socket, or one that begins to connect to an address.
-  static std::shared_ptr<Connection> accepted(Reactor& reactor, ConnectionOwner& owner, int fd, BufferLimits limits);
+  static std::shared_ptr<Connection> accepted(Reactor& reactor, ConnectionOwner& owner, int fd,
+                                              BufferLimits limits);
   static std::shared_ptr<Connection> connecting(Reactor& reactor, ConnectionOwner& owner,
                                                 const Poco::Net::SocketAddress& address, BufferLimits limits);
   ~Connection();
@@ -67,7 +68,7 @@
 
  private:
   enum class State { kConnecting, kOpen, kClosed };
-  Connection(Reactor& reactor, ConnectionOwner& owner, Poco::Net::StreamSocket socket, State state,
+  Connection(Reactor& reactor, ConnectionOwner& owner, const Poco::Net::StreamSocket& socket, State state,
              BufferLimits limits);
 
   void on_readable(Poco::Net::ReadableNotification* notification);
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -52,13 +52,15 @@
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, wake_fds_) != 0)
     throw std::runtime_error("cannot make a socket pair");
   wake_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(wake_fds_[0]));
-  addEventHandler(wake_, Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
+  addEventHandler(wake_,
+                  Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
   set_wait();
 }
 
 Reactor::~Reactor() {
   for (const auto& [signal, task] : signals_) ::signal(signal, SIG_DFL);
-  removeEventHandler(wake_, Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
+  removeEventHandler(wake_,
+                     Poco::Observer<Reactor, Poco::Net::ReadableNotification>(*this, &Reactor::on_wake_byte));
   signal_fd = -1;
   ::close(wake_fds_[1]);
 }
--- a/src/peers/below.cpp
+++ b/src/peers/below.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr double kMsPerSecond = 1000;
-constexpr double kIdle = 8;      // s; below closes after 10 s, and a call that crosses that close proves nothing
-constexpr double kIdleLook = 1;  // s; between looks
+constexpr double kIdle = 8;  // s; below closes after 10 s, and a call that crosses that close proves nothing
+constexpr double kIdleLook = 1;                        // s; between looks
 constexpr std::size_t kInputBytes = 256 * 1024;        // a line with its payload is under 70 KiB
 constexpr std::size_t kOutputBytes = 4 * 1024 * 1024;  // calls behind a layer that does not read
 
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-Below::Below(net::Reactor& reactor, const std::string& address, BelowEvents& events, Counters& counters, Logger& log)
+Below::Below(net::Reactor& reactor, const std::string& address, BelowEvents& events, Counters& counters,
+             Logger& log)
     : reactor_(reactor), address_(address), events_(events), counters_(counters), log_(log) {
   if (address_.empty()) return;
   net::parse_address(address_);  // a wrong one is told at the start
@@ -55,7 +56,8 @@
 }
 
 void Below::connect() {
-  link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+  link_ =
+      net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
   link_->tag = next_tag_++;
 }
 
@@ -152,7 +154,8 @@
 }
 
 void Below::look_for_idle() {
-  if (link_ && link_->connected() && calls_.empty() && net::monotonic_now() - last_traffic_ > kIdle) link_->close();
+  if (link_ && link_->connected() && calls_.empty() && net::monotonic_now() - last_traffic_ > kIdle)
+    link_->close();
   idle_timer_ = reactor_.after(kIdleLook, [this] { look_for_idle(); });
 }
 
--- a/src/peers/below.h
+++ b/src/peers/below.h
@@ -9,19 +9,19 @@
 #include "app/counters.h"
 #include "app/logger.h"
 #include "net/connection.h"
-#include "peers/events.h"
+#include "peers/ports.h"
 
 namespace damsonspoke::peers {
 
-class Below : private net::ConnectionOwner {
+class Below : public BelowPort, private net::ConnectionOwner {
  public:
   // An address that is empty: nothing is ever called.
-  Below(net::Reactor& reactor, const std::string& address, BelowEvents& events, Counters& counters, Logger& log);
+  Below(net::Reactor& reactor, const std::string& address, BelowEvents& events, Counters& counters,
+        Logger& log);
   ~Below() override;
 
-  void call(OpId id, double patience, std::string_view body);
-  void cancel(OpId id);  // no end is told for it
-  std::size_t in_hand() const { return calls_.size(); }
+  void call(OpId id, double patience, std::string_view body) override;
+  void cancel(OpId id) override;
 
  private:
   struct Call {
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 constexpr double kSecondsPerMs = 0.001;
-constexpr std::size_t kMostOpen = 32;               // requests a connection, as the protocol allows
-constexpr std::size_t kInputBytes = 64 * 1024;      // a connection; a frame is under 20 KiB
-constexpr std::size_t kOutputBytes = 256 * 1024;    // a connection; 32 full answers take 180 KiB
-constexpr std::size_t kSlowOutput = 64 * 1024;      // waiting; over it nothing more is read from that peer
-constexpr double kIdleLook = 0.05;                  // s; between looks at the longest idle connection
-constexpr double kNoMorePatience = 5;               // s; a peer that was asked for no more and does not close
+constexpr std::size_t kMostOpen = 32;             // requests a connection, as the protocol allows
+constexpr std::size_t kInputBytes = 64 * 1024;    // a connection; a frame is under 20 KiB
+constexpr std::size_t kOutputBytes = 256 * 1024;  // a connection; 32 full answers take 180 KiB
+constexpr std::size_t kSlowOutput = 64 * 1024;    // waiting; over it nothing more is read from that peer
+constexpr double kIdleLook = 0.05;                // s; between looks at the longest idle connection
+constexpr double kNoMorePatience = 5;             // s; a peer that was asked for no more and does not close
 
 }  // namespace
 
@@ -109,10 +109,10 @@
     }
     counters_.add(Count::kChecksRead);
     caller.requests[request.id] = 0;
-    ++requests_;
     return events_.on_check({tag, request.id}, request.probe);
   }
-  if (problem == wire::RpcProblem::kBadParams || !request.has_txn || request.txn == 0 || request.held_kb <= 0) {
+  if (problem == wire::RpcProblem::kBadParams || !request.has_txn || request.txn == 0 ||
+      request.held_kb <= 0) {
     counters_.add(Count::kBadParams);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kParams, "bad parameters"));
   }
@@ -140,7 +140,6 @@
   op.body = std::move(request.body);
   op.ticket = {tag, request.id};
   caller.requests[request.id] = op.id;
-  ++requests_;
   events_.on_op_read(std::move(op));
 }
 
@@ -155,7 +154,6 @@
   if (found == open_.end()) return;
   Caller& caller = found->second;
   if (caller.requests.erase(ticket.number) == 0) return;
-  --requests_;
   traffic(caller);
   put(caller, text);
   after_answer(caller);
@@ -163,7 +161,8 @@
 
 // A caller that has closed its side gets its last answer and then our end.
 void Callers::after_answer(Caller& caller) {
-  if (caller.requests.empty() && caller.input_over && caller.connection->waiting() == 0) caller.connection->close();
+  if (caller.requests.empty() && caller.input_over && caller.connection->waiting() == 0)
+    caller.connection->close();
 }
 
 void Callers::answer_acked(Ticket ticket, std::string_view result) {
@@ -200,7 +199,6 @@
   const Caller caller = std::move(found->second);
   by_traffic_.erase(caller.place);
   open_.erase(found);
-  requests_ -= caller.requests.size();
   counters_.add(why == net::End::kInOrder    ? Count::kCallersClosed
                 : why == net::End::kOverflow ? Count::kSlowPeers
                                              : Count::kCallersReset);
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -11,32 +11,30 @@
 #include "app/counters.h"
 #include "app/logger.h"
 #include "net/connection.h"
-#include "peers/events.h"
+#include "peers/ports.h"
 #include "wire/rpc.h"
 
 namespace damsonspoke::peers {
 
-class Callers : private net::ConnectionOwner {
+class Callers : public CallerPort, private net::ConnectionOwner {
  public:
   struct Limits {
     int connections = 0;
     std::size_t output_bytes = 0;  // of all connections together
   };
-  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names, Limits limits,
-          CallerEvents& events, Counters& counters, Logger& log);
+  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names,
+          Limits limits, CallerEvents& events, Counters& counters, Logger& log);
   ~Callers() override;
 
-  // Answers; a connection that has gone meanwhile takes none.
-  void answer_acked(Ticket ticket, std::string_view result);
-  void answer_nacked(Ticket ticket, double come_back_in, bool no_retry);
-  void answer_failed(Ticket ticket);
-  void answer_check(Ticket ticket, bool good);
+  void answer_acked(Ticket ticket, std::string_view result) override;
+  void answer_nacked(Ticket ticket, double come_back_in, bool no_retry) override;
+  void answer_failed(Ticket ticket) override;
+  void answer_check(Ticket ticket, bool good) override;
+  void close_idle(double after) override;
+  void ask_no_more() override;
 
-  void close_idle(double after);
-  void ask_no_more();      // of everyone, and of each who connects from now on
-  void stop_listening();   // with nothing lost that has been written to us
+  void stop_listening();  // with nothing lost that has been written to us
   std::size_t connections() const { return open_.size(); }
-  std::size_t open_requests() const { return requests_; }
   std::uint16_t port() const { return listener_.port(); }
 
  private:
@@ -76,7 +74,6 @@
   std::unordered_map<std::uint64_t, Caller> open_;
   std::list<std::uint64_t> by_traffic_;  // the longest idle first
   std::uint64_t next_tag_ = 1;
-  std::size_t requests_ = 0;
   double idle_after_ = 0;  // s; 0: callers close their own
   bool no_more_ = false;
   net::Reactor::TimerId idle_timer_;
--- /dev/null
+++ b/src/peers/ports.h
@@ -0,0 +1,110 @@
+// What the peers tell the stages and what the stages ask of the peers, in the users' words and units: no
+// protocol's words, seconds, kilobytes. Each side knows these interfaces only; another protocol is another
+// peer behind the same ones.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "decide.h"
+
+namespace damsonspoke::peers {
+
+// Where the answer to an op goes: a connection and a number on it.
+struct Ticket {
+  std::uint64_t connection = 0;
+  std::uint64_t number = 0;
+};
+
+struct IncomingOp {
+  OpId id = 0;
+  int type = 0;
+  std::uint32_t caller = 0;
+  std::uint64_t key = 0;  // 0: none
+  double held_kb = 0;
+  double door = 0;   // Unix s, when it came to the machine; 0: not told
+  double limit = 0;  // s from then on that its caller waits; 0: not told
+  std::string body;
+  Ticket ticket;
+};
+
+// ---- What the peers tell.
+class CallerEvents {
+ public:
+  virtual ~CallerEvents() = default;
+  virtual bool in_use(OpId id) const = 0;
+  virtual void on_op_read(IncomingOp op) = 0;
+  virtual void on_caller_gone(OpId id) = 0;
+  virtual void on_check(Ticket ticket, bool wants_work) = 0;
+};
+
+class RuntimeEvents {
+ public:
+  virtual ~RuntimeEvents() = default;
+  // On the first link: it has come up, cold or warm, this long ago.
+  virtual void on_runtime_ready(bool cold, double ago) = 0;
+  virtual void on_run_ended(OpId id, Outcome outcome, double spent, std::string_view result) = 0;
+  virtual void on_call_wanted(OpId id, std::uint64_t notice, std::string_view body) = 0;
+  virtual void on_verdict(std::uint64_t tag, bool good) = 0;
+  // A start or a resumption was not carried out: nothing runs.
+  virtual void on_not_started(OpId id) = 0;
+};
+
+class BelowEvents {
+ public:
+  virtual ~BelowEvents() = default;
+  virtual void on_call_ended(OpId id, Outcome outcome, double spent, std::string_view reply) = 0;
+};
+
+// ---- What the stages ask for.
+class CallerPort {
+ public:
+  virtual ~CallerPort() = default;
+  // Answers; a connection that has gone meanwhile takes none.
+  virtual void answer_acked(Ticket ticket, std::string_view result) = 0;
+  virtual void answer_nacked(Ticket ticket, double come_back_in, bool no_retry) = 0;
+  virtual void answer_failed(Ticket ticket) = 0;
+  virtual void answer_check(Ticket ticket, bool good) = 0;
+  virtual void close_idle(double after) = 0;
+  virtual void ask_no_more() = 0;  // of everyone, and of each who connects from now on
+};
+
+class RuntimePort {
+ public:
+  virtual ~RuntimePort() = default;
+  virtual void start(OpId id, std::string_view type, std::string_view body) = 0;
+  virtual void stop(OpId id) = 0;
+  virtual void resume(OpId id) = 0;
+  virtual void give(OpId id, std::string_view reply) = 0;
+  virtual void omit(OpId id, std::uint64_t notice) = 0;
+  virtual void forget(OpId id) = 0;  // its run is over
+  virtual void self_test(std::uint64_t tag) = 0;
+  virtual void ask_gauges() = 0;
+  // The last reading, or none where the last one is too old to mean anything.
+  virtual Gauges gauges(double now) const = 0;
+};
+
+class BelowPort {
+ public:
+  virtual ~BelowPort() = default;
+  virtual void call(OpId id, double patience, std::string_view body) = 0;
+  virtual void cancel(OpId id) = 0;  // no end is told for it
+};
+
+class RosterPort {
+ public:
+  virtual ~RosterPort() = default;
+  virtual void report(bool takes_work) = 0;  // at once, and again before the entry lapses
+};
+
+// The peers as the stages see them. Filled once all are there, before anything happens: peers and stages
+// refer to each other.
+struct Ports {
+  CallerPort* callers = nullptr;
+  RuntimePort* runtime = nullptr;
+  BelowPort* below = nullptr;
+  RosterPort* roster = nullptr;
+};
+
+}  // namespace damsonspoke::peers
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -11,7 +11,10 @@
 }  // namespace
 
 Roster::Roster(net::Reactor& reactor, const std::string& address, std::string name, Counters& counters)
-    : reactor_(reactor), name_(std::move(name)), counters_(counters), datagrams_(net::parse_address(address)) {}
+    : reactor_(reactor),
+      name_(std::move(name)),
+      counters_(counters),
+      datagrams_(net::parse_address(address)) {}
 
 Roster::~Roster() { reactor_.cancel(timer_); }
 
--- a/src/peers/roster.h
+++ b/src/peers/roster.h
@@ -6,15 +6,15 @@
 #include "app/counters.h"
 #include "net/datagram.h"
 #include "net/reactor.h"
+#include "peers/ports.h"
 
 namespace damsonspoke::peers {
 
-class Roster {
+class Roster : public RosterPort {
  public:
   Roster(net::Reactor& reactor, const std::string& address, std::string name, Counters& counters);
-  ~Roster();
-  // Reports at once, and again before the entry lapses.
-  void report(bool takes_work);
+  ~Roster() override;
+  void report(bool takes_work) override;
 
  private:
   void send();
--- a/src/peers/runtime.cpp
+++ b/src/peers/runtime.cpp
@@ -9,9 +9,9 @@
 
 constexpr double kSecondsPerMs = 0.001;
 constexpr double kConnectAgain = 0.05;  // s; a runtime on the same machine that is not up yet
-constexpr double kSilence = 3;          // s without the gauges that were asked for: the link is taken for lost
-constexpr double kSilenceLook = 0.5;    // s; between looks
-constexpr double kGaugesFresh = 0.5;    // s; an older reading says nothing about now
+constexpr double kSilence = 3;        // s without the gauges that were asked for: the link is taken for lost
+constexpr double kSilenceLook = 0.5;  // s; between looks
+constexpr double kGaugesFresh = 0.5;  // s; an older reading says nothing about now
 constexpr std::size_t kInputBytes = 256 * 1024;        // a line with its payload is under 70 KiB
 constexpr std::size_t kOutputBytes = 8 * 1024 * 1024;  // commands behind a runtime that does not read
 
@@ -46,7 +46,8 @@
 }
 
 void Runtime::connect() {
-  link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+  link_ =
+      net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
 }
 
 void Runtime::on_connected(net::Connection& connection) {
@@ -175,7 +176,8 @@
       if (one->number > proven_) again.push_back(one);
     }
   }
-  std::sort(again.begin(), again.end(), [](const Unproven* a, const Unproven* b) { return a->number < b->number; });
+  std::sort(again.begin(), again.end(),
+            [](const Unproven* a, const Unproven* b) { return a->number < b->number; });
   for (const Unproven* one : again) send(one->text);
   counters_.add(Count::kRuntimeResent, again.size());
 }
@@ -213,7 +215,9 @@
 }
 void Runtime::stop(OpId id) { command(unproven_[id].stop, wire::encode_stop(id)); }
 void Runtime::resume(OpId id) { command(unproven_[id].work, wire::encode_resume(id)); }
-void Runtime::give(OpId id, std::string_view reply) { command(unproven_[id].work, wire::encode_give(id, reply)); }
+void Runtime::give(OpId id, std::string_view reply) {
+  command(unproven_[id].work, wire::encode_give(id, reply));
+}
 void Runtime::omit(OpId id, std::uint64_t notice) {
   command(unproven_[id].work, wire::encode_omit(id, notice));
 }
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -1,5 +1,5 @@
-// The link to the runtime, which does the work. It survives the loss of the link: a new one first hears what was
-// missed, and only then sends again what may not have arrived, so that nothing runs twice.
+// The link to the runtime, which does the work. It survives the loss of the link: a new one first hears what
+// was missed, and only then sends again what may not have arrived, so that nothing runs twice.
 #pragma once
 
 #include <cstdint>
@@ -12,32 +12,31 @@
 #include "app/counters.h"
 #include "app/logger.h"
 #include "net/connection.h"
-#include "peers/events.h"
+#include "peers/ports.h"
 #include "settings/settings.h"
 #include "wire/runtime_lines.h"
 
 namespace damsonspoke::peers {
 
-class Runtime : private net::ConnectionOwner {
+class Runtime : public RuntimePort, private net::ConnectionOwner {
  public:
   Runtime(net::Reactor& reactor, const std::string& address, std::vector<Gauge> gauges, RuntimeEvents& events,
           Counters& counters, Logger& log);
   ~Runtime() override;
 
-  void start(OpId id, std::string_view type, std::string_view body);
-  void stop(OpId id);
-  void resume(OpId id);
-  void give(OpId id, std::string_view reply);
-  void omit(OpId id, std::uint64_t notice);
-  void self_test(std::uint64_t tag);
-  void forget(OpId id) { unproven_.erase(id); }  // its run is over
-  void ask_gauges();
-  // The last reading, or none where the last one is too old to mean anything.
-  Gauges gauges(double now) const;
-  bool ready() const { return ready_; }
+  void start(OpId id, std::string_view type, std::string_view body) override;
+  void stop(OpId id) override;
+  void resume(OpId id) override;
+  void give(OpId id, std::string_view reply) override;
+  void omit(OpId id, std::uint64_t notice) override;
+  void forget(OpId id) override { unproven_.erase(id); }
+  void self_test(std::uint64_t tag) override;
+  void ask_gauges() override;
+  Gauges gauges(double now) const override;
 
  private:
-  // A command that may not have arrived: kept until a later answer, or a notice about its op, shows that it has.
+  // A command that may not have arrived: kept until a later answer, or a notice about its op, shows that it
+  // has.
   struct Unproven {
     std::uint64_t number = 0;  // 0: none
     std::string text;
@@ -71,10 +70,10 @@
   std::shared_ptr<net::Connection> link_;
   bool greeted_ = false;  // the runtime has said on this link that it is up
   bool synced_ = false;   // what was missed has been read on this link
-  bool ready_ = false;   // the runtime has come up
+  bool ready_ = false;    // the runtime has come up
   std::uint64_t last_notice_ = 0;
-  std::uint64_t commands_ = 0;      // sent so far, by number
-  std::uint64_t proven_ = 0;        // all up to this one have arrived
+  std::uint64_t commands_ = 0;  // sent so far, by number
+  std::uint64_t proven_ = 0;    // all up to this one have arrived
   std::unordered_map<OpId, UnprovenOf> unproven_;
   std::uint64_t tag_ = 0;           // of the gauges asked for
   std::uint64_t tag_commands_ = 0;  // commands sent before that
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -12,8 +12,8 @@
 using Json = nlohmann::json;
 
 constexpr double kSecondsPerMs = 0.001;
-constexpr int kLeastSockets = 64;        // below, peers and the listener alone would leave no room for callers
-constexpr double kLeastMemoryMb = 16;    // the program and its buffers at rest
+constexpr int kLeastSockets = 64;      // below, peers and the listener alone would leave no room for callers
+constexpr double kLeastMemoryMb = 16;  // the program and its buffers at rest
 constexpr std::size_t kMostBytes = std::size_t{4} << 20;  // a longer file is no configuration
 
 [[noreturn]] void bad(const std::string& key, const char* what) {
@@ -77,7 +77,8 @@
     if (!limits->is_object()) bad("limits", "is not an object");
     config.limits.cores = number(*limits, "cores", config.limits.cores, 0.01);
     config.limits.memory_mb = number(*limits, "memory_mb", config.limits.memory_mb, kLeastMemoryMb);
-    config.limits.sockets = static_cast<int>(number(*limits, "sockets", config.limits.sockets, kLeastSockets));
+    config.limits.sockets =
+        static_cast<int>(number(*limits, "sockets", config.limits.sockets, kLeastSockets));
   }
   const auto settings = top.find("settings");
   if (settings == top.end()) bad("settings", "is missing");
@@ -102,7 +103,8 @@
   if (!file) throw SettingsError("configuration: cannot read '" + path + "'");
   std::ostringstream all;
   all << file.rdbuf();
-  if (file.bad() || all.str().size() > kMostBytes) throw SettingsError("configuration: cannot read '" + path + "'");
+  if (file.bad() || all.str().size() > kMostBytes)
+    throw SettingsError("configuration: cannot read '" + path + "'");
   return parse_config(all.str());
 }
 
@@ -113,9 +115,12 @@
              "' is keyed; this program keeps no keys on sockets yet";
     }
   }
-  if (site.settings.fresh > 0) return "settings: 'fresh' is above 0; this program shares no answers on sockets yet";
-  if (site.settings.say != Say::kOff) return "settings: 'say' is not off; this program announces nothing on sockets yet";
-  if (site.settings.below == Below::kTier) return "settings: 'below' is a tier; this program calls a shared layer only";
+  if (site.settings.fresh > 0)
+    return "settings: 'fresh' is above 0; this program shares no answers on sockets yet";
+  if (site.settings.say != Say::kOff)
+    return "settings: 'say' is not off; this program announces nothing on sockets yet";
+  if (site.settings.below == Below::kTier)
+    return "settings: 'below' is a tier; this program calls a shared layer only";
   if (!site.settings.customers.empty()) {
     return "settings: 'customers' is not empty; ops on sockets do not name theirs yet";
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -11,9 +11,7 @@
 
 constexpr double kSecondsPerMs = 0.001;
 
-[[noreturn]] void bad(const std::string& key) {
-  throw SettingsError("settings: bad value of '" + key + "'");
-}
+[[noreturn]] void bad(const std::string& key) { throw SettingsError("settings: bad value of '" + key + "'"); }
 
 // The value of a key, or null where it is absent.
 const Json& find(const Json& from, const char* key) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,5 +1,5 @@
-// Reads the settings that a backend is given, as JSON, into plain values; both fronts use it. Unknown keys are
-// ignored.
+// Reads the settings that a backend is given, as JSON, into plain values; both fronts use it. Unknown keys
+// are ignored.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
@@ -22,7 +22,7 @@
   Settings settings;
   std::vector<std::string> type_names;  // by position, as the op types
   bool list_follows = false;            // the list of backends follows health
-  std::vector<Gauge> gauges;  // in the order in which a wake conveys them
+  std::vector<Gauge> gauges;            // in the order in which a wake conveys them
 };
 
 StartSettings read_settings(std::string_view text);
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -13,12 +13,12 @@
 }  // namespace
 
 Admit::Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route,
-             peers::Runtime& runtime, Counters& counters)
+             const peers::Ports& peers, Counters& counters)
     : reactor_(reactor),
       settings_(site.settings),
       seed_(seed),
       route_(route),
-      runtime_(runtime),
+      peers_(peers),
       counters_(counters) {
   route_.set_wakes([this](double time, std::uint64_t token) { wake_at(time, token); });
 }
@@ -29,7 +29,7 @@
 }
 
 void Admit::wake_at(double time, std::uint64_t token) {
-  reactor_.at(time - kGaugeLead, [this] { runtime_.ask_gauges(); });
+  reactor_.at(time - kGaugeLead, [this] { peers_.runtime->ask_gauges(); });
   reactor_.at(time, [this, time, token] { wake(time, token); });
 }
 
@@ -38,7 +38,7 @@
   counters_.add(Count::kWakes);
   if (now - time > kLateWake) counters_.add(Count::kWakesLate);
   counters_.most(Count::kWakeMostUs, static_cast<std::uint64_t>((now - time) * 1e6));
-  const Gauges gauges = runtime_.gauges(now);
+  const Gauges gauges = peers_.runtime->gauges(now);
   if (gauges.cpu_busy < 0) counters_.add(Count::kGaugesStale);
   decider_->on_wake(now, token, gauges);
 }
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -7,7 +7,7 @@
 #include "app/counters.h"
 #include "decide.h"
 #include "net/reactor.h"
-#include "peers/runtime.h"
+#include "peers/ports.h"
 #include "settings/settings.h"
 
 namespace damsonspoke::stages {
@@ -17,7 +17,7 @@
 class Admit {
  public:
   Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route,
-        peers::Runtime& runtime, Counters& counters);
+        const peers::Ports& peers, Counters& counters);
 
   // Its life starts with the runtime's, which came up this long ago.
   void begin(bool cold, double ago);
@@ -39,7 +39,7 @@
   Settings settings_;
   std::uint64_t seed_;
   Route& route_;
-  peers::Runtime& runtime_;
+  const peers::Ports& peers_;
   Counters& counters_;
   std::unique_ptr<Decider> decider_;
 };
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -29,22 +29,22 @@
 }
 
 void Book::ack(OpenOp& op, std::string_view result) {
-  if (answer(op, Count::kOpsAcked)) callers_.answer_acked(op.ticket, result);
+  if (answer(op, Count::kOpsAcked)) peers_.callers->answer_acked(op.ticket, result);
 }
 void Book::nack(OpenOp& op, double come_back_in, bool no_retry) {
   // A nack says that it never ran: one that has may only fail.
   if (!must_hold(op.run == Run::kNone, counters_)) return fail(op);
-  if (answer(op, Count::kOpsNacked)) callers_.answer_nacked(op.ticket, come_back_in, no_retry);
+  if (answer(op, Count::kOpsNacked)) peers_.callers->answer_nacked(op.ticket, come_back_in, no_retry);
 }
 void Book::fail(OpenOp& op) {
-  if (answer(op, Count::kOpsFailed)) callers_.answer_failed(op.ticket);
+  if (answer(op, Count::kOpsFailed)) peers_.callers->answer_failed(op.ticket);
 }
 void Book::caller_gone(OpenOp& op) { answer(op, Count::kOpsGone); }
 
 void Book::settle(OpenOp& op) {
   // A paused run of an op that is over is dropped by the runtime, which tells nothing more of it.
   if (!op.answered || (op.run != Run::kNone && op.run != Run::kPaused)) return;
-  runtime_.forget(op.id);
+  peers_.runtime->forget(op.id);
   open_.erase(op.id);
 }
 
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -6,9 +6,7 @@
 #include <unordered_map>
 
 #include "app/counters.h"
-#include "peers/callers.h"
-#include "peers/events.h"
-#include "peers/runtime.h"
+#include "peers/ports.h"
 
 namespace damsonspoke::stages {
 
@@ -18,9 +16,9 @@
   OpId id = 0;
   int type = 0;
   peers::Ticket ticket;
-  std::string body;        // a dropped run starts with it again
-  double due = 0;          // Unix s
-  bool answered = false;   // or its caller has gone
+  std::string body;       // a dropped run starts with it again
+  double due = 0;         // Unix s
+  bool answered = false;  // or its caller has gone
   Run run = Run::kNone;
   std::uint64_t wanted = 0;  // the notice by which its run wants a call
   std::string call_body;     // of that call, until it is over
@@ -28,8 +26,7 @@
 
 class Book {
  public:
-  Book(peers::Callers& callers, peers::Runtime& runtime, Counters& counters)
-      : callers_(callers), runtime_(runtime), counters_(counters) {}
+  Book(const peers::Ports& peers, Counters& counters) : peers_(peers), counters_(counters) {}
 
   OpenOp& enter(OpenOp op);
   OpenOp* find(OpId id);
@@ -49,8 +46,7 @@
  private:
   bool answer(OpenOp& op, Count as);
 
-  peers::Callers& callers_;
-  peers::Runtime& runtime_;
+  const peers::Ports& peers_;
   Counters& counters_;
   std::unordered_map<OpId, OpenOp> open_;
   std::size_t unanswered_ = 0;
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -3,7 +3,7 @@
 
 #include "app/counters.h"
 #include "app/logger.h"
-#include "peers/events.h"
+#include "peers/ports.h"
 #include "stages/admit.h"
 #include "stages/book.h"
 #include "stages/send.h"
@@ -14,7 +14,12 @@
 class Relay : public peers::RuntimeEvents, public peers::BelowEvents {
  public:
   Relay(Book& book, Send& send, Admit& admit, TakeIn& take_in, Halt halt, Counters& counters)
-      : book_(book), send_(send), admit_(admit), take_in_(take_in), pauses_(halt == Halt::kPause), counters_(counters) {}
+      : book_(book),
+        send_(send),
+        admit_(admit),
+        take_in_(take_in),
+        pauses_(halt == Halt::kPause),
+        counters_(counters) {}
 
   void on_runtime_ready(bool cold, double ago) override;
   void on_run_ended(OpId id, Outcome outcome, double spent, std::string_view result) override;
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -28,8 +28,8 @@
   book_.settle(*op);
 }
 
-// A run that stands at a call ends by itself once its op is answered. Where the answer had been given before the
-// runtime told of the call, it is stopped.
+// A run that stands at a call ends by itself once its op is answered. Where the answer had been given before
+// the runtime told of the call, it is stopped.
 void Route::fail(OpId id) {
   OpenOp* op = known(id);
   if (op == nullptr) return;
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -5,49 +5,49 @@
 void Send::start(OpenOp& op) {
   counters_.add(Count::kRunsStarted);
   op.run = Run::kOnCores;
-  peers_.runtime.start(op.id, site_.type_names[static_cast<std::size_t>(op.type)], op.body);
+  peers_.runtime->start(op.id, site_.type_names[static_cast<std::size_t>(op.type)], op.body);
 }
 
 void Send::resume(OpenOp& op) {
   counters_.add(Count::kRunsResumed);
   op.run = Run::kOnCores;
-  peers_.runtime.resume(op.id);
+  peers_.runtime->resume(op.id);
 }
 
 void Send::stop(OpenOp& op) {
   if (site_.settings.halt == Halt::kOff) return;  // the runtime would not carry it out
   counters_.add(Count::kRunsStopped);
-  peers_.runtime.stop(op.id);
+  peers_.runtime->stop(op.id);
 }
 
 void Send::call(OpenOp& op, double patience) {
   const double most = site_.settings.op_types[static_cast<std::size_t>(op.type)].op_timeout;
-  peers_.below.call(op.id, patience > 0 ? patience : most, op.call_body);
+  peers_.below->call(op.id, patience > 0 ? patience : most, op.call_body);
 }
 
 void Send::give(OpenOp& op, std::string_view reply) {
   op.run = Run::kOnCores;
   op.call_body.clear();
-  peers_.runtime.give(op.id, reply);
+  peers_.runtime->give(op.id, reply);
 }
 
 void Send::omit(OpenOp& op) {
   counters_.add(Count::kCallsOmitted);
   op.run = Run::kOnCores;
   op.call_body.clear();
-  peers_.runtime.omit(op.id, op.wanted);
+  peers_.runtime->omit(op.id, op.wanted);
 }
 
 void Send::health(bool good, bool from_store) {
   good_ = good;
   from_store_ = from_store;
-  peers_.roster.report(!leaving_ && (good || !site_.list_follows));
+  peers_.roster->report(!leaving_ && (good || !site_.list_follows));
 }
 
 void Send::leaving() {
   leaving_ = true;
-  peers_.roster.report(false);
-  peers_.callers.ask_no_more();
+  peers_.roster->report(false);
+  peers_.callers->ask_no_more();
 }
 
 }  // namespace damsonspoke::stages
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -5,23 +5,15 @@
 #include <vector>
 
 #include "app/counters.h"
-#include "peers/below.h"
-#include "peers/callers.h"
-#include "peers/roster.h"
-#include "peers/runtime.h"
+#include "peers/ports.h"
+#include "settings/settings.h"
 #include "stages/book.h"
 
 namespace damsonspoke::stages {
 
 class Send {
  public:
-  struct Peers {
-    peers::Callers& callers;
-    peers::Runtime& runtime;
-    peers::Below& below;
-    peers::Roster& roster;
-  };
-  Send(Peers peers, const StartSettings& site, Counters& counters)
+  Send(const peers::Ports& peers, const StartSettings& site, Counters& counters)
       : peers_(peers), site_(site), counters_(counters) {}
 
   void start(OpenOp& op);
@@ -30,16 +22,16 @@
   void call(OpenOp& op, double patience);
   void give(OpenOp& op, std::string_view reply);
   void omit(OpenOp& op);
-  void give_up_call(const OpenOp& op) { peers_.below.cancel(op.id); }
+  void give_up_call(const OpenOp& op) { peers_.below->cancel(op.id); }
   void health(bool good, bool from_store);
   void leaving();
-  void close_idle(double after) { peers_.callers.close_idle(after); }
+  void close_idle(double after) { peers_.callers->close_idle(after); }
 
   bool good() const { return good_ && !leaving_; }
   bool from_store() const { return from_store_; }
 
  private:
-  Peers peers_;
+  const peers::Ports& peers_;
   const StartSettings& site_;
   Counters& counters_;
   bool good_ = false, from_store_ = false, leaving_ = false;
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -5,9 +5,10 @@
 namespace damsonspoke::stages {
 namespace {
 
-constexpr double kLateRead = 0.020;       // s; counted as late over this
-constexpr double kOverdueLeft = 1e-6;     // s; what is left of a wait that is over: 0 would say that none was told
-constexpr double kSelfTestPatience = 2;   // s; a check that hangs longer has failed
+constexpr double kLateRead = 0.020;  // s; counted as late over this
+constexpr double kOverdueLeft =
+    1e-6;  // s; what is left of a wait that is over: 0 would say that none was told
+constexpr double kSelfTestPatience = 2;     // s; a check that hangs longer has failed
 constexpr std::size_t kMostSelfTests = 64;  // at once; more checks than that wait for nothing
 
 }  // namespace
@@ -58,17 +59,17 @@
 void TakeIn::on_check(peers::Ticket ticket, bool wants_work) {
   const bool good = stages_.admit.begun() && stages_.send.good();
   const bool works = good && wants_work && site_.settings.deep_checks && !stages_.send.from_store();
-  if (!works || checks_.size() >= kMostSelfTests) return callers_.answer_check(ticket, good);
+  if (!works || checks_.size() >= kMostSelfTests) return peers_.callers->answer_check(ticket, good);
   const std::uint64_t tag = next_check_++;
   checks_[tag] = {ticket, reactor_.after(kSelfTestPatience, [this, tag] { on_verdict(tag, false); })};
-  runtime_.self_test(tag);
+  peers_.runtime->self_test(tag);
 }
 
 void TakeIn::on_verdict(std::uint64_t tag, bool good) {
   const auto found = checks_.find(tag);
   if (found == checks_.end()) return;
   reactor_.cancel(found->second.patience);
-  callers_.answer_check(found->second.ticket, good && stages_.send.good());
+  peers_.callers->answer_check(found->second.ticket, good && stages_.send.good());
   checks_.erase(found);
 }
 
--- a/src/stages/take_in.h
+++ b/src/stages/take_in.h
@@ -5,7 +5,7 @@
 
 #include "app/counters.h"
 #include "net/reactor.h"
-#include "peers/events.h"
+#include "peers/ports.h"
 #include "stages/admit.h"
 #include "stages/book.h"
 #include "stages/send.h"
@@ -19,9 +19,9 @@
     Admit& admit;
     Send& send;
   };
-  TakeIn(net::Reactor& reactor, Stages stages, peers::Callers& callers, peers::Runtime& runtime,
-         const StartSettings& site, Counters& counters)
-      : reactor_(reactor), stages_(stages), callers_(callers), runtime_(runtime), site_(site), counters_(counters) {}
+  TakeIn(net::Reactor& reactor, Stages stages, const peers::Ports& peers, const StartSettings& site,
+         Counters& counters)
+      : reactor_(reactor), stages_(stages), peers_(peers), site_(site), counters_(counters) {}
   ~TakeIn() override;
 
   bool in_use(OpId id) const override { return stages_.book.holds(id); }
@@ -38,8 +38,7 @@
 
   net::Reactor& reactor_;
   Stages stages_;
-  peers::Callers& callers_;
-  peers::Runtime& runtime_;
+  const peers::Ports& peers_;
   const StartSettings& site_;
   Counters& counters_;
   std::unordered_map<std::uint64_t, Check> checks_;  // that wait for a self test, by its tag
--- a/src/wire/base64.cpp
+++ b/src/wire/base64.cpp
@@ -21,7 +21,9 @@
 void append_base64(std::string& out, std::string_view bytes) {
   out.reserve(out.size() + (bytes.size() + 2) / 3 * 4);
   std::size_t i = 0;
-  const auto at = [&](std::size_t k) { return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[k])); };
+  const auto at = [&](std::size_t k) {
+    return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[k]));
+  };
   for (; i + 3 <= bytes.size(); i += 3) {
     const std::uint32_t group = at(i) << 16 | at(i + 1) << 8 | at(i + 2);
     for (int shift = 18; shift >= 0; shift -= 6) out += kDigits[group >> shift & 63];
@@ -50,7 +52,7 @@
   std::uint32_t group = 0;
   int bits = 0;
   for (const char c : digits) {
-    const int value = kValues[static_cast<unsigned char>(c)];
+    const auto value = kValues[static_cast<unsigned char>(c)];
     if (value < 0) return false;
     group = group << 6 | static_cast<std::uint32_t>(value);
     bits += 6;
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -31,7 +31,8 @@
 }  // namespace
 
 void JsonCursor::blanks() {
-  while (at_ < text_.size() && (text_[at_] == ' ' || text_[at_] == '\t' || text_[at_] == '\r' || text_[at_] == '\n'))
+  while (at_ < text_.size() &&
+         (text_[at_] == ' ' || text_[at_] == '\t' || text_[at_] == '\r' || text_[at_] == '\n'))
     ++at_;
 }
 
--- a/src/wire/lines.cpp
+++ b/src/wire/lines.cpp
@@ -52,7 +52,9 @@
   return !text.empty() && error == std::errc() && stop == text.data() + text.size() && std::isfinite(out);
 }
 
-bool parse_id(std::string_view text, std::uint64_t& out) { return text.size() == 16 && parse_number(text, out, 16); }
+bool parse_id(std::string_view text, std::uint64_t& out) {
+  return text.size() == 16 && parse_number(text, out, 16);
+}
 
 std::string format_id(std::uint64_t id) { return fmt::format("{:016x}", id); }
 
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -11,12 +11,13 @@
 namespace damsonspoke::wire {
 namespace {
 
-constexpr std::size_t kLongestHead = 1024;         // bytes; the one field that counts takes 30
-constexpr std::size_t kLongestFrame = 16 * 1024;   // bytes; a body of 2 KiB in base64 with its fields is under 4
-constexpr std::size_t kLongestBody = 2 * 1024;     // bytes, as the protocol allows
-constexpr double kMostKb = 2000;                   // under this, as the protocol allows
-constexpr double kMostMs = 9e15;                   // whole milliseconds that a double can hold
-constexpr double kMostId = 9007199254740992.0;     // 2^53: above it a number is no longer exact
+constexpr std::size_t kLongestHead = 1024;  // bytes; the one field that counts takes 30
+constexpr std::size_t kLongestFrame =
+    16 * 1024;                                  // bytes; a body of 2 KiB in base64 with its fields is under 4
+constexpr std::size_t kLongestBody = 2 * 1024;  // bytes, as the protocol allows
+constexpr double kMostKb = 2000;                // under this, as the protocol allows
+constexpr double kMostMs = 9e15;                // whole milliseconds that a double can hold
+constexpr double kMostId = 9007199254740992.0;  // 2^53: above it a number is no longer exact
 constexpr double kMostLimitMs = 24 * 3600 * 1000;  // nobody waits longer than a day
 
 bool same_name(std::string_view a, std::string_view b) {
@@ -34,7 +35,9 @@
   return text;
 }
 
-std::string framed(std::string_view body) { return fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body); }
+std::string framed(std::string_view body) {
+  return fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+}
 
 // Values of a wrong kind are passed over and reported, so that the id can still be found behind them.
 class Fields {
@@ -119,7 +122,8 @@
 
 RpcProblem decode_request(std::string_view text, RpcRequest& out) {
   JsonCursor in(text);
-  if (in.kind() != JsonKind::kObject) return in.skip() && in.at_end() ? RpcProblem::kNoRequest : RpcProblem::kNoJson;
+  if (in.kind() != JsonKind::kObject)
+    return in.skip() && in.at_end() ? RpcProblem::kNoRequest : RpcProblem::kNoJson;
   bool version = false, shape = true;
   Fields params(in);
   const auto param = [&](const std::string& key) {
@@ -177,7 +181,8 @@
 
 std::string encode_error(std::uint64_t id, RpcError code, std::string_view message) {
   // Where the id can't be told, JSON-RPC answers with null.
-  std::string text = id == 0 ? R"({"jsonrpc":"2.0","id":null)" : fmt::format(R"({{"jsonrpc":"2.0","id":{})", id);
+  std::string text =
+      id == 0 ? R"({"jsonrpc":"2.0","id":null)" : fmt::format(R"({{"jsonrpc":"2.0","id":{})", id);
   text += fmt::format(R"(,"error":{{"code":{},"message":)", static_cast<int>(code));
   append_quoted(text, message);
   text += "}}";
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -41,7 +41,14 @@
 // On a problem the id is filled in where it can be told, so that the request can be answered.
 RpcProblem decode_request(std::string_view text, RpcRequest& out);
 
-enum class RpcError { kNacked = -32001, kFailed = -32000, kParse = -32700, kRequest = -32600, kMethod = -32601, kParams = -32602 };
+enum class RpcError {
+  kNacked = -32001,
+  kFailed = -32000,
+  kParse = -32700,
+  kRequest = -32600,
+  kMethod = -32601,
+  kParams = -32602
+};
 
 std::string encode_result(std::uint64_t id, std::string_view body);
 std::string encode_error(std::uint64_t id, RpcError code, std::string_view message);
--- a/src/wire/runtime_lines.cpp
+++ b/src/wire/runtime_lines.cpp
@@ -19,12 +19,13 @@
 NoticeKind read_words(const Words& words, Notice& out) {
   const std::string_view verb = words[0];
   const std::size_t count = words.size();
-  if (verb == "ready" && count == 3 && (words[1] == "chilly" || words[1] == "hot") && parse_decimal(words[2], out.ms)) {
+  if (verb == "ready" && count == 3 && (words[1] == "chilly" || words[1] == "hot") &&
+      parse_decimal(words[2], out.ms)) {
     out.cold = words[1] == "chilly";
     return NoticeKind::kReady;
   }
-  if (verb == "end" && (count == 5 || count == 6) && parse_number(words[1], out.number) && parse_id(words[2], out.id) &&
-      read_end(words[3], out.end) && parse_decimal(words[4], out.ms)) {
+  if (verb == "end" && (count == 5 || count == 6) && parse_number(words[1], out.number) &&
+      parse_id(words[2], out.id) && read_end(words[3], out.end) && parse_decimal(words[4], out.ms)) {
     return NoticeKind::kRunEnd;
   }
   if (verb == "wants" && count == 4 && parse_number(words[1], out.number) && parse_id(words[2], out.id)) {
--- a/src/wire/runtime_lines.h
+++ b/src/wire/runtime_lines.h
@@ -18,10 +18,10 @@
   std::uint64_t number = 0;  // of run ends, wanted calls and remarks
   std::uint64_t id = 0;
   RunEnd end = RunEnd::kUnknown;
-  bool cold = false;       // ready
-  double ms = 0;           // ready: since its start; run end: the run took
-  std::uint64_t tag = 0;   // gauges, verdict
-  bool good = false;       // verdict
+  bool cold = false;      // ready
+  double ms = 0;          // ready: since its start; run end: the run took
+  std::uint64_t tag = 0;  // gauges, verdict
+  bool good = false;      // verdict
   std::vector<double> gauges;
   std::string_view command;  // nack
   std::string_view body;     // of the input: valid as long as that is
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -1,5 +1,5 @@
-// Plays the program's four peers on loopback ports that the system picks, and prints what it tells them; CTest
-// compares that with tests/traces/program_NAME.txt. usage: program BINARY SCENARIO
+// Plays the program's four peers on loopback ports that the system picks, and prints what it tells them;
+// CTest compares that with tests/traces/program_NAME.txt. usage: program BINARY SCENARIO
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -53,8 +53,8 @@
   return text;
 }
 
-// One backend with its peers. Everything that comes is kept in a line a peer until it is asked for; the gauges are
-// answered without being asked for.
+// One backend with its peers. Everything that comes is kept in a line a peer until it is asked for; the
+// gauges are answered without being asked for.
 class Site {
  public:
   explicit Site(const std::string& more_family = "", const std::string& more_top = "") {
@@ -67,7 +67,8 @@
     const auto at = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
     std::ofstream(config_path_)
         << R"({"name":"n1","listen":"127.0.0.1:0","runtime":)" << at(runtime_port_) << R"(,"roster":)"
-        << at(roster_port_) << R"(,"backend":)" << at(below_port_) << R"(,"seed":"7","stop_ms":2000)" << more_top
+        << at(roster_port_) << R"(,"backend":)" << at(below_port_) << R"(,"seed":"7","stop_ms":2000)"
+        << more_top
         << R"(,"settings":{"servers":1,"resolution":4,"rules":{"fall-multiple":8,"stop-sending-within":300},)"
         << R"("allowed":{"retry-after":true,"max-retry-after":1000},)"
         << R"("request-classes":[{"name":"push","target":400,"give-up":3000},{"name":"pull","target":400,"give-up":800}],)"
@@ -102,7 +103,8 @@
     put(runtime_, "ready " + state + "\r\n");
   }
   void runtime_hears() {
-    std::printf("runtime hears: %s\n", pump([&] { return !runtime_lines_.empty(); }) ? taken(runtime_lines_).c_str() : "(nothing)");
+    std::printf("runtime hears: %s\n",
+                pump([&] { return !runtime_lines_.empty(); }) ? taken(runtime_lines_).c_str() : "(nothing)");
   }
   void runtime_says(const std::string& text) {
     std::printf("runtime says: %s\n", replaced(text, "\r\n", " / ").c_str());
@@ -177,10 +179,12 @@
   // An op whose txn is its number.
   void send_op(int fd, int id, const char* type = "push", const char* more = R"("ram":10,"limit":3000)") {
     char text[400];
-    const double now = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-    std::snprintf(text, sizeof text,
-                  R"({"jsonrpc":"2.0","id":%d,"method":"%s","params":{"txn":"%016x","door":%.0f,"lb":1,%s,"arg":"Ym9keQ=="}})",
-                  id, type, id, now * 1000, more);
+    const double now =
+        std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::snprintf(
+        text, sizeof text,
+        R"({"jsonrpc":"2.0","id":%d,"method":"%s","params":{"txn":"%016x","door":%.0f,"lb":1,%s,"arg":"Ym9keQ=="}})",
+        id, type, id, now * 1000, more);
     std::printf("caller asks: %s, id %d, %s\n", type, id, more);
     send(fd, text);
   }
@@ -226,9 +230,10 @@
     int status = -1;
     const bool over = pump([&] { return ::waitpid(pid_, &status, WNOHANG) == pid_; });
     if (over) pid_ = -1;
-    std::printf("the program ends: %s\n", !over                 ? "no"
-                                          : WIFEXITED(status) ? ("status " + std::to_string(WEXITSTATUS(status))).c_str()
-                                                              : "killed");
+    std::printf("the program ends: %s\n", !over ? "no"
+                                          : WIFEXITED(status)
+                                              ? ("status " + std::to_string(WEXITSTATUS(status))).c_str()
+                                              : "killed");
   }
   double processor_time() const {  // s so far, of the program
     std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
@@ -320,7 +325,8 @@
       }
     }
   }
-  static void lines(std::string& buffer, std::string_view text, const char* end, std::deque<std::string>& into) {
+  static void lines(std::string& buffer, std::string_view text, const char* end,
+                    std::deque<std::string>& into) {
     buffer += text;
     for (std::size_t at; (at = buffer.find(end)) != std::string::npos;) {
       into.push_back(buffer.substr(0, at));
@@ -371,8 +377,8 @@
   site.runtime_hears();
   site.runtime_hears();
   site.runtime_says("end 4 0000000000000004 cancelled 20 0\r\n");
-  site.counters({"ops.read", "ops.acked", "ops.nacked", "ops.failed", "ops.gone", "runs.complete", "runs.error",
-                 "runs.cancelled", "calls.made", "calls.ok", "checks.good"});
+  site.counters({"ops.read", "ops.acked", "ops.nacked", "ops.failed", "ops.gone", "runs.complete",
+                 "runs.error", "runs.cancelled", "calls.made", "calls.ok", "checks.good"});
 }
 
 // Nothing runs before the runtime is up; it may come up late.
@@ -389,8 +395,8 @@
   site.caller_hears(caller);
 }
 
-// A command that may not have arrived is sent again, once what was missed has been read; what has arrived, or has
-// ended meanwhile, is not.
+// A command that may not have arrived is sent again, once what was missed has been read; what has arrived, or
+// has ended meanwhile, is not.
 void broken_link() {
   Site site;
   site.runtime_comes_up();
@@ -452,7 +458,7 @@
   site.runtime_says("wants 1 " + kId1 + " 4\r\ncall");
   site.below_hears();
   site.below_hears();
-  site.below_hears();  // given up
+  site.below_hears();    // given up
   site.runtime_hears();  // left out
   site.below_says(kId1 + " ok 5\r\nreply");
   site.pause(0.2);
@@ -461,7 +467,8 @@
   site.counters({"calls.made", "calls.timed_out", "calls.omitted", "below.late"});
 }
 
-// Turned away and refused prove that a call never ran, a break proves nothing; an op that is safe is tried again.
+// Turned away and refused prove that a call never ran, a break proves nothing; an op that is safe is tried
+// again.
 void calls() {
   Site site;
   site.runtime_comes_up();
@@ -480,7 +487,8 @@
   site.below_goes_down();
   site.below_breaks();
   site.caller_hears(caller);  // failed: nothing can be left out
-  site.counters({"calls.made", "calls.refused", "calls.broken", "calls.unreachable", "below.bad", "below.broken"});
+  site.counters(
+      {"calls.made", "calls.refused", "calls.broken", "calls.unreachable", "below.bad", "below.broken"});
 }
 
 // An op that is due is answered though its run goes on; a run that ends later gives no second answer.
@@ -500,7 +508,8 @@
   site.counters({"ops.failed", "ops.overdue", "runs.complete"});
 }
 
-// The notice to leave: off the list, callers told, what is open answered, what comes too late nacked, an end in time.
+// The notice to leave: off the list, callers told, what is open answered, what comes too late nacked, an end
+// in time.
 void leaving() {
   Site site;
   site.runtime_comes_up();
@@ -516,7 +525,10 @@
   const int late = site.connect();
   site.caller_hears(late);
   site.send_op(late, 2);
-  std::printf("late %s\n", replaced(site.heard(late), "\"later\"", "\"LATER\"").find("-32001") != std::string::npos ? "nacked" : "taken");
+  std::printf("late %s\n",
+              replaced(site.heard(late), "\"later\"", "\"LATER\"").find("-32001") != std::string::npos
+                  ? "nacked"
+                  : "taken");
   site.runtime_says("end 1 " + kId1 + " complete 20 6\r\nresult");
   site.caller_hears(caller);
   site.hang_up(caller);
@@ -535,7 +547,8 @@
     site.send(callers.back(), R"({"jsonrpc":"2.0","id":1,"method":"health","params":{}})");
   }
   int answered = 0;
-  for (int i = 0; i < 32; ++i) answered += site.heard(callers[static_cast<std::size_t>(i)]).find("true") != std::string::npos;
+  for (int i = 0; i < 32; ++i)
+    answered += site.heard(callers[static_cast<std::size_t>(i)]).find("true") != std::string::npos;
   std::printf("answered while all stay: %d\n", answered);
   site.counters({"callers.accepted", "callers.most", "callers.accept_pauses"});
   for (int i = 0; i < 32; ++i) site.hang_up(callers[static_cast<std::size_t>(i)]);
@@ -545,7 +558,8 @@
   site.counters({"callers.accepted"});
 }
 
-// One error answer where the request can be told; the connection alone is closed where the frame can't be trusted.
+// One error answer where the request can be told; the connection alone is closed where the frame can't be
+// trusted.
 void bad_callers() {
   Site site;
   site.runtime_comes_up();
@@ -557,7 +571,8 @@
   const std::string head = R"({"jsonrpc":"2.0","id":5,"method":)";
   for (const std::string& body :
        {std::string("{"), std::string("[]"), std::string(R"({"jsonrpc":"2.0","id":"x","method":"push"})"),
-        head + R"("shove","params":{"txn":"0000000000000005","ram":1}})", head + R"("push","params":{"ram":1}})",
+        head + R"("shove","params":{"txn":"0000000000000005","ram":1}})",
+        head + R"("push","params":{"ram":1}})",
         head + R"("push","params":{"txn":"0000000000000005","ram":0}})",
         head + R"("push","params":{"txn":"0000000000000005","ram":1,"arg":"a"}})",
         head + R"("push","params":{"txn":"0000000000000001","ram":1}})",
@@ -576,7 +591,8 @@
   site.runtime_says("end 1 " + kId1 + " complete 20 6\r\nresult");
   site.caller_hears(caller);
   site.caller_hears(caller);
-  site.counters({"bad.frames", "bad.json", "bad.requests", "bad.params", "bad.types", "bad.ids", "ops.read", "ops.acked"});
+  site.counters({"bad.frames", "bad.json", "bad.requests", "bad.params", "bad.types", "bad.ids", "ops.read",
+                 "ops.acked"});
 }
 
 // A poll that returns at once for ever shows in the processor time of a backend that does nothing.
@@ -588,18 +604,25 @@
   site.pause(0.2);
   const double before = site.processor_time();
   site.pause(1);
-  std::printf("processor time in a second of rest: %s\n", site.processor_time() - before < 0.3 ? "little" : "much");
+  std::printf("processor time in a second of rest: %s\n",
+              site.processor_time() - before < 0.3 ? "little" : "much");
   site.hang_up(caller);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> kScenarios[] = {
-      {"served", served},       {"late_runtime", late_runtime}, {"broken_link", broken_link},
-      {"bad_runtime", bad_runtime}, {"late_reply", late_reply}, {"calls", calls},
-      {"due", due},             {"leaving", leaving},           {"flood", flood},
-      {"bad_callers", bad_callers}, {"rest", rest}};
+  const std::pair<const char*, void (*)()> kScenarios[] = {{"served", served},
+                                                           {"late_runtime", late_runtime},
+                                                           {"broken_link", broken_link},
+                                                           {"bad_runtime", bad_runtime},
+                                                           {"late_reply", late_reply},
+                                                           {"calls", calls},
+                                                           {"due", due},
+                                                           {"leaving", leaving},
+                                                           {"flood", flood},
+                                                           {"bad_callers", bad_callers},
+                                                           {"rest", rest}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -90,8 +90,8 @@
     std::printf(", %s", r.method.c_str());
     if (r.has_txn) std::printf(", txn %s", format_id(r.txn).c_str());
     if (r.has_item) std::printf(", item %s", format_id(r.item).c_str());
-    std::printf(", door %.0f, limit %.0f, caller %u, %.1f kB, probe %d, body '%s'", r.door_ms, r.limit_ms, r.caller,
-                r.held_kb, r.probe, shown(r.body).c_str());
+    std::printf(", door %.0f, limit %.0f, caller %u, %.1f kB, probe %d, body '%s'", r.door_ms, r.limit_ms,
+                r.caller, r.held_kb, r.probe, shown(r.body).c_str());
   }
   std::printf("\n");
 }
@@ -100,20 +100,36 @@
   const std::string head = R"({"jsonrpc":"2.0","id":7,"method":"push","params":{)";
   print_request(head + R"("txn":"9b1f03aa5c7e2d41","door":1764576000123,"lb":4,"limit":480,"ram":24.5,)" +
                 R"("standing":0.6250,"item":"7f3a9c21e0b4d655","arg":"aGVsbG8="}})");
-  print_request(R"( { "params" : { "probe" : true, "new" : [1,{"a":null}] } , "method":"h\u00e9\ud83d\ude00\n",)"
-                R"("id":1,"jsonrpc":"2.0" } )");
-  for (const char* params : {R"("txn":5}})", R"("txn":"9b1f"}})", R"("txn":"9b1f03aa5c7e2d4g"}})", R"("ram":-1}})",
-                             R"("ram":2001}})", R"("door":1e300}})", R"("limit":"1"}})", R"("lb":-1}})",
-                             R"("arg":"abc"}})", R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})", R"("probe":1}})"}) {
+  print_request(
+      R"( { "params" : { "probe" : true, "new" : [1,{"a":null}] } , "method":"h\u00e9\ud83d\ude00\n",)"
+      R"("id":1,"jsonrpc":"2.0" } )");
+  for (const char* params :
+       {R"("txn":5}})", R"("txn":"9b1f"}})", R"("txn":"9b1f03aa5c7e2d4g"}})", R"("ram":-1}})",
+        R"("ram":2001}})", R"("door":1e300}})", R"("limit":"1"}})", R"("lb":-1}})", R"("arg":"abc"}})",
+        R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})", R"("probe":1}})"}) {
     print_request(head + params);
   }
-  for (const char* text :
-       {"", "{", "nul", R"({"jsonrpc":"2.0","id":7,"method":"push","params":{"txn":"9b)", R"({"id":07})",
-        R"({"id":1e999})", R"({"id":1,})", R"({"a":"\x"})", R"({"a":"\ud83d"})", "{\"a\":\"\n\"}", "{} {}", "[]",
-        "17", R"({"jsonrpc":"1.0","id":7,"method":"push"})", R"({"jsonrpc":"2.0","id":7})",
-        R"({"jsonrpc":"2.0","id":0,"method":"push"})", R"({"jsonrpc":"2.0","id":1.5,"method":"push"})",
-        R"({"jsonrpc":"2.0","id":"7","method":"push"})", R"({"jsonrpc":"2.0","id":9007199254740993,"method":"push"})",
-        R"({"jsonrpc":"2.0","id":7,"method":9})", R"({"jsonrpc":"2.0","id":7,"method":"push","params":[]})"}) {
+  for (const char* text : {"",
+                           "{",
+                           "nul",
+                           R"({"jsonrpc":"2.0","id":7,"method":"push","params":{"txn":"9b)",
+                           R"({"id":07})",
+                           R"({"id":1e999})",
+                           R"({"id":1,})",
+                           R"({"a":"\x"})",
+                           R"({"a":"\ud83d"})",
+                           "{\"a\":\"\n\"}",
+                           "{} {}",
+                           "[]",
+                           "17",
+                           R"({"jsonrpc":"1.0","id":7,"method":"push"})",
+                           R"({"jsonrpc":"2.0","id":7})",
+                           R"({"jsonrpc":"2.0","id":0,"method":"push"})",
+                           R"({"jsonrpc":"2.0","id":1.5,"method":"push"})",
+                           R"({"jsonrpc":"2.0","id":"7","method":"push"})",
+                           R"({"jsonrpc":"2.0","id":9007199254740993,"method":"push"})",
+                           R"({"jsonrpc":"2.0","id":7,"method":9})",
+                           R"({"jsonrpc":"2.0","id":7,"method":"push","params":[]})"}) {
     print_request(text);
   }
   print_request(R"({"a":)" + std::string(5000, '['));
@@ -132,14 +148,15 @@
     std::string bytes, again;
     const bool sound = decode_base64(text, bytes);
     if (sound) append_base64(again, bytes);
-    std::printf("base64 '%s': %s '%s' '%s'\n", text, sound ? "sound" : "damaged", bytes.c_str(), again.c_str());
+    std::printf("base64 '%s': %s '%s' '%s'\n", text, sound ? "sound" : "damaged", bytes.c_str(),
+                again.c_str());
   }
 }
 
 // ---- The runtime's lines.
 std::size_t print_notice(std::string_view input) {
-  static const char* const kKinds[] = {"ready", "run end", "call wanted", "gauges", "verdict", "nack", "remark",
-                                       "unknown"};
+  static const char* const kKinds[] = {"ready",   "run end", "call wanted", "gauges",
+                                       "verdict", "nack",    "remark",      "unknown"};
   const NoticeRead read = next_notice(input);
   if (read.state == LineState::kNeedMore) return 0;
   if (read.state == LineState::kBroken) {
@@ -149,10 +166,11 @@
   const Notice& n = read.notice;
   std::printf("  %s", kKinds[static_cast<int>(n.kind)]);
   if (n.kind != NoticeKind::kUnknown) {
-    std::printf(", number %llu, id %s, end %d, cold %d, ms %.1f, tag %llu, good %d, command '%s', body '%s', gauges",
-                static_cast<unsigned long long>(n.number), format_id(n.id).c_str(), static_cast<int>(n.end), n.cold,
-                n.ms, static_cast<unsigned long long>(n.tag), n.good, std::string(n.command).c_str(),
-                shown(n.body).c_str());
+    std::printf(
+        ", number %llu, id %s, end %d, cold %d, ms %.1f, tag %llu, good %d, command '%s', body '%s', gauges",
+        static_cast<unsigned long long>(n.number), format_id(n.id).c_str(), static_cast<int>(n.end), n.cold,
+        n.ms, static_cast<unsigned long long>(n.tag), n.good, std::string(n.command).c_str(),
+        shown(n.body).c_str());
     for (const double value : n.gauges) std::printf(" %.2f", value);
   }
   std::printf("\n");
@@ -161,9 +179,11 @@
 
 void runtime() {
   const std::string sound =
-      "ready chilly 120\r\nend 1 9b1f03aa5c7e2d41 complete 81.5 6\r\nab\r\ncd\r\nend 2 9b1f03aa5c7e2d41 error 3 0\r\n\r\n"
+      "ready chilly 120\r\nend 1 9b1f03aa5c7e2d41 complete 81.5 6\r\nab\r\ncd\r\nend 2 9b1f03aa5c7e2d41 "
+      "error 3 0\r\n\r\n"
       "end 3 9b1f03aa5c7e2d41 cancelled 3\r\nend 4 9b1f03aa5c7e2d41 unknown 0 0\r\n\r\n"
-      "wants 5 9b1f03aa5c7e2d41 2\r\nhi\r\nload 17 0.5 12 0.25 18\r\nload 18\r\nverdict 3 complete\r\nverdict 4 error\r\n"
+      "wants 5 9b1f03aa5c7e2d41 2\r\nhi\r\nload 17 0.5 12 0.25 18\r\nload 18\r\nverdict 3 "
+      "complete\r\nverdict 4 error\r\n"
       "nack give 9b1f03aa5c7e2d41\r\ninfo 6 some words\r\n";
   std::printf("whole:\n");
   for (std::string_view rest = sound; !rest.empty();) rest.remove_prefix(print_notice(rest));
@@ -172,9 +192,10 @@
   for (const std::string& input :
        {std::string("what is this\r\n"), std::string("\r\n"), std::string("end 1 9b1f complete 8 0\r\n\r\n"),
         std::string("end -1 9b1f03aa5c7e2d41 complete 8 0\r\n\r\n"), std::string("load 1 much\r\n"),
-        std::string("load 1 inf\r\n"), std::string("ready tepid 1\r\n"), std::string("wants 1 9b1f03aa5c7e2d41 65537\r\n"),
-        std::string("wants 1 9b1f03aa5c7e2d41 -1\r\n"), std::string("wants 1 9b1f03aa5c7e2d41 2\r\nabc\r\n"),
-        std::string("wants\r\n"), std::string(4096, 'x'), std::string(4095, 'x')}) {
+        std::string("load 1 inf\r\n"), std::string("ready tepid 1\r\n"),
+        std::string("wants 1 9b1f03aa5c7e2d41 65537\r\n"), std::string("wants 1 9b1f03aa5c7e2d41 -1\r\n"),
+        std::string("wants 1 9b1f03aa5c7e2d41 2\r\nabc\r\n"), std::string("wants\r\n"),
+        std::string(4096, 'x'), std::string(4095, 'x')}) {
     std::printf("%s\n", shown(input).c_str());
     if (print_notice(input) == 0) std::printf("  needs more\n");
   }
@@ -207,8 +228,9 @@
   for (std::string_view rest = sound; !rest.empty();) rest.remove_prefix(print_reply(rest));
   std::printf("one byte at a time:\n");
   one_byte_at_a_time(sound, print_reply);
-  for (const std::string& input : {id + " perhaps\r\n", id + " ok\r\n", id + " ok 99999999\r\n", id + " ok 1\r\nab\r\n",
-                                   std::string("x ok 1\r\na\r\n"), std::string("9b1f stale\r\n"), std::string("\r\n")}) {
+  for (const std::string& input :
+       {id + " perhaps\r\n", id + " ok\r\n", id + " ok 99999999\r\n", id + " ok 1\r\nab\r\n",
+        std::string("x ok 1\r\na\r\n"), std::string("9b1f stale\r\n"), std::string("\r\n")}) {
     std::printf("%s\n", shown(input).c_str());
     if (print_reply(input) == 0) std::printf("  needs more\n");
   }
@@ -218,8 +240,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> kScenarios[] = {
-      {"frames", frames}, {"requests", requests}, {"answers", answers}, {"runtime", runtime}, {"below", below}};
+  const std::pair<const char*, void (*)()> kScenarios[] = {{"frames", frames},
+                                                           {"requests", requests},
+                                                           {"answers", answers},
+                                                           {"runtime", runtime},
+                                                           {"below", below}};
   for (const auto& [name, print] : kScenarios) {
     if (argc == 2 && std::strcmp(argv[1], name) == 0) return print(), 0;
   }
