Behind a frame that can't be trusted, what was read before is still answered

Checked with the program test bad_callers, which now opens an op before the broken frame. Now nothing more is read from it, what is open is answered, then it closes. Also: idle connections are looked at when the next one can be due, not 20 times a second, and a close_idle of 0 leaves closing to the callers.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -143,6 +143,13 @@
   owner_.on_output_sent(*this);
 }
 
+void Connection::stop_reading() {
+  if (state_ != State::kOpen || input_over_) return;
+  input_over_ = true;
+  want_read(false);
+  want_error(true);  // a reset is still to be heard of
+}
+
 void Connection::charge(std::size_t bytes) {
   if (limits_.pool != nullptr) limits_.pool->used += bytes;
 }
@@ -165,7 +172,7 @@
 void Connection::read_some() {
   char bytes[16 * 1024];
   std::size_t taken = 0;
-  while (taken < kReadAtOnce && state_ == State::kOpen && !paused_) {
+  while (taken < kReadAtOnce && state_ == State::kOpen && !paused_ && !input_over_) {
     const ssize_t got = ::recv(fd(), bytes, sizeof bytes, MSG_DONTWAIT);
     if (got < 0) {
       if (errno == EINTR) continue;
@@ -173,9 +180,7 @@
       return;
     }
     if (got == 0) {
-      input_over_ = true;
-      want_read(false);
-      want_error(true);  // a reset is still to be heard of
+      stop_reading();
       owner_.on_end_of_input(*this);
       return;
     }
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -14,8 +14,9 @@
 constexpr std::size_t kInputBytes = 64 * 1024;    // a connection; a frame is under 20 KiB
 constexpr std::size_t kOutputBytes = 256 * 1024;  // a connection; 32 full answers take 180 KiB
 constexpr std::size_t kSlowOutput = 64 * 1024;    // waiting; over it nothing more is read from that peer
-constexpr double kIdleLook = 0.05;                // s; between looks at the longest idle connection
-constexpr double kNoMorePatience = 5;             // s; a peer that was asked for no more and does not close
+constexpr double kIdleLook = 0.05;     // s; least time between looks at the longest idle connection
+constexpr double kIdleLookMost = 1;    // s; and most: one that comes meanwhile may be idle sooner
+constexpr double kNoMorePatience = 5;  // s; a peer that was asked for no more and does not close
 
 }  // namespace
 
@@ -60,11 +61,14 @@
     const wire::Frame frame = wire::next_frame(bytes.substr(used));
     if (frame.state == wire::Framing::kNeedMore) break;
     if (frame.state == wire::Framing::kBroken) {
+      // Nothing more is read from it; what was read before is still answered, then it is closed.
       counters_.add(Count::kBadFrames);
       log_.debug("callers", "connection {}: a frame that can't be trusted, closed", tag);
       put(caller, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
-      connection.close();
-      break;
+      connection.stop_reading();
+      caller.input_over = true;
+      after_answer(caller);
+      return bytes.size();
     }
     used += frame.length;
     traffic(caller);
@@ -235,17 +239,21 @@
 
 void Callers::close_idle(double after) {
   idle_after_ = after;
-  if (idle_timer_.number == 0 && after > 0) look_for_idle();
+  reactor_.cancel(idle_timer_);
+  if (after > 0) look_for_idle();
 }
 
 // The list is in the order of traffic, so that only those that are idle are looked at. A caller that is asked
 // for no more closes by itself: nothing that crosses is lost. One that does not is closed after a while.
 void Callers::look_for_idle() {
   const double now = net::monotonic_now();
+  double next = idle_after_;
   for (auto it = by_traffic_.begin(); it != by_traffic_.end();) {
     const std::uint64_t tag = *it++;
     Caller& caller = open_.at(tag);
-    if (now - caller.last_traffic < idle_after_) break;
+    next = caller.last_traffic + idle_after_ - now;
+    if (next > 0) break;
+    next = kNoMorePatience;
     if (!caller.requests.empty()) {  // it waits for an answer; back to the end, looked at again later
       traffic(caller);
     } else if (caller.asked_no_more < 0) {
@@ -254,7 +262,7 @@
       caller.connection->close();
     }
   }
-  idle_timer_ = reactor_.after(kIdleLook, [this] { look_for_idle(); });
+  idle_timer_ = reactor_.after(std::clamp(next, kIdleLook, kIdleLookMost), [this] { look_for_idle(); });
 }
 
 void Callers::stop_listening() { listener_.close(); }
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -582,13 +582,18 @@
     site.caller_hears(caller);
   }
   const int other = site.connect();
+  site.send_op(other, 2);
+  site.runtime_hears();
+  site.runtime_hears();
   put(other, "Content-Length: 99999\r\n\r\n");
   site.caller_hears(other);
+  site.runtime_says("end 1 " + kId2 + " complete 20 3\r\ntwo");
+  site.caller_hears(other);
   site.caller_hears(other);
   // The first connection is as before; its caller closes its side and still hears the answer.
   ::shutdown(caller, SHUT_WR);
   site.pause(0.1);
-  site.runtime_says("end 1 " + kId1 + " complete 20 6\r\nresult");
+  site.runtime_says("end 2 " + kId1 + " complete 20 6\r\nresult");
   site.caller_hears(caller);
   site.caller_hears(caller);
   site.counters({"bad.frames", "bad.json", "bad.requests", "bad.params", "bad.types", "bad.ids", "ops.read",
