runtime.resent counts what was sent before; tests of a silent link and of a caller that does not read

Seen: the new test silent_link printed runtime.resent as 1 in four runs of five and 0 in the other. Checked with a line for each gauge reading: the start had been proven by three readings, so nothing was sent twice; in the other runs the op came before the first link had caught up, and its start, sent for the first time then, was counted. Wrong: Runtime::caught_up counted all it sent. Now each command knows whether it has left. The slow caller's test shows that it is not read from while its answers wait, that a health check on another connection is answered meanwhile, and that every answer comes once it reads.

--- a/src/peers/runtime.cpp
+++ b/src/peers/runtime.cpp
@@ -178,8 +178,11 @@
   }
   std::sort(again.begin(), again.end(),
             [](const Unproven* a, const Unproven* b) { return a->number < b->number; });
-  for (const Unproven* one : again) send(one->text);
-  counters_.add(Count::kRuntimeResent, again.size());
+  for (Unproven* one : again) {
+    if (one->sent) counters_.add(Count::kRuntimeResent);
+    one->sent = true;
+    send(one->text);
+  }
 }
 
 Gauges Runtime::gauges(double now) const { return now - gauges_at_ <= kGaugesFresh ? gauges_ : Gauges{}; }
@@ -207,6 +210,7 @@
 void Runtime::command(Unproven& slot, std::string text) {
   slot.number = ++commands_;
   slot.text = std::move(text);
+  slot.sent = synced_;
   if (synced_) send(slot.text);
 }
 
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -39,6 +39,7 @@
   // has.
   struct Unproven {
     std::uint64_t number = 0;  // 0: none
+    bool sent = false;         // before, on this link or another
     std::string text;
   };
   struct UnprovenOf {
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -154,8 +154,10 @@
   }
 
   // ---- Callers.
-  int connect() {
+  int connect(bool reads = true) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int little = 4096;
+    if (!reads) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &little, sizeof little);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -164,9 +166,11 @@
       ::close(fd);
       return -1;
     }
-    callers_[fd];
+    if (reads) callers_[fd];
     return fd;
   }
+  void reads(int fd) { callers_[fd]; }  // from now on
+  void keep_sending(int fd, const std::string& rest) { unsent_[fd] = rest; }
   void hang_up(int fd, bool reset = false) {
     const linger now{1, 0};
     if (reset) ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -274,6 +278,10 @@
       for (const auto& [fd, caller] : callers_) {
         if (!caller.over) fds.push_back({fd, POLLIN, 0});
       }
+      for (auto& [fd, rest] : unsent_) {
+        const ssize_t wrote = ::send(fd, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (wrote > 0) rest.erase(0, static_cast<std::size_t>(wrote));
+      }
       ::poll(fds.data(), fds.size(), 10);
       for (const pollfd& ready : fds) {
         if (ready.revents != 0) take(ready.fd);
@@ -341,6 +349,7 @@
   std::map<std::string, std::string> buffers_;
   std::deque<std::string> runtime_lines_, below_lines_, reports_, log_lines_;
   std::map<int, Caller> callers_;
+  std::map<int, std::string> unsent_;
 };
 
 const std::string kId1 = "0000000000000001", kId2 = "0000000000000002";
@@ -536,6 +545,58 @@
   site.ends();
 }
 
+// A runtime that says nothing any more: the link is opened anew, and what was under way goes on.
+void silent_link() {
+  Site site;
+  site.runtime_comes_up();
+  site.roster_hears("HERE n1 on");
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", R"("ram":10,"limit":9000)");
+  site.runtime_hears();
+  site.runtime_hears();
+  site.pause(0.3);
+  site.answers_gauges = false;
+  site.runtime_comes_up("hot 5000");  // on the new link
+  site.answers_gauges = true;
+  site.runtime_says("end 1 " + kId1 + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.counters({"runtime.links", "runtime.silent", "runtime.resent"});
+}
+
+// A caller that does not read is not read from either, and holds up nobody; once it reads, it has every
+// answer.
+void slow_reader() {
+  Site site;
+  site.runtime_comes_up();
+  site.roster_hears("HERE n1 on");
+  const int slow = site.connect(false);
+  const std::string body =
+      R"({"jsonrpc":"2.0","id":5,"method":"no such type","params":{"txn":"0000000000000005","ram":1}})";
+  const std::string frame = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::size_t sent = 0;
+  bool stuck = false;
+  for (std::string rest; !stuck && sent < 400000;) {
+    if (rest.empty()) rest = frame, ++sent;
+    const ssize_t wrote = ::send(slow, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (wrote > 0) rest.erase(0, static_cast<std::size_t>(wrote));
+    if (wrote < 0) {
+      pollfd writable{slow, POLLOUT, 0};
+      stuck = ::poll(&writable, 1, 500) == 0;
+      if (stuck && !rest.empty() && rest.size() < frame.size()) site.keep_sending(slow, rest);
+      if (stuck && rest.size() == frame.size()) --sent;
+    }
+  }
+  std::printf("the slow caller is kept waiting: %s\n", stuck ? "yes" : "no");
+  const int other = site.connect();
+  site.send(other, R"({"jsonrpc":"2.0","id":1,"method":"health","params":{}})");
+  site.caller_hears(other);
+  site.reads(slow);
+  std::size_t answers = 0;
+  while (answers < sent && site.heard(slow).find("unknown op type") != std::string::npos) ++answers;
+  std::printf("every answer came: %s\n", answers == sent ? "yes" : "no");
+  site.counters({"bad.slow_peers", "callers.reset"});
+}
+
 // More connections than descriptors allow: accepting pauses, and goes on when some close. Nobody is lost.
 void flood() {
   Site site("", R"(,"limits":{"sockets":64})");
@@ -626,6 +687,8 @@
                                                            {"due", due},
                                                            {"leaving", leaving},
                                                            {"flood", flood},
+                                                           {"silent_link", silent_link},
+                                                           {"slow_reader", slow_reader},
                                                            {"bad_callers", bad_callers},
                                                            {"rest", rest}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
