--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -597,6 +597,32 @@
   site.counters({"bad.slow_peers", "callers.reset"});
 }
 
+// Callers that do not come back: idle connections are told to send no more, and an op that crosses that is
+// served.
+void idle() {
+  Site site(R"(,"caller-idle":3000)");
+  site.runtime_comes_up();
+  site.roster_hears("HERE n1 on");
+  const int caller = site.connect();
+  int nacked = 0;
+  for (int i = 1; i <= 40; ++i) {
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  R"({"jsonrpc":"2.0","id":%d,"method":"push","params":{"txn":"%016x","lb":%d,"ram":1999}})",
+                  i, i, i);
+    site.send(caller, text);
+    nacked += site.heard(caller).find("-32001") != std::string::npos;
+  }
+  std::printf("nacked, of as many callers: %d\n", nacked);
+  site.caller_hears(caller);
+  site.send_op(caller, 100);
+  site.runtime_hears();
+  site.runtime_hears();
+  site.runtime_says("end 1 0000000000000064 complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.counters({"callers.no_more", "ops.nacked", "ops.acked"});
+}
+
 // More connections than descriptors allow: accepting pauses, and goes on when some close. Nobody is lost.
 void flood() {
   Site site("", R"(,"limits":{"sockets":64})");
@@ -687,6 +713,7 @@
                                                            {"due", due},
                                                            {"leaving", leaving},
                                                            {"flood", flood},
+                                                           {"idle", idle},
                                                            {"silent_link", silent_link},
                                                            {"slow_reader", slow_reader},
                                                            {"bad_callers", bad_callers},
