--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -102,9 +102,15 @@
     std::printf("runtime hears: %s\n", taken(runtime_lines_).c_str());
     put(runtime_, "ready " + state + "\r\n");
   }
-  void runtime_hears() {
-    std::printf("runtime hears: %s\n",
-                pump([&] { return !runtime_lines_.empty(); }) ? taken(runtime_lines_).c_str() : "(nothing)");
+  void comes_up() {
+    runtime_comes_up();
+    roster_hears("HERE n1 on");
+  }
+  void runtime_hears(int lines = 1) {
+    for (int i = 0; i < lines; ++i) {
+      const bool came = pump([&] { return !runtime_lines_.empty(); });
+      std::printf("runtime hears: %s\n", came ? taken(runtime_lines_).c_str() : "(nothing)");
+    }
   }
   void runtime_says(const std::string& text) {
     std::printf("runtime says: %s\n", replaced(text, "\r\n", " / ").c_str());
@@ -121,11 +127,13 @@
   bool answers_gauges = true;
 
   // ---- The layer below.
-  void below_hears() {
-    std::string line = pump([&] { return !below_lines_.empty(); }) ? taken(below_lines_) : "(nothing)";
-    // The patience hangs on the clock.
-    if (line.rfind("invoke", 0) == 0) line.replace(24, line.find(' ', 24) - 24, "MS");
-    std::printf("below hears: %s\n", line.c_str());
+  void below_hears(int lines = 1) {
+    for (int i = 0; i < lines; ++i) {
+      std::string line = pump([&] { return !below_lines_.empty(); }) ? taken(below_lines_) : "(nothing)";
+      // The patience hangs on the clock.
+      if (line.rfind("invoke", 0) == 0) line.replace(24, line.find(' ', 24) - 24, "MS");
+      std::printf("below hears: %s\n", line.c_str());
+    }
   }
   void below_says(const std::string& text) {
     std::printf("below says: %s\n", replaced(text, "\r\n", " / ").c_str());
@@ -357,25 +365,20 @@
 // From the caller to the runtime, below and back, with every body unchanged; then the sums of the counters.
 void served() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send(caller, R"({"jsonrpc":"2.0","id":9,"method":"health","params":{"probe":true}})");
   site.caller_hears(caller);
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("wants 1 " + kId1 + " 4\r\ncall");
-  site.below_hears();
-  site.below_hears();
+  site.below_hears(2);
   site.below_says(kId1 + " ok 5\r\nreply");
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("end 2 " + kId1 + " complete 20 6\r\nresult");
   site.caller_hears(caller);
   site.send_op(caller, 2, "pull");
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("end 3 " + kId2 + " error 20 0\r\n");
   site.caller_hears(caller);
   site.send_op(caller, 3, "push", R"("ram":1999,"limit":3000)");
@@ -383,8 +386,7 @@
   site.send_op(caller, 4);
   site.runtime_hears();
   site.hang_up(caller, true);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("end 4 0000000000000004 cancelled 20 0\r\n");
   site.counters({"ops.read", "ops.acked", "ops.nacked", "ops.failed", "ops.gone", "runs.complete",
                  "runs.error", "runs.cancelled", "calls.made", "calls.ok", "checks.good"});
@@ -408,17 +410,14 @@
 // has ended meanwhile, is not.
 void broken_link() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   site.pause(0.3);
   site.answers_gauges = false;
   const int caller = site.connect();
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.send_op(caller, 2);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_breaks();
   site.answers_gauges = true;
   site.runtime_comes_up("hot 900");
@@ -438,16 +437,14 @@
 // Lines that can't be used are counted; when the framing is lost, the link is opened anew.
 void bad_runtime() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   site.runtime_says("what is this");
   site.runtime_says("end 1 0000000000000077 complete 20 2\r\nhm");
   site.runtime_says("info 2 some words");
   site.runtime_says("nack stop 0000000000000077");
   const int caller = site.connect();
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("nack start " + kId1);
   site.caller_hears(caller);
   site.runtime_says("wants 3 " + kId1 + " 99999999");
@@ -458,15 +455,12 @@
 // Patience is kept here: a late reply finds the call given up, and the run has gone on without it.
 void late_reply() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("wants 1 " + kId1 + " 4\r\ncall");
-  site.below_hears();
-  site.below_hears();
+  site.below_hears(2);
   site.below_hears();    // given up
   site.runtime_hears();  // left out
   site.below_says(kId1 + " ok 5\r\nreply");
@@ -480,19 +474,15 @@
 // again.
 void calls() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1, "pull");
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("wants 1 " + kId1 + " 4\r\ncall");
-  site.below_hears();
-  site.below_hears();
+  site.below_hears(2);
   site.below_says("what is this");
   site.below_says(kId1 + " overload");
-  site.below_hears();
-  site.below_hears();
+  site.below_hears(2);
   site.below_goes_down();
   site.below_breaks();
   site.caller_hears(caller);  // failed: nothing can be left out
@@ -503,12 +493,10 @@
 // An op that is due is answered though its run goes on; a run that ends later gives no second answer.
 void due() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1, "push", R"("ram":10,"limit":300)");
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.caller_hears(caller);
   site.runtime_hears();
   site.runtime_says("end 1 " + kId1 + " complete 300 6\r\nresult");
@@ -521,12 +509,10 @@
 // in time.
 void leaving() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.signal(SIGTERM);
   site.caller_hears(caller);
   site.roster_hears("HERE n1 off");
@@ -548,12 +534,10 @@
 // A runtime that says nothing any more: the link is opened anew, and what was under way goes on.
 void silent_link() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1, "push", R"("ram":10,"limit":9000)");
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.pause(0.3);
   site.answers_gauges = false;
   site.runtime_comes_up("hot 5000");  // on the new link
@@ -567,8 +551,7 @@
 // answer.
 void slow_reader() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int slow = site.connect(false);
   const std::string body =
       R"({"jsonrpc":"2.0","id":5,"method":"no such type","params":{"txn":"0000000000000005","ram":1}})";
@@ -601,8 +584,7 @@
 // served.
 void idle() {
   Site site(R"(,"caller-idle":3000)");
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   int nacked = 0;
   for (int i = 1; i <= 40; ++i) {
@@ -616,8 +598,7 @@
   std::printf("nacked, of as many callers: %d\n", nacked);
   site.caller_hears(caller);
   site.send_op(caller, 100);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   site.runtime_says("end 1 0000000000000064 complete 20 6\r\nresult");
   site.caller_hears(caller);
   site.counters({"callers.no_more", "ops.nacked", "ops.acked"});
@@ -626,8 +607,7 @@
 // More connections than descriptors allow: accepting pauses, and goes on when some close. Nobody is lost.
 void flood() {
   Site site("", R"(,"limits":{"sockets":64})");
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   std::vector<int> callers;
   for (int i = 0; i < 60; ++i) {
     callers.push_back(site.connect());
@@ -649,12 +629,10 @@
 // trusted.
 void bad_callers() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.send_op(caller, 1);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   const std::string head = R"({"jsonrpc":"2.0","id":5,"method":)";
   for (const std::string& body :
        {std::string("{"), std::string("[]"), std::string(R"({"jsonrpc":"2.0","id":"x","method":"push"})"),
@@ -670,8 +648,7 @@
   }
   const int other = site.connect();
   site.send_op(other, 2);
-  site.runtime_hears();
-  site.runtime_hears();
+  site.runtime_hears(2);
   put(other, "Content-Length: 99999\r\n\r\n");
   site.caller_hears(other);
   site.runtime_says("end 1 " + kId2 + " complete 20 3\r\ntwo");
@@ -690,8 +667,7 @@
 // A poll that returns at once for ever shows in the processor time of a backend that does nothing.
 void rest() {
   Site site;
-  site.runtime_comes_up();
-  site.roster_hears("HERE n1 on");
+  site.comes_up();
   const int caller = site.connect();
   site.pause(0.2);
   const double before = site.processor_time();
