SIGHUP moves all links to new addresses; calls below get connections of their own

Now app/backend reads the file again and each peer moves its own links: the runtime's old link serves until the new one is made and says sync; calls in hand stay where they are; the roster hears of us at once. A file that can't be used leaves the old one, with one line. In the same files, by reading: all calls shared one connection (below.cpp connect/on_end), an unreadable line was counted and reading went on, a gap in the notices or a remark's number dropped what was lower (runtime.cpp is_new), an answer to gauges proved commands that may be lost with the link. The effect of the second part is not measured yet.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -9,25 +9,35 @@
 namespace {
 
 constexpr int kOwnSockets = 32;        // descriptors: listener, peers, reactor, log, and some to spare
+constexpr int kBelowShare = 8;         // a part of this many of the descriptors may be connections below
 constexpr double kOutputShare = 0.25;  // of the memory limit: answers that callers do not take
 constexpr double kBytesPerMb = 1024 * 1024;
 constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
 constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
 constexpr double kEndMargin = 0.06;     // s before the kill: the end in any case
 
-peers::Callers::Limits caller_limits(const Limits& limits) {
-  int sockets = limits.sockets;
+int descriptors(const Limits& limits) {
   rlimit own{};
-  if (::getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur < static_cast<rlim_t>(sockets))
-    sockets = static_cast<int>(own.rlim_cur);
-  return {std::max(1, sockets - kOwnSockets),
+  if (::getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur < static_cast<rlim_t>(limits.sockets))
+    return static_cast<int>(own.rlim_cur);
+  return limits.sockets;
+}
+
+std::size_t below_links(const Limits& limits) {
+  return static_cast<std::size_t>(std::max(1, descriptors(limits) / kBelowShare));
+}
+
+peers::Callers::Limits caller_limits(const Limits& limits) {
+  const int others = kOwnSockets + static_cast<int>(below_links(limits));
+  return {std::max(1, descriptors(limits) - others),
           static_cast<std::size_t>(limits.memory_mb * kOutputShare * kBytesPerMb)};
 }
 
 }  // namespace
 
-Backend::Backend(const Config& config, Logger& log)
+Backend::Backend(const Config& config, Reread reread, Logger& log)
     : config_(config),
+      reread_(std::move(reread)),
       log_(log),
       book_(ports_, counters_),
       send_(ports_, config_.site, counters_),
@@ -38,12 +48,13 @@
       callers_(reactor_, config_.listen, config_.site.type_names, caller_limits(config_.limits), take_in_,
                counters_, log_),
       runtime_(reactor_, config_.runtime, config_.site.gauges, relay_, counters_, log_),
-      below_(reactor_, config_.below, relay_, counters_, log_),
+      below_(reactor_, config_.below, below_links(config_.limits), relay_, counters_, log_),
       roster_(reactor_, config_.roster, config_.name, counters_) {
   ports_ = {&callers_, &runtime_, &below_, &roster_};
   std::signal(SIGPIPE, SIG_IGN);
   reactor_.on_signal(SIGTERM, [this] { leave(); });
   reactor_.on_signal(SIGINT, [this] { leave(); });
+  reactor_.on_signal(SIGHUP, [this] { reload(); });
   reactor_.on_signal(SIGUSR1, [this] { report(); });
 }
 
@@ -57,6 +68,24 @@
 
 void Backend::report() { log_.block(counters_.report()); }
 
+// Addresses of peers move while everything goes on; each peer moves its own links. Guards against a file that
+// is missing, cut short or wrong when it is read: then the old configuration stays, whole.
+void Backend::reload() {
+  Config next;
+  try {
+    next = reread_();
+  } catch (const std::exception& error) {
+    return log_.error("backend", "new configuration not taken, the old one stays: {}", error.what());
+  }
+  log_.info("backend", "new configuration: runtime {}, below {}, roster {}", next.runtime, next.below,
+            next.roster);
+  if (next.listen != config_.listen || next.name != config_.name)
+    log_.warn("backend", "a new name or listening address is taken at the next start only");
+  runtime_.move_to(config_.runtime = next.runtime);
+  below_.move_to(config_.below = next.below);
+  roster_.move_to(config_.roster = next.roster);
+}
+
 void Backend::leave() {
   if (leaving_since_ >= 0) return;
   leaving_since_ = net::monotonic_now();
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -1,6 +1,7 @@
 // One backend: its peers and stages put together, and its life from the first link to the last answer.
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "app/counters.h"
@@ -22,18 +23,22 @@
 
 class Backend {
  public:
+  // Reads the configuration anew; throws std::exception with one plain line where it can't be used.
+  using Reread = std::function<Config()>;
   // Throws std::exception with one plain line where an address can't be used.
-  Backend(const Config& config, Logger& log);
+  Backend(const Config& config, Reread reread, Logger& log);
   // Serves until the notice to leave has been followed to its end. Returns the exit status.
   int run();
   std::uint16_t port() const { return callers_.port(); }
 
  private:
   void leave();
+  void reload();
   void look_at_leaving();
   void report();
 
-  const Config config_;
+  Config config_;
+  const Reread reread_;
   Logger& log_;
   Counters counters_;
   net::Reactor reactor_;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -53,7 +53,8 @@
   if (!level) throw WrongUse(fmt::format("--log-level: '{}' is none of error, warning, info, debug", name));
   const Config config = usable_config(flags);
   Logger log(*level);
-  Backend backend(config, log);
+  Backend backend(
+      config, [&flags] { return usable_config(flags); }, log);
   return backend.run();
 }
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -169,6 +169,11 @@
   reactor_.post([self = shared_from_this(), why] { self->owner_.on_end(*self, why); });
 }
 
+bool Connection::nothing_to_read() const {
+  char byte;
+  return ::recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Connection::read_some() {
   char bytes[16 * 1024];
   std::size_t taken = 0;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -65,7 +65,8 @@
   bool connected() const { return state_ == State::kOpen; }
   bool open() const { return state_ != State::kClosed; }
   std::size_t waiting() const { return out_.size() - out_at_; }
-  std::uint64_t tag = 0;  // the owner's name for it
+  bool nothing_to_read() const;  // neither bytes nor the peer's end: asks the system, not the reactor
+  std::uint64_t tag = 0;         // the owner's name for it
 
  private:
   enum class State { kConnecting, kOpen, kClosed };
--- a/src/net/datagram.cpp
+++ b/src/net/datagram.cpp
@@ -6,6 +6,11 @@
 
 Datagrams::Datagrams(const Poco::Net::SocketAddress& to) : to_(to), socket_(to.family()) {}
 
+void Datagrams::move_to(const Poco::Net::SocketAddress& to) {
+  if (to.af() != to_.af()) socket_ = Poco::Net::DatagramSocket(to.family());
+  to_ = to;
+}
+
 // Not connected: a connected socket would report the last datagram's refusal on the next one and lose that
 // too.
 bool Datagrams::send(std::string_view bytes) {
--- a/src/net/datagram.h
+++ b/src/net/datagram.h
@@ -11,6 +11,7 @@
 class Datagrams {
  public:
   explicit Datagrams(const Poco::Net::SocketAddress& to);
+  void move_to(const Poco::Net::SocketAddress& to);
   // One that can't be sent now is lost, as datagrams are; false then.
   bool send(std::string_view bytes);
 
--- a/src/peers/below.h
+++ b/src/peers/below.h
@@ -1,10 +1,12 @@
-// The layer below: calls on one kept connection, with their patience kept here. Each call ends once.
+// The layer below: calls on a small pool of connections, with their patience kept here. Each call ends once.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "app/counters.h"
 #include "app/logger.h"
@@ -16,16 +18,26 @@
 class Below : public BelowPort, private net::ConnectionOwner {
  public:
   // An address that is empty: nothing is ever called.
-  Below(net::Reactor& reactor, const std::string& address, BelowEvents& events, Counters& counters,
-        Logger& log);
+  Below(net::Reactor& reactor, const std::string& address, std::size_t most_links, BelowEvents& events,
+        Counters& counters, Logger& log);
   ~Below() override;
 
   void call(OpId id, double patience, std::string_view body) override;
   void cancel(OpId id) override;
+  // The layer is reached elsewhere from now on; calls in hand stay where they are.
+  void move_to(const std::string& address);
 
  private:
+  struct Link {
+    std::shared_ptr<net::Connection> connection;
+    std::vector<OpId> calls;  // in hand on it: one, unless there is no descriptor left for another
+    OpId last = 0;            // whose call it carried last
+    double idle_since = 0;
+    bool spent = false;          // takes no new call, and closes after its last one
+    net::Reactor::TimerId rest;  // until which a reply that has begun must be whole
+  };
   struct Call {
-    std::uint64_t connection = 0;
+    std::uint64_t link = 0;
     bool sent = false;  // a byte of it may have left
     double since = 0;
     net::Reactor::TimerId patience;
@@ -36,20 +48,22 @@
   void on_end_of_input(net::Connection& connection) override;
   void on_end(net::Connection& connection, net::End why) override;
 
-  void connect();
+  std::uint64_t link_for_call(OpId id);
+  void take_off(OpId id, std::uint64_t tag, bool answered);
   void end(OpId id, Outcome outcome, std::string_view reply);
   void patience_over(OpId id);
+  void spoilt(Link& link, const char* what);
   void look_for_idle();
 
   net::Reactor& reactor_;
   std::string address_;
+  std::size_t most_links_;
   BelowEvents& events_;
   Counters& counters_;
   Logger& log_;
-  std::shared_ptr<net::Connection> link_;
+  std::map<std::uint64_t, Link> links_;  // by the connection's tag: the newest last
   std::uint64_t next_tag_ = 1;
   std::unordered_map<OpId, Call> calls_;
-  double last_traffic_ = 0;
   net::Reactor::TimerId idle_timer_;
 };
 
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -20,10 +20,16 @@
 
 void Roster::report(bool takes_work) {
   takes_work_ = takes_work;
+  reports_ = true;
   reactor_.cancel(timer_);
   send();
 }
 
+void Roster::move_to(const std::string& address) {
+  datagrams_.move_to(net::parse_address(address));
+  if (reports_) report(takes_work_);
+}
+
 void Roster::send() {
   if (datagrams_.send(wire::encode_report(name_, takes_work_))) counters_.add(Count::kRosterReports);
   timer_ = reactor_.after(kEvery, [this] { send(); });
--- a/src/peers/roster.h
+++ b/src/peers/roster.h
@@ -15,6 +15,7 @@
   Roster(net::Reactor& reactor, const std::string& address, std::string name, Counters& counters);
   ~Roster() override;
   void report(bool takes_work) override;
+  void move_to(const std::string& address);
 
  private:
   void send();
@@ -24,6 +25,7 @@
   Counters& counters_;
   net::Datagrams datagrams_;
   bool takes_work_ = false;
+  bool reports_ = false;  // nothing is said before the first report
   net::Reactor::TimerId timer_;
 };
 
--- a/src/peers/runtime.cpp
+++ b/src/peers/runtime.cpp
@@ -9,9 +9,11 @@
 
 constexpr double kSecondsPerMs = 0.001;
 constexpr double kConnectAgain = 0.05;  // s; a runtime on the same machine that is not up yet
-constexpr double kSilence = 3;        // s without the gauges that were asked for: the link is taken for lost
-constexpr double kSilenceLook = 0.5;  // s; between looks
-constexpr double kGaugesFresh = 0.5;  // s; an older reading says nothing about now
+constexpr double kConnectPatience = 1;  // s; a connection on the same machine is made at once or not at all
+constexpr double kSilence = 1;  // s without the answer to `sync` or gauges that is owed: the link is lost
+constexpr double kLostWithLink = 0.25;  // s; 50 ms before the break, and the time until we heard of it
+constexpr double kSilenceLook = 0.25;   // s; between looks
+constexpr double kGaugesFresh = 0.5;    // s; an older reading says nothing about now
 constexpr std::size_t kInputBytes = 256 * 1024;        // a line with its payload is under 70 KiB
 constexpr std::size_t kOutputBytes = 8 * 1024 * 1024;  // commands behind a runtime that does not read
 
@@ -46,12 +48,31 @@
 }
 
 void Runtime::connect() {
-  link_ =
+  reactor_.cancel(connect_timer_);
+  coming_ =
       net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+  connect_timer_ = reactor_.after(kConnectPatience, [this] {
+    if (coming_) coming_->close(net::End::kRefused);
+  });
+}
+
+// The old link serves until the new one is made. Guards against addresses that change under load, again
+// before the last change is through, or while there is no link at all.
+void Runtime::move_to(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (coming_) coming_->close();
+  connect();
 }
 
 void Runtime::on_connected(net::Connection& connection) {
   counters_.add(Count::kRuntimeLinks);
+  if (link_) {
+    link_->close();
+    broke_at_ = net::monotonic_now();
+  }
+  link_ = std::move(coming_);
+  reactor_.cancel(connect_timer_);
   greeted_ = synced_ = false;
   asked_at_ = -1;
   heard_at_ = net::monotonic_now();
@@ -60,15 +81,20 @@
 
 void Runtime::on_end_of_input(net::Connection& connection) { connection.close(net::End::kBroken); }
 
-void Runtime::on_end(net::Connection& connection, net::End why) {
-  if (&connection != link_.get()) return;
-  if (why != net::End::kRefused) {
+void Runtime::on_end(net::Connection& connection, net::End /*why*/) {
+  if (&connection == coming_.get()) {  // refused
+    coming_.reset();
+    reactor_.cancel(connect_timer_);
+    connect_timer_ = reactor_.after(kConnectAgain, [this] { connect(); });
+  } else if (&connection == link_.get()) {
     counters_.add(Count::kRuntimeBroken);
     log_.warn("runtime", "link lost, connecting again");
+    link_.reset();
+    broke_at_ = net::monotonic_now();
+    greeted_ = synced_ = false;
+    asked_at_ = -1;
+    if (!coming_) connect();
   }
-  greeted_ = synced_ = false;
-  asked_at_ = -1;
-  connect_timer_ = reactor_.after(kConnectAgain, [this] { connect(); });
 }
 
 std::size_t Runtime::on_input(net::Connection& connection, std::string_view bytes) {
@@ -98,6 +124,12 @@
   if (number != last_notice_ + 1) {
     counters_.add(Count::kRuntimeGaps);
     log_.warn("runtime", "notice {} follows {}", number, last_notice_);
+    // What is missing is asked for once; what does not come then is no longer kept there.
+    if (gap_at_ != last_notice_ + 1) {
+      gap_at_ = last_notice_ + 1;
+      link_->close(net::End::kBroken);
+      return false;
+    }
   }
   last_notice_ = number;
   return true;
@@ -128,7 +160,7 @@
     case wire::NoticeKind::kNack: return take_nack(notice);
     case wire::NoticeKind::kRemark:
       counters_.add(Count::kRuntimeInfos);
-      is_new(notice.number);
+      if (notice.number == last_notice_ + 1) last_notice_ = notice.number;  // any other means nothing
       return;
     case wire::NoticeKind::kUnknown:
       counters_.add(Count::kRuntimeBad);
@@ -141,6 +173,9 @@
   counters_.add(Count::kRuntimeNacks);
   log_.warn("runtime", "did not carry out '{}' of {}", notice.command, wire::format_id(notice.id));
   if (notice.command != "start" && notice.command != "cont") return;
+  // A resumption that was sent twice may have been carried out the first time.
+  const auto found = unproven_.find(notice.id);
+  if (notice.command == "cont" && found != unproven_.end() && found->second.work.sends > 1) return;
   unproven_.erase(notice.id);
   events_.on_not_started(notice.id);
 }
@@ -173,29 +208,32 @@
   std::vector<Unproven*> again;
   for (auto& [id, of] : unproven_) {
     for (Unproven* one : {&of.work, &of.stop}) {
-      if (one->number > proven_) again.push_back(one);
+      // Guards against commands that are lost with the link though a later one was answered.
+      const bool may_be_lost = one->number != 0 && one->sent_at >= broke_at_ - kLostWithLink;
+      if (one->number > proven_ || may_be_lost) again.push_back(one);
     }
   }
   std::sort(again.begin(), again.end(),
             [](const Unproven* a, const Unproven* b) { return a->number < b->number; });
   for (Unproven* one : again) {
-    if (one->sent) counters_.add(Count::kRuntimeResent);
-    one->sent = true;
-    send(one->text);
+    if (one->sends > 0) counters_.add(Count::kRuntimeResent);
+    send(*one);
   }
 }
 
 Gauges Runtime::gauges(double now) const { return now - gauges_at_ <= kGaugesFresh ? gauges_ : Gauges{}; }
 
 void Runtime::ask_gauges() {
-  if (!greeted_ || asked_at_ >= 0 || !link_->connected()) return;
+  if (!greeted_ || asked_at_ >= 0 || !link_ || !link_->connected()) return;
   asked_at_ = net::monotonic_now();
   tag_commands_ = commands_;
   link_->send(wire::encode_ask_gauges(++tag_));
 }
 
 void Runtime::look_for_silence() {
-  if (asked_at_ >= 0 && net::monotonic_now() - std::max(asked_at_, heard_at_) > kSilence) {
+  // Before the runtime has come up for the first time it owes nothing, however long that takes.
+  const bool owes = link_ && ready_ && (!greeted_ || asked_at_ >= 0);
+  if (owes && net::monotonic_now() - std::max(asked_at_, heard_at_) > kSilence) {
     counters_.add(Count::kRuntimeSilent);
     link_->close(net::End::kBroken);
   }
@@ -203,15 +241,21 @@
 }
 
 void Runtime::send(std::string_view text) {
-  if (link_->connected()) link_->send(text);
+  if (link_ && link_->connected()) link_->send(text);
 }
 
 // Until what was missed has been read, commands wait among the unproven.
 void Runtime::command(Unproven& slot, std::string text) {
   slot.number = ++commands_;
   slot.text = std::move(text);
-  slot.sent = synced_;
-  if (synced_) send(slot.text);
+  slot.sends = 0;
+  if (synced_) send(slot);
+}
+
+void Runtime::send(Unproven& one) {
+  ++one.sends;
+  one.sent_at = net::monotonic_now();
+  send(one.text);
 }
 
 void Runtime::start(OpId id, std::string_view type, std::string_view body) {
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -24,6 +24,9 @@
           Counters& counters, Logger& log);
   ~Runtime() override;
 
+  // The runtime is reached elsewhere from now on: runs and the numbers of notices go on.
+  void move_to(const std::string& address);
+
   void start(OpId id, std::string_view type, std::string_view body) override;
   void stop(OpId id) override;
   void resume(OpId id) override;
@@ -39,7 +42,8 @@
   // has.
   struct Unproven {
     std::uint64_t number = 0;  // 0: none
-    bool sent = false;         // before, on this link or another
+    int sends = 0;             // so far, on this link or another
+    double sent_at = 0;        // last
     std::string text;
   };
   struct UnprovenOf {
@@ -60,6 +64,7 @@
   void caught_up();
   void command(Unproven& slot, std::string text);
   void send(std::string_view text);
+  void send(Unproven& one);
   void look_for_silence();
 
   net::Reactor& reactor_;
@@ -69,10 +74,13 @@
   Counters& counters_;
   Logger& log_;
   std::shared_ptr<net::Connection> link_;
-  bool greeted_ = false;  // the runtime has said on this link that it is up
-  bool synced_ = false;   // what was missed has been read on this link
-  bool ready_ = false;    // the runtime has come up
+  std::shared_ptr<net::Connection> coming_;  // takes the place of link_ once it is made
+  bool greeted_ = false;                     // the runtime has said on this link that it is up
+  bool synced_ = false;                      // what was missed has been read on this link
+  bool ready_ = false;                       // the runtime has come up
   std::uint64_t last_notice_ = 0;
+  std::uint64_t gap_at_ = 0;    // the missing notice for which the link was opened anew
+  double broke_at_ = -1e9;      // when the last link ended
   std::uint64_t commands_ = 0;  // sent so far, by number
   std::uint64_t proven_ = 0;    // all up to this one have arrived
   std::unordered_map<OpId, UnprovenOf> unproven_;
--- a/src/wire/below_lines.cpp
+++ b/src/wire/below_lines.cpp
@@ -3,12 +3,29 @@
 #include <fmt/format.h>
 
 namespace damsonspoke::wire {
+namespace {
+
+constexpr std::size_t kIdDigits = 16;
+constexpr std::size_t kLongestReplyLine = 64;  // bytes; id, word and length take half of that
+
+// Whether what has come so far can be the beginning of a reply. Guards against noise and lines without an
+// end, which would otherwise be waited for.
+bool may_begin_reply(std::string_view input) {
+  for (std::size_t i = 0; i < input.size() && i < kIdDigits; ++i) {
+    const char c = input[i];
+    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'))) return false;
+  }
+  return input.size() <= kIdDigits || (input[kIdDigits] == ' ' && input.size() <= kLongestReplyLine);
+}
+
+}  // namespace
 
 ReplyRead next_reply(std::string_view input) {
   ReplyRead read;
   const WordLine line = next_line(input);
   read.state = line.state;
   read.length = line.length;
+  if (line.state == LineState::kNeedMore && !may_begin_reply(input)) read.state = LineState::kBroken;
   if (line.state != LineState::kLine || line.words.size() < 2) return read;
   const std::string_view word = line.words[1];
   if (word == "ok") {
