Connections that say nothing, stall or send what is of no use go; a full table makes room

At its limit the listener paused (callers.cpp on_accept), so edge nodes waited behind connections that ask once and stay, or never ask. Ruled out: load by bad ops (one op each at most, which the runtime nacks). Now a first request has 2 s, any request 1.5 s from its first byte, output 5 s to be taken, 15 s of idling end with noMore, sixteen messages that are no request end the connection, and a newcomer at a full table takes the place of the oldest silent, else the longest idle one. A frame is 8 KiB at most; only the rest of a piece is kept, so input costs 24 KB a connection at most.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -21,11 +21,11 @@
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 
-constexpr std::size_t kReadAtOnce = 64 * 1024;    // bytes; then the other sockets get their turn
-constexpr std::size_t kKeptCapacity = 16 * 1024;  // bytes that an empty buffer may go on holding
-constexpr int kAcceptAtOnce = 64;                 // connections; then the other sockets get their turn
-constexpr int kBacklog = 1024;                    // connections that may wait to be accepted
-constexpr double kAcceptRetry = 0.05;             // s; out of descriptors: until some are likely to be free
+constexpr std::size_t kReadAtOnce = 16 * 1024;   // bytes; then the other sockets get their turn
+constexpr std::size_t kKeptCapacity = 4 * 1024;  // bytes that a buffer may hold beyond what is in it
+constexpr int kAcceptAtOnce = 64;                // connections; then the other sockets get their turn
+constexpr int kBacklog = 1024;                   // connections that may wait to be accepted
+constexpr double kAcceptRetry = 0.05;            // s; out of descriptors: until some are likely to be free
 
 void no_delay(int fd) {
   const int on = 1;
@@ -163,7 +163,7 @@
   watch(false, false, false);
   state_ = State::kClosed;
   release(waiting());
-  out_.clear();
+  out_ = {};
   out_at_ = 0;
   socket_.close();
   reactor_.post([self = shared_from_this(), why] { self->owner_.on_end(*self, why); });
@@ -175,25 +175,29 @@
 }
 
 void Connection::read_some() {
-  char bytes[16 * 1024];
-  std::size_t taken = 0;
-  while (taken < kReadAtOnce && state_ == State::kOpen && !paused_ && !input_over_) {
-    const ssize_t got = ::recv(fd(), bytes, sizeof bytes, MSG_DONTWAIT);
-    if (got < 0) {
-      if (errno == EINTR) continue;
-      if (errno != EAGAIN && errno != EWOULDBLOCK) close(End::kBroken);
-      return;
-    }
-    if (got == 0) {
-      stop_reading();
-      owner_.on_end_of_input(*this);
-      return;
-    }
-    in_.append(bytes, static_cast<std::size_t>(got));
-    taken += static_cast<std::size_t>(got);
-    deliver();
-    if (static_cast<std::size_t>(got) < sizeof bytes) return;
+  char bytes[kReadAtOnce];
+  if (state_ != State::kOpen || paused_ || input_over_) return;
+  const ssize_t got = ::recv(fd(), bytes, sizeof bytes, MSG_DONTWAIT);
+  if (got < 0) {
+    if (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK) close(End::kBroken);
+    return;
+  }
+  if (got == 0) {
+    stop_reading();
+    owner_.on_end_of_input(*this);
+    return;
+  }
+  const std::string_view piece(bytes, static_cast<std::size_t>(got));
+  if (!in_.empty()) {
+    in_.append(piece);
+    return deliver();
   }
+  // Most pieces hold whole messages: only what is left over is kept, so that hundreds of connections cost
+  // little memory.
+  delivering_ = true;
+  const std::size_t used = owner_.on_input(*this, piece);
+  delivering_ = false;
+  if (state_ == State::kOpen) in_.assign(piece.substr(used));
 }
 
 void Connection::deliver() {
@@ -202,7 +206,7 @@
   const std::size_t used = owner_.on_input(*this, in_);
   delivering_ = false;
   in_.erase(0, used);
-  if (in_.empty() && in_.capacity() > kKeptCapacity) in_.shrink_to_fit();
+  if (in_.capacity() > in_.size() + kKeptCapacity) in_.shrink_to_fit();
   if (in_.size() > limits_.input) close(End::kOverflow);
 }
 
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -17,6 +17,15 @@
 constexpr double kIdleLook = 0.05;     // s; least time between looks at the longest idle connection
 constexpr double kIdleLookMost = 1;    // s; and most: one that comes meanwhile may be idle sooner
 constexpr double kNoMorePatience = 5;  // s; a peer that was asked for no more and does not close
+constexpr double kLookOver = 0.25;  // s; between looks at all connections for those that hold one for nothing
+constexpr double kFirstRequest = 2;    // s from accepting until a first request must be whole
+constexpr double kWholeRequest = 1.5;  // s from its first byte until any request must be whole
+constexpr double kTakeOutput = 5;      // s in which a caller must have taken what waits for it
+constexpr double kLongestIdle =
+    15;  // s; callers close idle ones after some seconds, those left are kept for good
+constexpr double kSilent = 0.1;  // s without a request; in a full table it goes before any that has asked
+constexpr int kMostFaults =
+    16;  // messages that are no sound requests; a caller that speaks our protocol has none
 
 }  // namespace
 
@@ -29,12 +38,22 @@
       log_(log),
       output_{limits.output_bytes, 0},
       listener_(reactor, net::parse_address(listen), [this](int fd) { on_accept(fd); }) {
+  look_over();
   for (std::size_t i = 0; i < type_names.size(); ++i) types_[type_names[i]] = static_cast<int>(i);
 }
 
-Callers::~Callers() { reactor_.cancel(idle_timer_); }
+Callers::~Callers() {
+  reactor_.cancel(idle_timer_);
+  reactor_.cancel(look_timer_);
+}
 
 void Callers::on_accept(int fd) {
+  // A newcomer that finds neither room nor anybody idle is closed, with nothing run, not left to wait.
+  if (static_cast<int>(open_.size()) >= limits_.connections && !make_room()) {
+    counters_.add(Count::kCallersTurnedAway);
+    ::close(fd);
+    return;
+  }
   const std::uint64_t tag = next_tag_++;
   Caller& caller = open_[tag];
   caller.connection = net::Connection::accepted(reactor_, *this, fd, {kInputBytes, kOutputBytes, &output_});
@@ -44,11 +63,26 @@
   counters_.add(Count::kCallersAccepted);
   counters_.most(Count::kCallersMost, open_.size());
   if (no_more_) ask_no_more(caller);
-  if (static_cast<int>(open_.size()) >= limits_.connections && !listener_.paused()) {
-    counters_.add(Count::kAcceptPauses);
-    log_.warn("callers", "{} connections open, accepting pauses", open_.size());
-    listener_.pause(true);
+}
+
+// Closes one connection on which nothing is open: silent ones first, the oldest of them, then the longest
+// idle. Guards against connections by hundreds that say nothing, or are kept for good, while callers with
+// work wait outside. A request that crosses the close is sent again by its caller.
+bool Callers::make_room() {
+  const double now = net::monotonic_now();
+  Caller* idle = nullptr;
+  for (const std::uint64_t tag : by_traffic_) {  // the longest without traffic first
+    Caller& caller = open_.at(tag);
+    if (!caller.requests.empty() || !caller.connection->open()) continue;
+    if (!idle) idle = &caller;
+    if (caller.has_asked || now - caller.last_traffic < kSilent) continue;
+    idle = &caller;
+    break;
   }
+  if (!idle) return false;
+  counters_.add(Count::kCallersEvicted);
+  idle->connection->close();
+  return true;
 }
 
 std::size_t Callers::on_input(net::Connection& connection, std::string_view bytes) {
@@ -61,27 +95,38 @@
     const wire::Frame frame = wire::next_frame(bytes.substr(used));
     if (frame.state == wire::Framing::kNeedMore) break;
     if (frame.state == wire::Framing::kBroken) {
-      // Nothing more is read from it; what was read before is still answered, then it is closed.
       counters_.add(Count::kBadFrames);
       log_.debug("callers", "connection {}: a frame that can't be trusted, closed", tag);
-      put(caller, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
-      connection.stop_reading();
-      caller.input_over = true;
-      after_answer(caller);
+      refuse(caller, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
       return bytes.size();
     }
     used += frame.length;
+    caller.half_since = -1;
     traffic(caller);
     take(caller, tag, frame.body);
+    if (caller.faults >= kMostFaults) {
+      counters_.add(Count::kFaultsClosed);
+      refuse(caller, wire::encode_error(0, wire::RpcError::kRequest, "too many of no use"));
+      return bytes.size();
+    }
     if (connection.waiting() > kSlowOutput) {
       connection.pause_reading(true);
-      break;
+      return counters_.add(Count::kBytesIn, used), used;
     }
   }
+  if (used < bytes.size() && caller.half_since < 0) caller.half_since = net::monotonic_now();
   counters_.add(Count::kBytesIn, used);
   return used;
 }
 
+// Nothing more is read from it; what was read before is still answered, then it is closed.
+void Callers::refuse(Caller& caller, const std::string& last_words) {
+  put(caller, last_words);
+  caller.connection->stop_reading();
+  caller.input_over = true;
+  after_answer(caller);
+}
+
 // One message. What can be told to be a request gets its one answer.
 void Callers::take(Caller& caller, std::uint64_t tag, std::string_view text) {
   wire::RpcRequest request;
@@ -89,13 +134,14 @@
   // Under a number in use an answer would be the second one to its first request.
   const bool in_use = request.has_id && caller.requests.contains(request.id);
   const std::uint64_t number = request.has_id && !in_use ? request.id : 0;
+  ++caller.faults;  // taken back where it is a sound request
   if (problem == wire::RpcProblem::kNoJson) {
     counters_.add(Count::kBadJson);
     return put(caller, wire::encode_error(number, wire::RpcError::kParse, "no JSON"));
   }
   if (problem == wire::RpcProblem::kNoRequest || !request.has_id) {
     counters_.add(Count::kBadRequests);
-    if (problem == wire::RpcProblem::kNone && request.notification) return;
+    if (problem == wire::RpcProblem::kNone && request.notification) return;  // nothing is owed for it
     return put(caller, wire::encode_error(number, wire::RpcError::kRequest, "no request"));
   }
   if (in_use) {
@@ -112,6 +158,8 @@
       return put(caller, wire::encode_error(request.id, wire::RpcError::kParams, "bad parameters"));
     }
     counters_.add(Count::kChecksRead);
+    --caller.faults;
+    caller.has_asked = true;
     caller.requests[request.id] = 0;
     return events_.on_check({tag, request.id}, request.probe);
   }
@@ -143,6 +191,8 @@
   op.limit = request.limit_ms * kSecondsPerMs;
   op.body = std::move(request.body);
   op.ticket = {tag, request.id};
+  --caller.faults;
+  caller.has_asked = true;
   caller.requests[request.id] = op.id;
   events_.on_op_read(std::move(op));
 }
@@ -212,11 +262,32 @@
   }
   std::sort(gone.begin(), gone.end());
   for (const OpId id : gone) events_.on_caller_gone(id);
-  make_room();
 }
 
-void Callers::make_room() {
-  if (static_cast<int>(open_.size()) < limits_.connections) listener_.pause(false);
+// Every connection costs a descriptor and memory: each has to ask, to finish what it began and to take its
+// answers, or it goes. Guards against callers that say nothing, stall in a request or never read.
+void Callers::look_over() {
+  const double now = net::monotonic_now();
+  for (auto& [tag, caller] : open_) {
+    net::Connection& connection = *caller.connection;
+    if (!connection.open()) continue;
+    if (connection.waiting() == 0) caller.waiting_since = -1;
+    if (connection.waiting() > 0 && caller.waiting_since < 0) caller.waiting_since = now;
+    if (caller.waiting_since >= 0 && now - caller.waiting_since > kTakeOutput) {
+      connection.close(net::End::kOverflow);
+    } else if (!caller.has_asked && now - caller.last_traffic > kFirstRequest && caller.requests.empty()) {
+      counters_.add(Count::kSilentClosed);
+      connection.close();
+    } else if (caller.half_since >= 0 && now - caller.half_since > kWholeRequest) {
+      counters_.add(Count::kHalfClosed);
+      caller.half_since = -1;
+      refuse(caller, wire::encode_error(0, wire::RpcError::kParse, "not whole in time"));
+    } else if (caller.requests.empty() && now - caller.last_traffic > kLongestIdle) {
+      ask_no_more(caller);
+      if (now - caller.asked_no_more > kNoMorePatience) connection.close();
+    }
+  }
+  look_timer_ = reactor_.after(kLookOver, [this] { look_over(); });
 }
 
 // ---- Idle connections and the end.
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -43,7 +43,11 @@
     std::unordered_map<std::uint64_t, OpId> requests;  // by number; 0 for a check
     std::list<std::uint64_t>::iterator place;          // in by_traffic_
     double last_traffic = 0;
+    double half_since = -1;     // when the request began that is not whole yet; < 0: none
+    double waiting_since = -1;  // since when output waits; < 0: none does
     double asked_no_more = -1;
+    int faults = 0;          // messages that were no sound request
+    bool has_asked = false;  // a whole request
     bool input_over = false;
   };
 
@@ -60,8 +64,10 @@
   void traffic(Caller& caller);
   void ask_no_more(Caller& caller);
   void look_for_idle();
+  void look_over();
   void after_answer(Caller& caller);
-  void make_room();
+  void refuse(Caller& caller, const std::string& last_words);
+  bool make_room();
 
   net::Reactor& reactor_;
   std::unordered_map<std::string, int> types_;
@@ -76,7 +82,7 @@
   std::uint64_t next_tag_ = 1;
   double idle_after_ = 0;  // s; 0: callers close their own
   bool no_more_ = false;
-  net::Reactor::TimerId idle_timer_;
+  net::Reactor::TimerId idle_timer_, look_timer_;
 };
 
 }  // namespace damsonspoke::peers
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kLongestHead = 1024;  // bytes; the one field that counts takes 30
 constexpr std::size_t kLongestFrame =
-    16 * 1024;                                  // bytes; a body of 2 KiB in base64 with its fields is under 4
+    8 * 1024;                                   // bytes; a body of 2 KiB in base64 with its fields is under 4
 constexpr std::size_t kLongestBody = 2 * 1024;  // bytes, as the protocol allows
 constexpr double kMostKb = 2000;                // under this, as the protocol allows
 constexpr double kMostMs = 9e15;                // whole milliseconds that a double can hold
