Bounds of memory and descriptors come from the limits and add up to less than them

Seen by reading: the runtime's output could take 8 MB and a connection below 4 MB whatever the limit, the callers' number followed descriptors only (backend.cpp caller_limits, runtime.cpp, below.cpp), and a connection made without a free descriptor threw out of connecting(): the runtime's link was then never tried again, a call below would have kept a connection that is none. The roster hears every 0.2 s, since a quarter of the reports is lost. Test: program_no_descriptors, which fails without the change.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -8,9 +8,14 @@
 namespace damsonspoke {
 namespace {
 
-constexpr int kOwnSockets = 32;        // descriptors: listener, peers, reactor, log, and some to spare
-constexpr int kBelowShare = 8;         // a part of this many of the descriptors may be connections below
-constexpr double kOutputShare = 0.25;  // of the memory limit: answers that callers do not take
+// Every resource that a peer can take has its bound, and the bounds add up to less than the limits.
+constexpr int kOwnSockets = 32;       // descriptors: listener, peers, reactor, log, and some to spare
+constexpr int kBelowSockets = 8;      // a part of this many of them may be connections below
+constexpr double kOutputShare = 0.2;  // of the memory limit: answers that callers do not take
+constexpr double kInputShare = 0.25;  // requests of callers that are not whole yet
+constexpr double kBelowShare = 0.1;   // replies and calls that are not whole yet
+constexpr double kRuntimeShare =
+    0.05;  // commands that the runtime does not read; the rest: the program, open ops
 constexpr double kBytesPerMb = 1024 * 1024;
 constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
 constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
@@ -23,14 +28,19 @@
   return limits.sockets;
 }
 
+std::size_t part(const Limits& limits, double share) {
+  return static_cast<std::size_t>(limits.memory_mb * share * kBytesPerMb);
+}
+
 std::size_t below_links(const Limits& limits) {
-  return static_cast<std::size_t>(std::max(1, descriptors(limits) / kBelowShare));
+  const std::size_t fit = part(limits, kBelowShare) / (peers::Below::kMostInput + peers::Below::kMostOutput);
+  return std::clamp<std::size_t>(fit, 1, static_cast<std::size_t>(descriptors(limits) / kBelowSockets));
 }
 
 peers::Callers::Limits caller_limits(const Limits& limits) {
-  const int others = kOwnSockets + static_cast<int>(below_links(limits));
-  return {std::max(1, descriptors(limits) - others),
-          static_cast<std::size_t>(limits.memory_mb * kOutputShare * kBytesPerMb)};
+  const int left = descriptors(limits) - kOwnSockets - static_cast<int>(below_links(limits));
+  const int fit = static_cast<int>(part(limits, kInputShare) / peers::Callers::kMostInput);
+  return {std::max(1, std::min(left, fit)), part(limits, kOutputShare)};
 }
 
 }  // namespace
@@ -47,7 +57,8 @@
       relay_(book_, send_, admit_, take_in_, config_.site.settings.halt, counters_),
       callers_(reactor_, config_.listen, config_.site.type_names, caller_limits(config_.limits), take_in_,
                counters_, log_),
-      runtime_(reactor_, config_.runtime, config_.site.gauges, relay_, counters_, log_),
+      runtime_(reactor_, config_.runtime, part(config_.limits, kRuntimeShare), config_.site.gauges, relay_,
+               counters_, log_),
       below_(reactor_, config_.below, below_links(config_.limits), relay_, counters_, log_),
       roster_(reactor_, config_.roster, config_.name, counters_) {
   ports_ = {&callers_, &runtime_, &below_, &roster_};
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -50,8 +50,15 @@
 std::shared_ptr<Connection> Connection::connecting(Reactor& reactor, ConnectionOwner& owner,
                                                    const Poco::Net::SocketAddress& address,
                                                    BufferLimits limits) {
-  Poco::Net::StreamSocket socket(address.family());
+  Poco::Net::StreamSocket socket;
+  bool has_socket = true;
+  try {
+    socket = Poco::Net::StreamSocket(address.family());
+  } catch (const Poco::Exception&) {
+    has_socket = false;  // out of descriptors: told as refused, so that who asked tries again later
+  }
   std::shared_ptr<Connection> made(new Connection(reactor, owner, socket, State::kConnecting, limits));
+  if (!has_socket) return made->close(End::kRefused), made;
   const int fd = made->fd();
   made->socket_.setBlocking(false);
   no_delay(fd);
--- a/src/peers/below.cpp
+++ b/src/peers/below.cpp
@@ -13,8 +13,6 @@
 constexpr double kReuse = 0.5;     // s without a call after which a connection is not used again
 constexpr double kIdleLook = 0.5;  // s; between looks
 constexpr double kWhole = 0.25;    // s for the rest of a reply that has begun: 4 KiB come in one piece or two
-constexpr std::size_t kInputBytes = 128 * 1024;   // a line with its payload is under 70 KiB
-constexpr std::size_t kOutputBytes = 256 * 1024;  // calls on a connection that is not read
 
 Outcome outcome_of(wire::CallEnd end) {
   switch (end) {
@@ -96,7 +94,7 @@
   const std::uint64_t tag = next_tag_++;
   Link& link = links_[tag];
   link.connection =
-      net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+      net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kMostInput, kMostOutput});
   link.connection->tag = tag;
   return tag;
 }
--- a/src/peers/below.h
+++ b/src/peers/below.h
@@ -17,6 +17,9 @@
 
 class Below : public BelowPort, private net::ConnectionOwner {
  public:
+  // Bytes a connection: a reply with its payload is under 70 KiB, a call under 5.
+  static constexpr std::size_t kMostInput = 96 * 1024, kMostOutput = 32 * 1024;
+
   // An address that is empty: nothing is ever called.
   Below(net::Reactor& reactor, const std::string& address, std::size_t most_links, BelowEvents& events,
         Counters& counters, Logger& log);
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -11,7 +11,6 @@
 
 constexpr double kSecondsPerMs = 0.001;
 constexpr std::size_t kMostOpen = 32;             // requests a connection, as the protocol allows
-constexpr std::size_t kInputBytes = 64 * 1024;    // a connection; a frame is under 20 KiB
 constexpr std::size_t kOutputBytes = 256 * 1024;  // a connection; 32 full answers take 180 KiB
 constexpr std::size_t kSlowOutput = 64 * 1024;    // waiting; over it nothing more is read from that peer
 constexpr double kIdleLook = 0.05;     // s; least time between looks at the longest idle connection
@@ -56,7 +55,7 @@
   }
   const std::uint64_t tag = next_tag_++;
   Caller& caller = open_[tag];
-  caller.connection = net::Connection::accepted(reactor_, *this, fd, {kInputBytes, kOutputBytes, &output_});
+  caller.connection = net::Connection::accepted(reactor_, *this, fd, {kMostInput, kOutputBytes, &output_});
   caller.connection->tag = tag;
   caller.last_traffic = net::monotonic_now();
   caller.place = by_traffic_.insert(by_traffic_.end(), tag);
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -18,6 +18,8 @@
 
 class Callers : public CallerPort, private net::ConnectionOwner {
  public:
+  // Bytes a connection: a piece that is read at once, and the frame of under 9 KiB that began before it.
+  static constexpr std::size_t kMostInput = 28 * 1024;
   struct Limits {
     int connections = 0;
     std::size_t output_bytes = 0;  // of all connections together
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -6,7 +6,8 @@
 namespace damsonspoke::peers {
 namespace {
 
-constexpr double kEvery = 0.5;  // s; an entry lapses after 3 s: five reports may be lost
+constexpr double kEvery =
+    0.2;  // s; an entry lapses after 3 s, and a turn to off that is lost costs this much
 
 }  // namespace
 
--- a/src/peers/runtime.cpp
+++ b/src/peers/runtime.cpp
@@ -14,8 +14,7 @@
 constexpr double kLostWithLink = 0.25;  // s; 50 ms before the break, and the time until we heard of it
 constexpr double kSilenceLook = 0.25;   // s; between looks
 constexpr double kGaugesFresh = 0.5;    // s; an older reading says nothing about now
-constexpr std::size_t kInputBytes = 256 * 1024;        // a line with its payload is under 70 KiB
-constexpr std::size_t kOutputBytes = 8 * 1024 * 1024;  // commands behind a runtime that does not read
+constexpr std::size_t kInputBytes = 256 * 1024;  // a line with its payload is under 70 KiB
 
 Outcome outcome_of(wire::RunEnd end) {
   switch (end) {
@@ -29,10 +28,11 @@
 
 }  // namespace
 
-Runtime::Runtime(net::Reactor& reactor, const std::string& address, std::vector<Gauge> gauges,
-                 RuntimeEvents& events, Counters& counters, Logger& log)
+Runtime::Runtime(net::Reactor& reactor, const std::string& address, std::size_t output_bytes,
+                 std::vector<Gauge> gauges, RuntimeEvents& events, Counters& counters, Logger& log)
     : reactor_(reactor),
       address_(address),
+      output_bytes_(output_bytes),
       order_(std::move(gauges)),
       events_(events),
       counters_(counters),
@@ -49,8 +49,8 @@
 
 void Runtime::connect() {
   reactor_.cancel(connect_timer_);
-  coming_ =
-      net::Connection::connecting(reactor_, *this, net::parse_address(address_), {kInputBytes, kOutputBytes});
+  coming_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_),
+                                        {kInputBytes, output_bytes_});
   connect_timer_ = reactor_.after(kConnectPatience, [this] {
     if (coming_) coming_->close(net::End::kRefused);
   });
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -20,8 +20,9 @@
 
 class Runtime : public RuntimePort, private net::ConnectionOwner {
  public:
-  Runtime(net::Reactor& reactor, const std::string& address, std::vector<Gauge> gauges, RuntimeEvents& events,
-          Counters& counters, Logger& log);
+  // Commands may wait in so many bytes of output; over that the link is opened anew.
+  Runtime(net::Reactor& reactor, const std::string& address, std::size_t output_bytes,
+          std::vector<Gauge> gauges, RuntimeEvents& events, Counters& counters, Logger& log);
   ~Runtime() override;
 
   // The runtime is reached elsewhere from now on: runs and the numbers of notices go on.
@@ -69,6 +70,7 @@
 
   net::Reactor& reactor_;
   std::string address_;
+  std::size_t output_bytes_;
   std::vector<Gauge> order_;
   RuntimeEvents& events_;
   Counters& counters_;
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -244,6 +245,17 @@
     return found;
   }
   void signal(int number) { ::kill(pid_, number); }
+  // So many more than are open may be opened from now on.
+  void descriptors(int more) {
+    int top = 0;
+    for (int fd = 0; fd < 256; ++fd) {
+      const std::string path = "/proc/" + std::to_string(pid_) + "/fd/" + std::to_string(fd);
+      if (::access(path.c_str(), F_OK) != 0) break;
+      top = fd + 1;
+    }
+    const rlimit limit{static_cast<rlim_t>(top + more), 1024};
+    ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+  }
   // The counters that are not zero among those named.
   void counters(const std::vector<std::string>& names) {
     pause(0.05);  // what was just said is read before the signal
@@ -564,6 +576,29 @@
   site.counters({"calls.made", "calls.ok", "calls.broken", "below.bad", "below.late"});
 }
 
+// Out of descriptors a call was never made: the run goes on without, and the next call is made.
+void no_descriptors() {
+  Site site;
+  site.comes_up();
+  const int caller = site.connect();
+  for (int i = 1; i <= 3; ++i) {
+    const std::string id = "000000000000000" + std::to_string(i);
+    const std::string number = std::to_string(2 * i - 1);
+    if (i == 2) site.below_closes();  // it stood idle
+    if (i == 2) site.descriptors(0);
+    if (i == 3) site.descriptors(100);
+    site.send_op(caller, i);
+    site.runtime_hears(2);
+    site.runtime_says("wants " + number + " " + id + " 4\r\ncall");
+    if (i != 2) site.below_hears(2);
+    if (i != 2) site.below_says(id + " ok 5\r\nreply");
+    site.runtime_hears(i != 2 ? 2 : 1);
+    site.runtime_says("end " + std::to_string(2 * i) + " " + id + " complete 20 6\r\nresult");
+    site.caller_hears(caller);
+  }
+  site.counters({"calls.made", "calls.unreachable", "calls.omitted", "calls.ok"});
+}
+
 // Patience is kept here: a call that is given up takes its connection with it, and the run goes on without.
 void late_reply() {
   Site site;
@@ -828,6 +863,7 @@
                                                            {"bad_runtime", bad_runtime},
                                                            {"late_reply", late_reply},
                                                            {"reload", reload},
+                                                           {"no_descriptors", no_descriptors},
                                                            {"missing_notice", missing_notice},
                                                            {"spoilt_replies", spoilt_replies},
                                                            {"calls", calls},
