--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -611,7 +611,8 @@
     for (std::size_t i = 0; i < call_line_.size();) {
       const OpId id = call_line_[i];
       Slot& s = ops_.at(id);
-      const double left = s.useful_by - last_ - (calls_.learned() ? calls_.mean() : 0);
+      // The mean of the last minute lags behind a layer that has just turned slow: the recent ones count too.
+      const double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
         call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
         skip(id, s);
