An op whose turn for a call would come too late goes on without at once

At fault: the skip in let_calls_out() left out the calls that go before. While calls are short it now takes off their number (the more important first) times the recent call time over the bound.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -612,7 +612,8 @@
       const OpId id = call_line_[i];
       Slot& s = ops_.at(id);
       // The mean of the last minute lags behind a layer that has just turned slow: the recent ones count too.
-      const double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
+      double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
+      if (by_importance) left -= calls_before(i) * recent_call_ / call_bound_;
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
         call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
         skip(id, s);
@@ -624,6 +625,16 @@
       }
     }
   }
+  // How many in the line go first when the more important do.
+  double calls_before(std::size_t place) const {
+    const double importance = type_of(ops_.at(call_line_[place])).importance;
+    double before = 0;
+    for (std::size_t i = 0; i < call_line_.size(); ++i) {
+      const double other = type_of(ops_.at(call_line_[i])).importance;
+      if (other > importance || (other == importance && i < place)) before += 1;
+    }
+    return before;
+  }
   void skip(OpId id, Slot& s) {
     s.away += last_ - s.since;
     back_on_cores(s);
