--- a/tests/backend.h
+++ b/tests/backend.h
@@ -76,11 +76,11 @@
     decider_.on_run_end(now_, id, outcome, 0);
   }
   void needs_call(OpId id) {
-    say("-- %d needs a call", static_cast<int>(id));
+    if (!quiet_) say("-- %d needs a call", static_cast<int>(id));
     decider_.on_call_needed(now_, id);
   }
   void call_ends(OpId id, Outcome outcome) {
-    say("-- call of %d ends: outcome %d", static_cast<int>(id), static_cast<int>(outcome));
+    if (!quiet_) say("-- call of %d ends: outcome %d", static_cast<int>(id), static_cast<int>(outcome));
     decider_.on_call_end(now_, id, outcome, 0);
   }
   void gone(OpId id) {
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -180,6 +180,33 @@
   }
 }
 
+// A layer below that has just turned slow: the recent calls tell how long the next takes, and who would get a
+// turn too late, the less important first, goes on without at once instead of standing in line.
+void slow_calls() {
+  Settings s = plain_settings();
+  s.below = Below::kShared;
+  s.dep_share = 4;
+  for (OpType& type : s.op_types) type.calls = true, type.target_latency = 1, type.worth_without = 0.5;
+  Backend b(s);
+  b.quiet(true);
+  double now = 0;
+  for (OpId id = 1; id <= 20; ++id) {
+    const double takes = id <= 14 ? 0.02 : 0.7;
+    b.arrives(b.op(id, 1));
+    b.needs_call(id);
+    b.until(now += takes);
+    b.call_ends(id, Outcome::kOk);
+    b.ends(id);
+  }
+  b.until(now += 1);
+  b.quiet(false);
+  for (OpId id = 21; id <= 24; ++id) {
+    b.arrives(b.op(id, id % 2 == 1 ? 0 : 1));
+    b.needs_call(id);
+  }
+  b.until(now + 0.4);
+}
+
 // Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
 void leaving() {
   Backend b(plain_settings());
@@ -402,6 +429,7 @@
     {"halts", halts},
     {"keyed", keyed},
     {"calls", calls},
+    {"slow_calls", slow_calls},
     {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
