--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -57,6 +57,7 @@
 constexpr double kCallDropEvery = 0.5;   // s; about the time in which a drop shows below
 constexpr double kPatience = 4;          // x the 95th percentile of calls: past it they hardly ever return
 constexpr double kLeastPatience = 0.25;  // s; a crowded layer below must not be crowded more by early repeats
+constexpr double kMostTurned = 0.9;      // share of calls turned away that is reckoned with: some get through
 constexpr int kCallTries = 3;            // calls for one need; more only add to a trouble below
 constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
 constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
@@ -613,7 +614,7 @@
       Slot& s = ops_.at(id);
       // The mean of the last minute lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
-      if (by_importance) left -= calls_before(i) * recent_call_ / call_bound_;
+      if (by_importance) left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
         call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
         skip(id, s);
@@ -659,6 +660,7 @@
     Slot& s = at->second;
     const double spent = last_ - s.since;
     end_call(s, outcome == Outcome::kTimeout);
+    turned_away_ += ((outcome == Outcome::kRefused ? kMostTurned : 0) - turned_away_) / kErrorMemory;
     if (outcome == Outcome::kOk) {
       calls_.add(spent);
       recent_call_ += (spent - recent_call_) / kErrorMemory;
@@ -860,6 +862,7 @@
   int running_ = 0, calling_ = 0;
   double core_time_ = 0, done_work_ = 0, pace_ = 1;
   Histogram calls_;
+  double turned_away_ = 0;  // share of the recent calls
   double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0;
   double call_depth_ = 0, call_budget_ = 0;  // call seconds below
   double most_important_ = 0;
