--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -612,7 +612,7 @@
     for (std::size_t i = 0; i < call_line_.size();) {
       const OpId id = call_line_[i];
       Slot& s = ops_.at(id);
-      // The mean of the last minute lags behind a layer that has just turned slow: the recent ones count too.
+      // The mean of dozens of calls lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
       if (by_importance) left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
