Logger, counters and invariants move to src/watch; log lines by spdlog, as text or JSON

Every layer uses them, so they stand under all of them and no longer in app/, the top. The Logger stays the only thing that callers see; behind it spdlog's pattern formatter and sink write what was written by hand.

--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string>
 
-#include "app/counters.h"
-#include "app/logger.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 #include "net/reactor.h"
 #include "peers/below.h"
 #include "peers/callers.h"
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "app/backend.h"
-#include "app/logger.h"
+#include "watch/logger.h"
 #include "net/address.h"
 #include "settings/config.h"
 
@@ -52,7 +52,10 @@
   const std::optional<Level> level = level_of(name);
   if (!level) throw WrongUse(fmt::format("--log-level: '{}' is none of error, warning, info, debug", name));
   const Config config = usable_config(flags);
-  Logger log(*level);
+  const std::string form_name = flags["log-format"].as<std::string>();
+  const std::optional<LogForm> form = log_form_of(form_name);
+  if (!form) throw WrongUse(fmt::format("--log-format: '{}' is neither text nor json", form_name));
+  Logger log(*level, *form);
   Backend backend(
       config, [&flags] { return usable_config(flags); }, log);
   return backend.run();
@@ -99,7 +102,9 @@
   }
   if (command.takes_level) {
     options.add_options()("l,log-level", "error, warning, info or debug",
-                          cxxopts::value<std::string>()->default_value("info"), "LEVEL");
+                          cxxopts::value<std::string>()->default_value("info"), "LEVEL")(
+        "log-format", "text, or json: one object a line",
+        cxxopts::value<std::string>()->default_value("text"), "FORM");
   }
   const cxxopts::ParseResult flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
--- a/src/peers/roster.h
+++ b/src/peers/roster.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 #include "net/datagram.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/counters.h"
-#include "app/logger.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 #include "net/connection.h"
 #include "peers/ports.h"
 #include "settings/settings.h"
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <memory>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 #include "decide.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -1,6 +1,6 @@
 #include "stages/book.h"
 
-#include "app/invariants.h"
+#include "watch/invariants.h"
 #include "net/reactor.h"
 
 namespace damsonspoke::stages {
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 #include "peers/ports.h"
 
 namespace damsonspoke::stages {
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -1,8 +1,8 @@
 // Brings back what runs and calls come to: to the caller, to the run that waits, to the module.
 #pragma once
 
-#include "app/counters.h"
-#include "app/logger.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 #include "peers/ports.h"
 #include "stages/admit.h"
 #include "stages/book.h"
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -1,6 +1,6 @@
 #include "stages/route.h"
 
-#include "app/invariants.h"
+#include "watch/invariants.h"
 
 namespace damsonspoke::stages {
 
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-#include "app/logger.h"
+#include "watch/logger.h"
 #include "decide.h"
 #include "stages/book.h"
 #include "stages/send.h"
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 #include "peers/ports.h"
 #include "settings/settings.h"
 #include "stages/book.h"
--- a/src/stages/take_in.h
+++ b/src/stages/take_in.h
@@ -3,7 +3,7 @@
 
 #include <unordered_map>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
 #include "stages/admit.h"
--- a/src/app/counters.cpp
+++ b/src/watch/counters.cpp
@@ -1,4 +1,4 @@
-#include "app/counters.h"
+#include "watch/counters.h"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 std::string Counters::report() const {
   static constexpr const char* kNames[] = {
 #define DAMSONSPOKE_COUNTER(name, text, meaning) text,
-#include "app/counters.def"
+#include "watch/counters.def"
 #undef DAMSONSPOKE_COUNTER
   };
   std::string out = "counters:\n";
--- a/src/app/counters.h
+++ b/src/watch/counters.h
@@ -10,7 +10,7 @@
 
 enum class Count {
 #define DAMSONSPOKE_COUNTER(name, text, meaning) name,
-#include "app/counters.def"
+#include "watch/counters.def"
 #undef DAMSONSPOKE_COUNTER
   kEnd
 };
--- a/src/app/invariants.h
+++ b/src/watch/invariants.h
@@ -3,7 +3,7 @@
 
 #include <cassert>
 
-#include "app/counters.h"
+#include "watch/counters.h"
 
 namespace damsonspoke {
 
--- /dev/null
+++ b/src/watch/logger.cpp
@@ -0,0 +1,100 @@
+#include "watch/logger.h"
+
+#include <spdlog/details/log_msg.h>
+#include <spdlog/details/os.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace damsonspoke {
+namespace {
+
+constexpr int kLinesPerSecond = 50;         // a peer that sends nonsense must not fill the log
+constexpr std::size_t kLongestLine = 1000;  // bytes; part of it may come from a peer
+
+spdlog::level::level_enum level_for(Level level) {
+  switch (level) {
+    case Level::kError: return spdlog::level::err;
+    case Level::kWarning: return spdlog::level::warn;
+    case Level::kInfo: return spdlog::level::info;
+    case Level::kDebug: return spdlog::level::debug;
+  }
+  return spdlog::level::info;
+}
+
+// What a peer sent may be no UTF-8: the library's replacement keeps the line valid JSON.
+std::string quoted(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::optional<Level> level_of(std::string_view name) {
+  if (name == "error") return Level::kError;
+  if (name == "warning") return Level::kWarning;
+  if (name == "info") return Level::kInfo;
+  if (name == "debug") return Level::kDebug;
+  return std::nullopt;
+}
+
+std::optional<LogForm> log_form_of(std::string_view name) {
+  if (name == "text") return LogForm::kText;
+  if (name == "json") return LogForm::kJson;
+  return std::nullopt;
+}
+
+// One thread writes: the sinks without locks do. The end of line comes from the formatter.
+Logger::Logger(Level level, LogForm form)
+    : level_(level), form_(form), sink_(std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+  const char* pattern =
+      form == LogForm::kText ? "%E.%e %l %n: %v" : R"({"time":%E.%e,"level":"%l","who":"%n",%v})";
+  sink_->set_formatter(std::make_unique<spdlog::pattern_formatter>(pattern));
+}
+
+void Logger::write(Level level, std::string_view who, std::string_view text,
+                   std::initializer_list<Field> fields) {
+  const auto now = std::chrono::system_clock::now();
+  const std::int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+  if (second != second_) {
+    second_ = second;
+    lines_ = 0;
+  }
+  if (++lines_ > kLinesPerSecond) {
+    ++withheld_;
+    return;
+  }
+  std::string body;
+  if (form_ == LogForm::kText) {
+    body = text;
+    for (const Field& field : fields) body += fmt::format(" {}={}", field.name, field.value);
+    if (body.size() > kLongestLine) body.resize(kLongestLine);
+    for (char& c : body) {
+      if (static_cast<unsigned char>(c) < ' ') c = ' ';
+    }
+  } else {
+    body = fmt::format(R"("text":{})", quoted(text.substr(0, kLongestLine)));
+    for (const Field& field : fields) {
+      const std::string_view value = std::string_view(field.value).substr(0, kLongestLine);
+      body += fmt::format(",{}:{}", quoted(field.name), field.number ? std::string(value) : quoted(value));
+    }
+  }
+  const spdlog::string_view_t name(who.data(), who.size());
+  spdlog::details::log_msg message(now, spdlog::source_loc{}, name, level_for(level),
+                                   spdlog::string_view_t(body.data(), body.size()));
+  sink_->log(message);
+  sink_->flush();
+}
+
+void Logger::block(std::string_view text) {
+  while (!text.empty()) {
+    const ssize_t wrote = ::write(STDERR_FILENO, text.data(), text.size());
+    if (wrote <= 0) return;  // a full or closed log must not stop the backend
+    text.remove_prefix(static_cast<std::size_t>(wrote));
+  }
+}
+
+}  // namespace damsonspoke
