--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -43,20 +43,33 @@
   return {std::max(1, std::min(left, fit)), part(limits, kOutputShare)};
 }
 
+peers::Callers::Marks marks(const Config& config, const ResultsOptions& results) {
+  if (!results.enabled) return {};
+  peers::Callers::Marks marks{results.key_field, results.key_length, {}};
+  for (std::size_t i = 0; i < config.site.type_names.size(); ++i) {
+    const bool digest = std::find(results.digest.begin(), results.digest.end(), config.site.type_names[i]) !=
+                        results.digest.end();
+    marks.needed.push_back(config.site.settings.op_types[i].effect == Effect::kKeyed && !digest);
+  }
+  return marks;
+}
+
 }  // namespace
 
-Backend::Backend(const Config& config, Reread reread, Logger& log)
-    : config_(config),
+Backend::Backend(const Choice& choice, Reread reread, Logger& log)
+    : config_(choice.config),
+      options_(choice.options),
       reread_(std::move(reread)),
       log_(log),
       book_(ports_, counters_),
       send_(ports_, config_.site, counters_),
-      route_(book_, send_, counters_, log_),
+      recall_(reactor_, book_, send_, admit_, config_.site, options_.results, counters_, log_),
+      route_(book_, send_, recall_, counters_, log_),
       admit_(reactor_, config_.site, config_.seed, route_, ports_, counters_),
-      take_in_(reactor_, {book_, admit_, send_}, ports_, config_.site, counters_),
-      relay_(book_, send_, admit_, take_in_, config_.site.settings.halt, counters_),
-      callers_(reactor_, config_.listen, config_.site.type_names, caller_limits(config_.limits), take_in_,
-               counters_, log_),
+      take_in_(reactor_, {book_, admit_, send_, recall_}, ports_, config_.site, counters_),
+      relay_(book_, send_, recall_, admit_, take_in_, config_.site.settings.halt, counters_),
+      callers_(reactor_, config_.listen, config_.site.type_names, marks(config_, options_.results),
+               caller_limits(config_.limits), take_in_, counters_, log_),
       runtime_(reactor_, config_.runtime, part(config_.limits, kRuntimeShare), config_.site.gauges, relay_,
                counters_, log_),
       below_(reactor_, config_.below, below_links(config_.limits), relay_, counters_, log_),
@@ -77,17 +90,21 @@
   return 0;
 }
 
-void Backend::report() { log_.block(counters_.report()); }
+void Backend::report() {
+  recall_.report();
+  log_.block(counters_.report());
+}
 
 // Addresses of peers move while everything goes on; each peer moves its own links. Guards against a file that
 // is missing, cut short or wrong when it is read: then the old configuration stays, whole.
 void Backend::reload() {
-  Config next;
+  Choice choice;
   try {
-    next = reread_();
+    choice = reread_();
   } catch (const std::exception& error) {
     return log_.error("backend", "new configuration not taken, the old one stays: {}", error.what());
   }
+  const Config& next = choice.config;
   log_.info("backend", "new configuration: runtime {}, below {}, roster {}", next.runtime, next.below,
             next.roster);
   if (next.listen != config_.listen || next.name != config_.name)
@@ -95,6 +112,7 @@
   runtime_.move_to(config_.runtime = next.runtime);
   below_.move_to(config_.below = next.below);
   roster_.move_to(config_.roster = next.roster);
+  recall_.reconfigure(choice.options.results);
 }
 
 void Backend::leave() {
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -4,8 +4,6 @@
 #include <functional>
 #include <string>
 
-#include "watch/counters.h"
-#include "watch/logger.h"
 #include "net/reactor.h"
 #include "peers/below.h"
 #include "peers/callers.h"
@@ -14,19 +12,22 @@
 #include "settings/config.h"
 #include "stages/admit.h"
 #include "stages/book.h"
+#include "stages/recall.h"
 #include "stages/relay.h"
 #include "stages/route.h"
 #include "stages/send.h"
 #include "stages/take_in.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 
 namespace damsonspoke {
 
 class Backend {
  public:
   // Reads the configuration anew; throws std::exception with one plain line where it can't be used.
-  using Reread = std::function<Config()>;
+  using Reread = std::function<Choice()>;
   // Throws std::exception with one plain line where an address can't be used.
-  Backend(const Config& config, Reread reread, Logger& log);
+  Backend(const Choice& choice, Reread reread, Logger& log);
   // Serves until the notice to leave has been followed to its end. Returns the exit status.
   int run();
   std::uint16_t port() const { return callers_.port(); }
@@ -38,6 +39,7 @@
   void report();
 
   Config config_;
+  OperatorOptions options_;
   const Reread reread_;
   Logger& log_;
   Counters counters_;
@@ -45,6 +47,7 @@
   peers::Ports ports_;
   stages::Book book_;
   stages::Send send_;
+  stages::Recall recall_;
   stages::Route route_;
   stages::Admit admit_;
   stages::TakeIn take_in_;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -3,87 +3,63 @@
 #include <fmt/format.h>
 
 #include <cstdio>
-#include <cstdlib>
-#include <cxxopts.hpp>
 #include <string>
-#include <vector>
 
-#include "app/backend.h"
-#include "watch/logger.h"
-#include "net/address.h"
-#include "settings/config.h"
+#include "app/commands.h"
 
 namespace damsonspoke {
 namespace {
 
-constexpr int kDone = 0, kFailed = 1, kWrongUse = 2;
-constexpr const char* kConfigVariable = "PROXY_CONFIG";
-
-struct WrongUse : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 int complain(std::string_view text) {
   fmt::print(stderr, "damsonspoke: {}\n", text);
   return kFailed;
 }
 
-std::string config_path(const cxxopts::ParseResult& flags) {
-  if (flags.count("config") > 0) return flags["config"].as<std::string>();
-  const char* path = std::getenv(kConfigVariable);
-  if (path == nullptr || *path == '\0') {
-    throw WrongUse(fmt::format("no configuration: give --config FILE or set {}", kConfigVariable));
-  }
-  return path;
+int version_command(const cxxopts::ParseResult&) {
+  fmt::print("damsonspoke {}\n", DAMSONSPOKE_VERSION);
+  return kDone;
 }
 
-Config usable_config(const cxxopts::ParseResult& flags) {
-  Config config = read_config(config_path(flags));
-  const std::string lacking = unserved(config.site);
-  if (!lacking.empty()) throw SettingsError(lacking);
-  for (const std::string* address : {&config.listen, &config.runtime, &config.roster, &config.below}) {
-    if (!address->empty()) net::parse_address(*address);
-  }
-  return config;
+void add_config(cxxopts::Options& options) {
+  options.add_options()("c,config", "the configuration; without it, the file that PROXY_CONFIG names",
+                        cxxopts::value<std::string>(), "FILE");
 }
-
-int serve(const cxxopts::ParseResult& flags) {
-  const std::string name = flags["log-level"].as<std::string>();
-  const std::optional<Level> level = level_of(name);
-  if (!level) throw WrongUse(fmt::format("--log-level: '{}' is none of error, warning, info, debug", name));
-  const Config config = usable_config(flags);
-  const std::string form_name = flags["log-format"].as<std::string>();
-  const std::optional<LogForm> form = log_form_of(form_name);
-  if (!form) throw WrongUse(fmt::format("--log-format: '{}' is neither text nor json", form_name));
-  Logger log(*level, *form);
-  Backend backend(
-      config, [&flags] { return usable_config(flags); }, log);
-  return backend.run();
+void add_operator(cxxopts::Options& options) {
+  options.add_options()("o,operator",
+                        "the operators' file; without it, the one that DAMSONSPOKE_OPERATOR names",
+                        cxxopts::value<std::string>(), "FILE");
 }
-
-int check(const cxxopts::ParseResult& flags) {
-  const Config config = usable_config(flags);
-  fmt::print("{}: listens on {}, {} op types, {} cores\n", config.name, config.listen,
-             config.site.type_names.size(), config.site.settings.cores);
-  return kDone;
+void add_logs(cxxopts::Options& options) {
+  options.add_options()("l,log-level", "error, warning, info or debug",
+                        cxxopts::value<std::string>()->default_value("info"),
+                        "LEVEL")("log-format", "text, or json: one object a line",
+                                 cxxopts::value<std::string>()->default_value("text"), "FORM");
+}
+void add_words(cxxopts::Options& options, const char* help) {
+  options.add_options()("action", help, cxxopts::value<std::string>());
+  options.parse_positional({"action"});
+  options.positional_help("ACTION");
 }
 
-int version(const cxxopts::ParseResult&) {
-  fmt::print("damsonspoke {}\n", DAMSONSPOKE_VERSION);
-  return kDone;
+void check_flags(cxxopts::Options& options) { add_config(options), add_operator(options); }
+void serve_flags(cxxopts::Options& options) { check_flags(options), add_logs(options); }
+void config_flags(cxxopts::Options& options) {
+  add_operator(options), add_words(options, "check, show or reference");
 }
+void no_flags(cxxopts::Options&) {}
 
 struct Command {
   const char* name;
   const char* meaning;
-  bool takes_config;
-  bool takes_level;
+  void (*flags)(cxxopts::Options&);
   int (*run)(const cxxopts::ParseResult&);
 };
 constexpr Command kCommands[] = {
-    {"serve", "serve as one backend, until SIGTERM", true, true, serve},
-    {"check", "read a configuration and say what is wrong with it", true, false, check},
-    {"version", "print the version", false, false, version},
+    {"serve", "serve as one backend, until SIGTERM", serve_flags, serve_command},
+    {"check", "read a configuration and say what is wrong with it", check_flags, check_command},
+    {"config", "check or show an operators' file, or print the reference of its directives", config_flags,
+     config_command},
+    {"version", "print the version", no_flags, version_command},
 };
 
 std::string usage() {
@@ -95,17 +71,7 @@
 int run_command(const Command& command, int argc, char** argv) {
   cxxopts::Options options(fmt::format("damsonspoke {}", command.name), command.meaning);
   options.add_options()("h,help", "print this help");
-  if (command.takes_config) {
-    options.add_options()(
-        "c,config", fmt::format("the configuration; without it, the file that {} names", kConfigVariable),
-        cxxopts::value<std::string>(), "FILE");
-  }
-  if (command.takes_level) {
-    options.add_options()("l,log-level", "error, warning, info or debug",
-                          cxxopts::value<std::string>()->default_value("info"), "LEVEL")(
-        "log-format", "text, or json: one object a line",
-        cxxopts::value<std::string>()->default_value("text"), "FORM");
-  }
+  command.flags(options);
   const cxxopts::ParseResult flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
     fmt::print("{}", options.help());
--- /dev/null
+++ b/src/app/config_command.cpp
@@ -0,0 +1,31 @@
+// damsonspoke config check|show|reference: the operators' file on its own.
+#include <fmt/format.h>
+
+#include <cstdio>
+
+#include "app/commands.h"
+#include "settings/operator_schema.h"
+
+namespace damsonspoke {
+
+int config_command(const cxxopts::ParseResult& flags) {
+  const std::string action = flags.count("action") > 0 ? flags["action"].as<std::string>() : "";
+  if (action == "reference") {
+    fmt::print("{}", directive_reference());
+    return kDone;
+  }
+  if (action != "check" && action != "show") throw WrongUse("config takes check, show or reference");
+  const std::string path = operator_path(flags);
+  if (path.empty() && action == "check") {
+    throw WrongUse("no operators' file: give --operator FILE or set DAMSONSPOKE_OPERATOR");
+  }
+  const OperatorFile file = path.empty() ? parse_operator_file("") : read_operator_file(path);
+  if (action == "show") {
+    fmt::print("{}", file.effective());
+  } else {
+    fmt::print("{}: sound, {} directives\n", path, file.given.size());
+  }
+  return kDone;
+}
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/app/serve_command.cpp
@@ -0,0 +1,76 @@
+// damsonspoke serve and check: one backend by its configuration and the operators' file.
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "app/backend.h"
+#include "app/commands.h"
+#include "net/address.h"
+#include "watch/logger.h"
+
+namespace damsonspoke {
+namespace {
+
+constexpr const char* kConfigVariable = "PROXY_CONFIG";
+constexpr const char* kOperatorVariable = "DAMSONSPOKE_OPERATOR";
+
+std::string from_flag_or(const cxxopts::ParseResult& flags, const char* flag, const char* variable) {
+  if (flags.count(flag) > 0) return flags[flag].as<std::string>();
+  const char* path = std::getenv(variable);
+  return path == nullptr ? std::string() : std::string(path);
+}
+
+std::string config_path(const cxxopts::ParseResult& flags) {
+  const std::string path = from_flag_or(flags, "config", kConfigVariable);
+  if (path.empty()) {
+    throw WrongUse(fmt::format("no configuration: give --config FILE or set {}", kConfigVariable));
+  }
+  return path;
+}
+
+}  // namespace
+
+std::string operator_path(const cxxopts::ParseResult& flags) {
+  return from_flag_or(flags, "operator", kOperatorVariable);
+}
+
+Chosen usable_choice(const cxxopts::ParseResult& flags) {
+  Chosen chosen{read_config(config_path(flags)), std::nullopt};
+  const std::string path = operator_path(flags);
+  if (!path.empty()) chosen.operators = read_operator_file(path);
+  const OperatorOptions options = chosen.operators ? chosen.operators->options : OperatorOptions{};
+  const std::string lacking = unserved(chosen.config, options);
+  if (!lacking.empty()) throw SettingsError(lacking);
+  const Config& config = chosen.config;
+  for (const std::string* address : {&config.listen, &config.runtime, &config.roster, &config.below}) {
+    if (!address->empty()) net::parse_address(*address);
+  }
+  return chosen;
+}
+
+int serve_command(const cxxopts::ParseResult& flags) {
+  const std::string name = flags["log-level"].as<std::string>();
+  const std::optional<Level> level = level_of(name);
+  if (!level) throw WrongUse(fmt::format("--log-level: '{}' is none of error, warning, info, debug", name));
+  const std::string form_name = flags["log-format"].as<std::string>();
+  const std::optional<LogForm> form = log_form_of(form_name);
+  if (!form) throw WrongUse(fmt::format("--log-format: '{}' is neither text nor json", form_name));
+  const auto reread = [&flags] {
+    const Chosen chosen = usable_choice(flags);
+    return Choice{chosen.config, chosen.operators ? chosen.operators->options : OperatorOptions{}};
+  };
+  const Choice choice = reread();
+  Logger log(*level, *form);
+  Backend backend(choice, reread, log);
+  return backend.run();
+}
+
+int check_command(const cxxopts::ParseResult& flags) {
+  const Chosen chosen = usable_choice(flags);
+  fmt::print("{}: listens on {}, {} op types, {} cores\n", chosen.config.name, chosen.config.listen,
+             chosen.config.site.type_names.size(), chosen.config.site.settings.cores);
+  return kDone;
+}
+
+}  // namespace damsonspoke
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -333,7 +333,9 @@
     due_.erase({s.due, id});
     std::erase(call_line_, id);  // a call for it would take a place below for nobody
     if (s.stage == Stage::kHeld || s.stage == Stage::kPaused || s.stage == Stage::kJoining) return erase(id);
-    if (s.stage == Stage::kRunning && set_.halt != Halt::kOff) host_.interrupt(id);
+    // A keyed run goes on for the repeats that will come: stopped half way, its key could never be answered.
+    const bool stops = set_.halt != Halt::kOff && type_of(s).effect != Effect::kKeyed;
+    if (s.stage == Stage::kRunning && stops) host_.interrupt(id);
   }
 
   // ---- Kept entries.
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -77,6 +77,19 @@
   timer.number = 0;
 }
 
+void Reactor::post_from_elsewhere(Task task) {
+  bool first = false;
+  {
+    const std::lock_guard lock(elsewhere_lock_);
+    first = elsewhere_.empty();
+    elsewhere_.push_back(std::move(task));
+  }
+  if (!first) return;   // woken already
+  const char byte = 0;  // no signal's number
+  const ssize_t wrote = ::send(wake_fds_[1], &byte, 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  static_cast<void>(wrote);  // a full buffer means that the thread will wake anyway
+}
+
 void Reactor::run_due() {
   const double now = monotonic_now();
   // Tasks that are added meanwhile for this very time wait for the next turn, so that sockets get theirs.
@@ -115,6 +128,12 @@
     const auto found = signals_.find(bytes[i]);
     if (found != signals_.end()) guarded("signal", found->second);
   }
+  std::vector<Task> tasks;
+  {
+    const std::lock_guard lock(elsewhere_lock_);
+    tasks.swap(elsewhere_);
+  }
+  for (const Task& task : tasks) guarded("another thread's task", task);
 }
 
 }  // namespace damsonspoke::net
--- a/src/net/reactor.h
+++ b/src/net/reactor.h
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <utility>
+#include <vector>
 
 namespace damsonspoke::net {
 
@@ -33,6 +35,8 @@
   // On the next turn: for what must not happen inside the call that asks for it.
   void post(Task task) { at(monotonic_now(), std::move(task)); }
   void cancel(TimerId& timer);
+  // From any thread: the task runs on this one, after the next poll. The reactor has to outlive the caller.
+  void post_from_elsewhere(Task task);
 
   // Signals become tasks of this thread. One reactor a process may watch them.
   void on_signal(int signal, Task task);
@@ -50,6 +54,8 @@
   std::map<std::pair<double, std::uint64_t>, Task> timers_;
   std::uint64_t next_number_ = 1;
   std::map<int, Task> signals_;
+  std::mutex elsewhere_lock_;
+  std::vector<Task> elsewhere_;  // under the lock
   int wake_fds_[2] = {-1, -1};
   Poco::Net::StreamSocket wake_;
 };
--- a/src/peers/below.h
+++ b/src/peers/below.h
@@ -8,10 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "watch/counters.h"
-#include "watch/logger.h"
 #include "net/connection.h"
 #include "peers/ports.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 
 namespace damsonspoke::peers {
 
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -29,8 +29,9 @@
 }  // namespace
 
 Callers::Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names,
-                 Limits limits, CallerEvents& events, Counters& counters, Logger& log)
+                 Marks marks, Limits limits, CallerEvents& events, Counters& counters, Logger& log)
     : reactor_(reactor),
+      marks_(std::move(marks)),
       limits_(limits),
       events_(events),
       counters_(counters),
@@ -129,7 +130,7 @@
 // One message. What can be told to be a request gets its one answer.
 void Callers::take(Caller& caller, std::uint64_t tag, std::string_view text) {
   wire::RpcRequest request;
-  const wire::RpcProblem problem = wire::decode_request(text, request);
+  const wire::RpcProblem problem = wire::decode_request(text, request, marks_.field);
   // Under a number in use an answer would be the second one to its first request.
   const bool in_use = request.has_id && caller.requests.contains(request.id);
   const std::uint64_t number = request.has_id && !in_use ? request.id : 0;
@@ -176,6 +177,13 @@
     counters_.add(Count::kBadTypes);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kMethod, "unknown op type"));
   }
+  const auto at = static_cast<std::size_t>(type->second);
+  const bool sound = request.has_mark && !request.mark.empty() && request.mark.size() <= marks_.longest;
+  if (at < marks_.needed.size() && marks_.needed[at] && !sound) {
+    counters_.add(Count::kBadParams);
+    return put(caller, wire::encode_error(request.id, wire::RpcError::kParams,
+                                          request.has_mark ? "bad key" : "no key"));
+  }
   if (events_.in_use(request.txn)) {
     counters_.add(Count::kBadIds);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kRequest, "txn in use"));
@@ -188,6 +196,7 @@
   op.held_kb = request.held_kb;
   op.door = request.door_ms * kSecondsPerMs;
   op.limit = request.limit_ms * kSecondsPerMs;
+  op.mark = std::move(request.mark);
   op.body = std::move(request.body);
   op.ticket = {tag, request.id};
   --caller.faults;
@@ -224,8 +233,17 @@
 void Callers::answer_nacked(Ticket ticket, double come_back_in, bool no_retry) {
   answer(ticket, wire::encode_nack(ticket.number, come_back_in / kSecondsPerMs, no_retry));
 }
-void Callers::answer_failed(Ticket ticket) {
-  answer(ticket, wire::encode_error(ticket.number, wire::RpcError::kFailed, "failed"));
+void Callers::answer_failed(Ticket ticket, Failure why) {
+  switch (why) {
+    case Failure::kPlain:
+      return answer(ticket, wire::encode_error(ticket.number, wire::RpcError::kFailed, "failed"));
+    case Failure::kOutcomeUnknown:
+      return answer(ticket, wire::encode_error(ticket.number, wire::RpcError::kOutcomeUnknown,
+                                               "a try of this op has run; its outcome is unknown"));
+    case Failure::kKeyConflict:
+      return answer(ticket, wire::encode_error(ticket.number, wire::RpcError::kKeyConflict,
+                                               "this key belongs to an op with another body"));
+  }
 }
 void Callers::answer_check(Ticket ticket, bool good) {
   if (good) counters_.add(Count::kChecksGood);
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -8,10 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "watch/counters.h"
-#include "watch/logger.h"
 #include "net/connection.h"
 #include "peers/ports.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 #include "wire/rpc.h"
 
 namespace damsonspoke::peers {
@@ -24,13 +24,19 @@
     int connections = 0;
     std::size_t output_bytes = 0;  // of all connections together
   };
-  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names,
+  // The member of a request's params that tells a repeat, for op types that need it.
+  struct Marks {
+    std::string field;         // empty: none is read
+    std::size_t longest = 0;   // bytes
+    std::vector<bool> needed;  // by op type
+  };
+  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names, Marks marks,
           Limits limits, CallerEvents& events, Counters& counters, Logger& log);
   ~Callers() override;
 
   void answer_acked(Ticket ticket, std::string_view result) override;
   void answer_nacked(Ticket ticket, double come_back_in, bool no_retry) override;
-  void answer_failed(Ticket ticket) override;
+  void answer_failed(Ticket ticket, Failure why) override;
   void answer_check(Ticket ticket, bool good) override;
   void close_idle(double after) override;
   void ask_no_more() override;
@@ -73,6 +79,7 @@
 
   net::Reactor& reactor_;
   std::unordered_map<std::string, int> types_;
+  const Marks marks_;
   Limits limits_;
   CallerEvents& events_;
   Counters& counters_;
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -25,10 +25,18 @@
   double held_kb = 0;
   double door = 0;   // Unix s, when it came to the machine; 0: not told
   double limit = 0;  // s from then on that its caller waits; 0: not told
+  std::string mark;  // by which a repeat is known; empty: none
   std::string body;
   Ticket ticket;
 };
 
+// What a failed op's caller is told beside that it has failed.
+enum class Failure {
+  kPlain,
+  kOutcomeUnknown,  // it repeats one that has run, and what that came to is not known
+  kKeyConflict,     // its key belongs to an op that said something else; it did not run
+};
+
 // ---- What the peers tell.
 class CallerEvents {
  public:
@@ -64,7 +72,7 @@
   // Answers; a connection that has gone meanwhile takes none.
   virtual void answer_acked(Ticket ticket, std::string_view result) = 0;
   virtual void answer_nacked(Ticket ticket, double come_back_in, bool no_retry) = 0;
-  virtual void answer_failed(Ticket ticket) = 0;
+  virtual void answer_failed(Ticket ticket, Failure why) = 0;
   virtual void answer_check(Ticket ticket, bool good) = 0;
   virtual void close_idle(double after) = 0;
   virtual void ask_no_more() = 0;  // of everyone, and of each who connects from now on
--- a/src/peers/roster.h
+++ b/src/peers/roster.h
@@ -3,10 +3,10 @@
 
 #include <string>
 
-#include "watch/counters.h"
 #include "net/datagram.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
+#include "watch/counters.h"
 
 namespace damsonspoke::peers {
 
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "watch/counters.h"
-#include "watch/logger.h"
 #include "net/connection.h"
 #include "peers/ports.h"
 #include "settings/settings.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 #include "wire/runtime_lines.h"
 
 namespace damsonspoke::peers {
--- /dev/null
+++ b/src/results/key.h
@@ -0,0 +1,44 @@
+// How a repeat is known: by the mark that its caller gave it, or by a digest of what it says.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace damsonspoke::results {
+
+// 128 bits of XXH3 over what tells an op from all others. The seed is the store's own, so that nobody outside
+// can look for two marks that meet.
+struct Key {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  auto operator<=>(const Key&) const = default;
+};
+
+struct KeyHash {
+  std::size_t operator()(const Key& key) const { return static_cast<std::size_t>(key.low); }
+};
+
+// Of the body, so that a mark that is used for two different ops is seen.
+using Fingerprint = std::uint64_t;
+
+class KeyMaker {
+ public:
+  explicit KeyMaker(std::uint64_t seed = 0) : seed_(seed) {}
+
+  Key marked(std::string_view type, std::string_view mark) const;
+  // Without a mark: the same caller (0: any) saying the same again is taken to mean the same op.
+  Key digest(std::string_view type, std::uint32_t caller, std::string_view body) const;
+  // A read of a subject. The body belongs to the key: another question about it is another read.
+  Key read(std::string_view type, std::uint64_t subject, std::string_view body) const;
+  Fingerprint fingerprint(std::string_view body) const;
+
+ private:
+  std::uint64_t seed_;
+};
+
+std::string to_hex(const Key& key);              // 32 digits
+bool from_hex(std::string_view text, Key& key);  // false where it is not that
+
+}  // namespace damsonspoke::results
--- /dev/null
+++ b/src/results/recovery.cpp
@@ -0,0 +1,30 @@
+#include "results/recovery.h"
+
+#include <algorithm>
+
+namespace damsonspoke::results {
+namespace {
+
+constexpr double kSecondsPerMs = 0.001;
+constexpr double kUnknownType = 3600;  // s at most, for an op type that the settings no longer have: nobody
+                                       // can send it now, and the type may come back with the next settings
+
+}  // namespace
+
+Recovery::Recovery(const std::vector<std::string>& type_names, const std::vector<OpType>& types) {
+  for (std::size_t i = 0; i < types.size() && i < type_names.size(); ++i) {
+    windows_[type_names[i]] = types[i].window;
+    longest_ = std::max(longest_, types[i].window);
+  }
+}
+
+Recovered Recovery::read(const Row& row, std::int64_t now_unix_ms) const {
+  const double left = static_cast<double>(row.until_ms - now_unix_ms) * kSecondsPerMs;
+  if (left <= 0) return {};
+  const auto found = windows_.find(row.type);
+  const double most =
+      found != windows_.end() && found->second > 0 ? found->second : std::max(longest_, kUnknownType);
+  return {true, std::min(left, most)};
+}
+
+}  // namespace damsonspoke::results
--- /dev/null
+++ b/src/results/recovery.h
@@ -0,0 +1,32 @@
+// What a new life believes of what an earlier one has written. Pure policy.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decide.h"
+#include "results/database.h"
+
+namespace damsonspoke::results {
+
+struct Recovered {
+  bool keep = false;  // its window is not over
+  double left = 0;    // s until it is
+};
+
+class Recovery {
+ public:
+  Recovery(const std::vector<std::string>& type_names, const std::vector<OpType>& types);
+
+  // Windows are written by the Unix clock, which may have been set since. One that was set back must not make
+  // a window longer than its op type's; one that was set forward ends windows early, which can't be told from
+  // time that has passed.
+  Recovered read(const Row& row, std::int64_t now_unix_ms) const;
+
+ private:
+  std::unordered_map<std::string, double> windows_;  // s, by op type
+  double longest_ = 0;
+};
+
+}  // namespace damsonspoke::results
--- /dev/null
+++ b/src/results/table.h
@@ -0,0 +1,147 @@
+// What is remembered of ops whose repeats must not run again, or need not: the states that an entry goes
+// through, who waits for it, and which entry makes room. Pure policy: the clock is handed in, and what is to
+// be written, sent or answered is returned. Seconds on one clock that never steps back; bytes.
+//
+// After RIFL (SOSP 2015): a completion record lives as long as its client may try again, and is never given
+// up for room; and the Idempotency-Key draft of the IETF: a key with another body is refused.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "decide.h"
+#include "results/key.h"
+
+namespace damsonspoke::results {
+
+enum class Kind {
+  kKeyed,   // must be remembered until its window ends
+  kShared,  // a read that is worth remembering while its answer is fresh
+};
+
+enum class State {
+  kReserved,  // admitted, nothing has run
+  kRunning,   // may have run
+  kEnded,     // with a result
+  kUnknown,   // has run, perhaps in part; what it came to is not known
+};
+
+struct Bounds {
+  std::size_t bytes = 0;    // entries, results in memory, and room for the results of what has not ended
+  std::size_t entries = 0;  // at least 1
+  bool stored = false;      // results of keyed ops are in a store too, and need not stay in memory
+  double fresh = 0;         // s; how long a read's answer may serve others
+};
+
+enum class Meeting {
+  kNew,        // nothing like it is remembered: the module decides
+  kRepeat,     // the module decides whether it joins
+  kUnknown,    // its original has run with no known result: failed, never run
+  kOtherBody,  // its key belongs to an op that said something else
+  kNoRoom,     // nothing like it is remembered and nothing more can be: nacked, never ran
+};
+struct Met {
+  Meeting what = Meeting::kNew;
+  OpId original = 0;        // of kRepeat
+  double come_back_in = 0;  // s, of kNoRoom: when the first entry ends its window; 0: nobody knows
+};
+
+enum class Joined {
+  kWaits,     // until its original ends; see Ended
+  kHere,      // the result is in memory: result()
+  kStored,    // the result is in the store
+  kUnknown,   // its original has run with no known result
+  kNeverRan,  // its original has gone without a run
+};
+
+class Table {
+ public:
+  // Bytes of an entry without its result: its nodes in the map and its indices, as measured by the benchmark.
+  static constexpr std::size_t kEntryBytes = 400;
+  // Bytes of the longest result that is remembered, as the callers' protocol bounds it.
+  static constexpr std::size_t kMostResult = 4096;
+
+  explicit Table(Bounds bounds) : bounds_(bounds) {}
+
+  // An op comes whose repeats could be known. Keeps nothing.
+  Met meet(double now, const Key& key, Fingerprint fingerprint, Kind kind);
+  // The module keeps it, until its window ends. False where there is no room: it is not remembered.
+  bool reserve(double now, OpId id, const Key& key, Fingerprint fingerprint, Kind kind, double until);
+  // It is about to run: from now on it may have.
+  void start(OpId id);
+  // A repeat is to be answered as its original is.
+  Joined join(OpId repeat, const Key& key);
+  // A repeat is answered otherwise, or its caller has gone.
+  void leave(OpId repeat);
+
+  // What became of an entry: each returns the repeats that waited for it, in the order in which they came.
+  // It is proven that nothing ran: the entry goes.
+  std::vector<OpId> release(OpId id);
+  // It ended with this result. A keyed one's is durable by now.
+  std::vector<OpId> end(double now, OpId id, std::string result);
+  // It has run, at least in part, and its result is not known.
+  std::vector<OpId> lose(double now, OpId id);
+
+  // What an earlier life remembered; taken whatever the bounds are, since it must be. Its result is in the
+  // store. `until` is on this life's clock.
+  void recover(OpId id, const Key& key, Fingerprint fingerprint, bool ended, double until);
+  // An operator's wish. False where it is not there, or has not ended.
+  bool drop(const Key& key);
+
+  // Entries whose window is over go, at most so many at a time; the keys of the keyed ones are returned, for
+  // the store to let go of.
+  std::vector<Key> age(double now, std::size_t most);
+  // Smaller bounds give up at once what need not be remembered; the rest goes as its windows end.
+  void set_bounds(Bounds bounds);
+
+  struct Entry {
+    Key key;
+    Fingerprint fingerprint = 0;
+    OpId id = 0;
+    Kind kind = Kind::kKeyed;
+    State state = State::kReserved;
+    double until = 0;
+    std::optional<std::string> result;  // of kEnded; without it, in the store
+    std::uint64_t touched = 0;          // order in which results came to memory
+    std::vector<OpId> waiting;
+  };
+  const Entry* find(const Key& key) const;
+  const Entry* entry_of(OpId id) const;  // that has not ended
+  // Result of an ended entry, where it is in memory.
+  const std::string* result(const Key& key) const;
+
+  std::size_t entries() const { return entries_.size(); }
+  std::size_t bytes() const { return bytes_; }
+  std::size_t waiting() const { return originals_.size(); }
+  std::uint64_t evicted() const { return evicted_; }
+  // The sums that must hold at any time; for tests.
+  bool consistent() const;
+
+ private:
+  using Entries = std::unordered_map<Key, Entry, KeyHash>;
+  static std::size_t size_of(const Entry& entry);
+  bool make_room(std::size_t bytes, std::size_t entries);
+  bool give_up_one();
+  void add(Entry entry);
+  void erase(const Key& key);
+  void let_go_of_result(Entry& entry);
+  void settle(double now, Entry& entry);
+  std::vector<OpId> no_longer_waiting(Entry& entry);
+  Entry* live(OpId id);
+
+  Bounds bounds_;
+  Entries entries_;
+  std::unordered_map<OpId, Key> live_;                 // what has not ended, by its op
+  std::unordered_map<OpId, Key> originals_;            // of the repeats that wait
+  std::set<std::pair<double, Key>> ends_;              // of windows, of what has ended
+  std::set<std::pair<std::uint64_t, Key>> droppable_;  // what need not be in memory, oldest first
+  std::size_t bytes_ = 0;
+  std::uint64_t touches_ = 0, evicted_ = 0;
+};
+
+}  // namespace damsonspoke::results
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -1,5 +1,6 @@
 #include "settings/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -108,15 +109,52 @@
   return parse_config(all.str());
 }
 
-std::string unserved(const StartSettings& site) {
+namespace {
+
+// Of the memory limit, for keys and results: what is left when the shares of the peers (see the backend), the
+// program itself and open ops have theirs.
+constexpr double kResultsShare = 0.2;
+constexpr double kBytesPerMb = 1024 * 1024;
+
+std::string unserved_results(const Config& config, const ResultsOptions& results) {
+  const StartSettings& site = config.site;
   for (std::size_t i = 0; i < site.settings.op_types.size(); ++i) {
-    if (site.settings.op_types[i].effect == Effect::kKeyed) {
+    if (site.settings.op_types[i].effect == Effect::kKeyed && !results.enabled) {
       return "settings: op type '" + site.type_names[i] +
-             "' is keyed; this program keeps no keys on sockets yet";
+             "' is keyed; this program keeps keys only with 'results' enabled in an operators' file";
     }
   }
-  if (site.settings.fresh > 0)
-    return "settings: 'fresh' is above 0; this program shares no answers on sockets yet";
+  if (site.settings.fresh > 0 && !results.enabled) {
+    return "settings: 'fresh' is above 0; this program shares answers only with 'results' enabled in an "
+           "operators' file";
+  }
+  if (!results.enabled) return {};
+  for (const std::string& type : results.digest) {
+    const auto found = std::find(site.type_names.begin(), site.type_names.end(), type);
+    if (found == site.type_names.end())
+      return "results: digest names '" + type + "', which is no op type here";
+    const auto i = static_cast<std::size_t>(found - site.type_names.begin());
+    if (site.settings.op_types[i].effect != Effect::kKeyed)
+      return "results: digest names '" + type + "', which is not keyed: its ops are not remembered";
+  }
+  for (const char* known : {"txn", "door", "lb", "limit", "ram", "standing", "item", "probe", "arg"}) {
+    if (results.key_field == known)
+      return "results: key-field '" + results.key_field + "' is the protocol's own";
+  }
+  const double most = config.limits.memory_mb * kResultsShare * kBytesPerMb;
+  if (static_cast<double>(results.memory) > most) {
+    return "results: memory is over " + std::to_string(static_cast<int>(most / 1024)) +
+           "K, a fifth of this backend's memory limit";
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string unserved(const Config& config, const OperatorOptions& options) {
+  const StartSettings& site = config.site;
+  std::string lacking = unserved_results(config, options.results);
+  if (!lacking.empty()) return lacking;
   if (site.settings.say != Say::kOff)
     return "settings: 'say' is not off; this program announces nothing on sockets yet";
   if (site.settings.below == Below::kTier)
--- a/src/settings/config.h
+++ b/src/settings/config.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "settings/operator_file.h"
 #include "settings/settings.h"
 
 namespace damsonspoke {
@@ -30,7 +31,14 @@
 Config read_config(const std::string& path);
 Config parse_config(const std::string& text);
 
-// What this program does not serve, in plain words; empty when it serves all that the settings ask for.
-std::string unserved(const StartSettings& site);
+// What this program does not serve with these options, in plain words; empty when it serves all that is
+// asked.
+std::string unserved(const Config& config, const OperatorOptions& options);
+
+// All that one process goes by; read anew on SIGHUP.
+struct Choice {
+  Config config;
+  OperatorOptions options;
+};
 
 }  // namespace damsonspoke
--- /dev/null
+++ b/src/settings/operator_file.cpp
@@ -0,0 +1,230 @@
+#include "settings/operator_file.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "settings/settings.h"
+
+namespace damsonspoke {
+namespace {
+
+using Type = DirectiveType;
+using Values = std::map<std::pair<std::string, std::string>, OperatorFile::Value>;
+
+constexpr std::size_t kMostBytes = 1 << 20;  // a longer file is none of ours
+constexpr std::size_t kMostErrors = 50;      // told of one file
+
+std::vector<std::string> split(std::string_view text) {
+  std::vector<std::string> out;
+  std::istringstream in{std::string(text)};
+  for (std::string one; in >> one;) out.push_back(one);
+  return out;
+}
+
+// The number that a word stands for under a directive of that type.
+bool read_number(Type type, std::string_view word, double& out) {
+  switch (type) {
+    case Type::kSize: return read_size(word, out);
+    case Type::kDuration: return read_duration(word, out);
+    case Type::kPercentage: return read_percentage(word, out);
+    case Type::kCount: return read_count(word, out);
+    default: return false;
+  }
+}
+
+bool fits(const Directive& d, const std::vector<std::string>& words) {
+  if (d.type == Type::kWords) {
+    return static_cast<double>(words.size()) >= d.least && static_cast<double>(words.size()) <= d.most;
+  }
+  if (words.size() != 1) return false;
+  const std::string& word = words.front();
+  double number = 0;
+  switch (d.type) {
+    case Type::kFlag: return word == "on" || word == "off";
+    case Type::kChoice: {
+      const std::vector<std::string> choices = split(d.choices);
+      return std::find(choices.begin(), choices.end(), word) != choices.end();
+    }
+    case Type::kText:
+      return static_cast<double>(word.size()) >= d.least && static_cast<double>(word.size()) <= d.most;
+    default: return read_number(d.type, word, number) && number >= d.least && number <= d.most;
+  }
+}
+
+class Checker {
+ public:
+  explicit Checker(OperatorFile& out) : out_(out) {}
+
+  void take(const OperatorLine& line) {
+    const OperatorWord& first = line.words.front();
+    if (line.section) return take_section(line);
+    if (section_.empty()) {
+      if (!section_wrong_) error(line, first, fmt::format("'{}' stands in no section", first.text));
+      return;
+    }
+    const Directive* d = find_directive(section_, first.text);
+    if (d == nullptr) {
+      const std::string near = nearest_directive(section_, first.text);
+      return error(line, first,
+                   fmt::format("'{}' is no directive of section '{}'{}", first.text, section_, hint(near)));
+    }
+    std::vector<std::string> words;
+    for (std::size_t i = 1; i < line.words.size(); ++i) words.push_back(line.words[i].text);
+    if (!fits(*d, words)) {
+      const OperatorWord& at = line.words.size() > 1 ? line.words[1] : first;
+      return error(line, at, fmt::format("'{}' expects {}", d->name, expected(*d)));
+    }
+    auto [place, fresh] = out_.given.try_emplace({section_, first.text});
+    if (!fresh) {
+      return error(line, first,
+                   fmt::format("'{}' stands twice, first on line {}", first.text, place->second.line));
+    }
+    place->second = {std::move(words), line.line};
+  }
+
+ private:
+  void take_section(const OperatorLine& line) {
+    const OperatorWord& first = line.words.front();
+    section_.clear();
+    section_wrong_ = true;  // what follows is not told as well
+    if (!is_section(first.text)) {
+      return error(line, first,
+                   fmt::format("'{}' is no section{}", first.text, hint(nearest_section(first.text))));
+    }
+    if (line.words.size() > 1) {
+      return error(line, line.words[1], fmt::format("section '{}' takes no more words", first.text));
+    }
+    section_ = first.text;
+    section_wrong_ = false;
+  }
+  static std::string hint(const std::string& near) {
+    return near.empty() ? "" : fmt::format("; is '{}' meant?", near);
+  }
+  void error(const OperatorLine& line, const OperatorWord& at, std::string text) {
+    out_.errors.push_back({line.line, at.column, std::move(text)});
+  }
+
+  OperatorFile& out_;
+  std::string section_;
+  bool section_wrong_ = false;
+};
+
+// Values by type, the default where nothing was given.
+class Reader {
+ public:
+  explicit Reader(const Values& given) : given_(given) {}
+  std::vector<std::string> words(const char* section, const char* name) const {
+    const auto found = given_.find({section, name});
+    return found != given_.end() ? found->second.words : split(find_directive(section, name)->otherwise);
+  }
+  std::string text(const char* section, const char* name) const {
+    const std::vector<std::string> all = words(section, name);
+    return all.empty() ? std::string() : all.front();
+  }
+  bool flag(const char* section, const char* name) const { return text(section, name) == "on"; }
+  double number(const char* section, const char* name) const {
+    double out = 0;
+    read_number(find_directive(section, name)->type, text(section, name), out);
+    return out;
+  }
+  std::size_t whole(const char* section, const char* name) const {
+    return static_cast<std::size_t>(number(section, name));
+  }
+
+ private:
+  const Values& given_;
+};
+
+OperatorOptions options_of(const Values& given) {
+  const Reader read(given);
+  OperatorOptions o;
+  ResultsOptions& r = o.results;
+  r.enabled = read.flag("results", "enabled");
+  r.memory = read.whole("results", "memory");
+  r.entries = read.whole("results", "entries");
+  r.store = read.text("results", "store");
+  r.power_safe = read.text("results", "safety") == "power";
+  r.disk = read.whole("results", "disk");
+  r.queue = read.whole("results", "queue");
+  r.patience = read.number("results", "patience");
+  r.key_field = read.text("results", "key-field");
+  r.key_length = read.whole("results", "key-length");
+  r.digest = read.words("results", "digest");
+  r.digest_by_caller = read.text("results", "digest-by") == "caller";
+  return o;
+}
+
+}  // namespace
+
+OperatorFile parse_operator_file(std::string_view text) {
+  OperatorFile out;
+  OperatorLines lines = read_operator_lines(text);
+  out.errors = std::move(lines.errors);
+  Checker checker(out);
+  for (const OperatorLine& line : lines.lines) checker.take(line);
+  std::stable_sort(out.errors.begin(), out.errors.end(),
+                   [](const OperatorError& a, const OperatorError& b) { return a.line < b.line; });
+  out.options = options_of(out.given);
+  return out;
+}
+
+std::string told(const std::string& path, const std::vector<OperatorError>& errors) {
+  std::string text;
+  for (std::size_t i = 0; i < errors.size() && i < kMostErrors; ++i) {
+    const OperatorError& e = errors[i];
+    if (!text.empty()) text += '\n';
+    text += fmt::format("{}:{}:{}: {}", path, e.line, e.column, e.text);
+  }
+  if (errors.size() > kMostErrors) text += fmt::format("\n{}: {} more", path, errors.size() - kMostErrors);
+  return text;
+}
+
+OperatorFile read_operator_file(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream all;
+  if (file) all << file.rdbuf();
+  if (!file || file.bad() || all.str().size() > kMostBytes)
+    throw SettingsError("operators' file: cannot read '" + path + "'");
+  OperatorFile read = parse_operator_file(all.str());
+  if (!read.errors.empty()) throw SettingsError(told(path, read.errors));
+  return read;
+}
+
+std::string OperatorFile::effective() const {
+  std::string out;
+  std::string_view section;
+  for (const Directive& d : directives()) {
+    if (d.section != section) {
+      section = d.section;
+      out += fmt::format("{}\n", section);
+    }
+    const auto found = given.find({std::string(d.section), std::string(d.name)});
+    std::string value;
+    const std::vector<std::string> words = found != given.end() ? found->second.words : split(d.otherwise);
+    for (const std::string& word : words) {
+      const bool bare = !word.empty() && word.find_first_of(" \t\"#\\") == std::string::npos;
+      std::string shown = word;
+      if (!bare) {
+        shown.assign(1, '"');
+        for (const char c : word) {
+          if (c == '"' || c == '\\') shown += '\\';
+          shown += c;
+        }
+        shown += '"';
+      }
+      value += fmt::format("{}{}", value.empty() ? "" : " ", shown);
+    }
+    const std::string from = found != given.end() ? fmt::format("line {}", found->second.line) : "default";
+    if (value.empty()) {  // nothing to write: a comment, so that the output is itself such a file
+      out += fmt::format("    # {} is not set ({})\n", d.name, from);
+    } else {
+      out += fmt::format("    {:<12} {:<20} # {}\n", d.name, value, from);
+    }
+  }
+  return out;
+}
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/settings/operator_file.h
@@ -0,0 +1,54 @@
+// What operators choose beside the platform's configuration, read and checked as a whole. Without a file
+// everything in it is off.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "settings/operator_lines.h"
+#include "settings/operator_schema.h"
+
+namespace damsonspoke {
+
+// Remembered results; see src/results.
+struct ResultsOptions {
+  bool enabled = false;
+  std::size_t memory = 0;   // bytes
+  std::size_t entries = 0;  // keys
+  std::string store;        // a path; empty: memory alone
+  bool power_safe = false;
+  std::size_t disk = 0;   // bytes
+  std::size_t queue = 0;  // writes
+  double patience = 0;    // s
+  std::string key_field;
+  std::size_t key_length = 0;  // bytes
+  std::vector<std::string> digest;
+  bool digest_by_caller = true;
+};
+
+struct OperatorOptions {
+  ResultsOptions results;
+};
+
+struct OperatorFile {
+  struct Value {
+    std::vector<std::string> words;
+    std::size_t line = 0;
+  };
+  std::map<std::pair<std::string, std::string>, Value> given;  // by section and directive
+  OperatorOptions options;
+  std::vector<OperatorError> errors;  // all of the file, by line; options mean nothing where there are any
+
+  // Each directive with its value and where that came from.
+  std::string effective() const;
+};
+
+OperatorFile parse_operator_file(std::string_view text);
+// Throws SettingsError with one plain line where the file can't be read, or with its errors, a line each.
+OperatorFile read_operator_file(const std::string& path);
+std::string told(const std::string& path, const std::vector<OperatorError>& errors);
+
+}  // namespace damsonspoke
--- /dev/null
+++ b/src/settings/operator_schema.cpp
@@ -0,0 +1,157 @@
+#include "settings/operator_schema.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace damsonspoke {
+namespace {
+
+using Type = DirectiveType;
+
+constexpr double kKilo = 1024, kMega = 1024 * kKilo, kGiga = 1024 * kMega;
+
+constexpr auto kDirectives = std::to_array<Directive>({
+    {"results", "enabled", Type::kFlag, "off", 0, 0, "",
+     "Answers repeats of keyed ops, and reads within `fresh`, from memory."},
+    {"results", "memory", Type::kSize, "8M", 64 * kKilo, 4 * kGiga, "",
+     "Bytes that keys and results may take, the program's own share of each entry counted."},
+    {"results", "entries", Type::kCount, "20000", 16, 10e6, "", "Keys that may be remembered at once."},
+    {"results", "store", Type::kText, "", 0, 4096, "",
+     "The file in which keys and results survive a restart; without it they last as long as the process."},
+    {"results", "safety", Type::kChoice, "process", 0, 0, "process power",
+     "What the store survives: a killed process, or a power cut too (each group of writes is synced)."},
+    {"results", "disk", Type::kSize, "256M", kMega, 64 * kGiga, "",
+     "Bytes that the store's file may take; a keyed op that finds it full is nacked."},
+    {"results", "queue", Type::kCount, "1024", 8, 100000, "",
+     "Writes that may wait for the store; a keyed op that finds the queue full is nacked."},
+    {"results", "patience", Type::kDuration, "1s", 0.01, 60, "",
+     "How long a keyed op waits for its intent to be durable before it is nacked."},
+    {"results", "key-field", Type::kText, "key", 1, 64, "",
+     "The member of a request's params that holds its key, a string."},
+    {"results", "key-length", Type::kCount, "64", 1, 255, "", "Bytes that a key may have at most."},
+    {"results", "digest", Type::kWords, "", 0, 64, "",
+     "Op types whose ops carry no key and are known by a digest of caller, type and body."},
+    {"results", "digest-by", Type::kChoice, "caller", 0, 0, "caller body",
+     "Whether the caller's number is part of that digest, or only type and body are."},
+});
+
+std::string shown(Type type, double value) {
+  switch (type) {
+    case Type::kSize:
+      return value >= kGiga   ? fmt::format("{:g}G", value / kGiga)
+             : value >= kMega ? fmt::format("{:g}M", value / kMega)
+                              : fmt::format("{:g}K", value / kKilo);
+    case Type::kDuration:
+      return value < 1 ? fmt::format("{:g}ms", value * 1000) : fmt::format("{:g}s", value);
+    case Type::kPercentage: return fmt::format("{:g}%", value * 100);
+    default: return fmt::format("{:.0f}", value);
+  }
+}
+
+std::size_t distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t kept = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, diagonal + (a[i - 1] == b[j - 1] ? 0 : 1)});
+      diagonal = kept;
+    }
+  }
+  return row[b.size()];
+}
+
+std::string nearest(std::string_view name, const std::vector<std::string_view>& known) {
+  std::string best;
+  std::size_t least = name.size() / 2 + 1;  // half of it wrong: no slip of the hand any more
+  for (const std::string_view one : known) {
+    const std::size_t d = distance(name.substr(0, 64), one);
+    if (d < least) least = d, best = one;
+  }
+  return best;
+}
+
+std::string_view type_name(Type type) {
+  switch (type) {
+    case Type::kFlag: return "on or off";
+    case Type::kSize: return "size";
+    case Type::kDuration: return "duration";
+    case Type::kPercentage: return "percentage";
+    case Type::kCount: return "count";
+    case Type::kChoice: return "choice";
+    case Type::kText: return "text";
+    case Type::kWords: return "words";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::span<const Directive> directives() { return kDirectives; }
+
+const Directive* find_directive(std::string_view section, std::string_view name) {
+  for (const Directive& one : kDirectives) {
+    if (one.section == section && one.name == name) return &one;
+  }
+  return nullptr;
+}
+
+bool is_section(std::string_view name) {
+  return std::any_of(kDirectives.begin(), kDirectives.end(),
+                     [&](const Directive& one) { return one.section == name; });
+}
+
+std::string expected(const Directive& d) {
+  switch (d.type) {
+    case Type::kFlag: return "on or off";
+    case Type::kChoice: {
+      std::string choices(d.choices);
+      std::replace(choices.begin(), choices.end(), ' ', '|');
+      return "one of " + choices;
+    }
+    case Type::kText: return fmt::format("one word of {:.0f} to {:.0f} bytes", d.least, d.most);
+    case Type::kWords: return fmt::format("{:.0f} to {:.0f} words", d.least, d.most);
+    default:
+      return fmt::format("a {} from {} to {}", type_name(d.type), shown(d.type, d.least),
+                         shown(d.type, d.most));
+  }
+}
+
+std::string nearest_section(std::string_view name) {
+  std::vector<std::string_view> known;
+  for (const Directive& one : kDirectives) known.push_back(one.section);
+  return nearest(name, known);
+}
+std::string nearest_directive(std::string_view section, std::string_view name) {
+  std::vector<std::string_view> known;
+  for (const Directive& one : kDirectives) {
+    if (one.section == section) known.push_back(one.name);
+  }
+  return nearest(name, known);
+}
+
+std::string directive_reference() {
+  std::string page =
+      "# Directives of the operators' file\n\nGenerated by `damsonspoke config reference`; the table in\n"
+      "`src/settings/operator_schema.cpp` is what the reader itself goes by.\n";
+  std::string_view section;
+  for (const Directive& d : kDirectives) {
+    if (d.section != section) {
+      section = d.section;
+      page += fmt::format(
+          "\n## {}\n\n| directive | expects | default | meaning |\n| --- | --- | --- | --- |\n", section);
+    }
+    std::string expects = expected(d);
+    std::replace(expects.begin(), expects.end(), '|', '/');
+    page += fmt::format("| `{}` | {} | {} | {} |\n", d.name, expects,
+                        d.otherwise.empty() ? "none" : fmt::format("`{}`", d.otherwise), d.meaning);
+  }
+  return page;
+}
+
+}  // namespace damsonspoke
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <memory>
 
-#include "watch/counters.h"
 #include "decide.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
 #include "settings/settings.h"
+#include "watch/counters.h"
 
 namespace damsonspoke::stages {
 
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -1,7 +1,7 @@
 #include "stages/book.h"
 
-#include "watch/invariants.h"
 #include "net/reactor.h"
+#include "watch/invariants.h"
 
 namespace damsonspoke::stages {
 
@@ -36,16 +36,18 @@
   if (!must_hold(op.run == Run::kNone, counters_)) return fail(op);
   if (answer(op, Count::kOpsNacked)) peers_.callers->answer_nacked(op.ticket, come_back_in, no_retry);
 }
-void Book::fail(OpenOp& op) {
-  if (answer(op, Count::kOpsFailed)) peers_.callers->answer_failed(op.ticket);
+void Book::fail(OpenOp& op, peers::Failure why) {
+  if (answer(op, Count::kOpsFailed)) peers_.callers->answer_failed(op.ticket, why);
 }
 void Book::caller_gone(OpenOp& op) { answer(op, Count::kOpsGone); }
 
 void Book::settle(OpenOp& op) {
   // A paused run of an op that is over is dropped by the runtime, which tells nothing more of it.
   if (!op.answered || (op.run != Run::kNone && op.run != Run::kPaused)) return;
-  peers_.runtime->forget(op.id);
-  open_.erase(op.id);
+  const OpId id = op.id;
+  if (on_closed_) on_closed_(op);
+  peers_.runtime->forget(id);
+  open_.erase(id);
 }
 
 }  // namespace damsonspoke::stages
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -1,16 +1,17 @@
 // The last stage: the open ops, their one answer each, and what was counted of them.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
-#include "watch/counters.h"
 #include "peers/ports.h"
+#include "watch/counters.h"
 
 namespace damsonspoke::stages {
 
-enum class Run { kNone, kOnCores, kPaused, kAtCall };
+enum class Run { kNone, kRecording, kOnCores, kPaused, kAtCall };
 
 struct OpenOp {
   OpId id = 0;
@@ -35,10 +36,12 @@
   // The one answer; nothing is sent where it was given before or nobody waits any more.
   void ack(OpenOp& op, std::string_view result);
   void nack(OpenOp& op, double come_back_in, bool no_retry);
-  void fail(OpenOp& op);
+  void fail(OpenOp& op, peers::Failure why = peers::Failure::kPlain);
   void caller_gone(OpenOp& op);
   // Lets go of an op that is answered and whose run is over. To be called last: the reference ends here.
   void settle(OpenOp& op);
+  // Told of each op that the book lets go of, before it does.
+  void on_closed(std::function<void(const OpenOp&)> tell) { on_closed_ = std::move(tell); }
 
   std::size_t unanswered() const { return unanswered_; }
   std::size_t open() const { return open_.size(); }
@@ -49,6 +52,7 @@
   const peers::Ports& peers_;
   Counters& counters_;
   std::unordered_map<OpId, OpenOp> open_;
+  std::function<void(const OpenOp&)> on_closed_;
   std::size_t unanswered_ = 0;
 };
 
--- /dev/null
+++ b/src/stages/recall.cpp
@@ -0,0 +1,416 @@
+#include "stages/recall.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include "stages/admit.h"
+#include "watch/invariants.h"
+
+namespace damsonspoke::stages {
+namespace {
+
+using results::Joined;
+using results::Kind;
+using results::Meeting;
+using results::State;
+
+constexpr double kLook = 0.05;            // s; between looks at what has aged
+constexpr std::size_t kAgedAtOnce = 500;  // entries a look: well under a millisecond, 10,000 a second
+constexpr std::size_t kAgedOnArrival = 4;
+constexpr double kMsPerSecond = 1000;
+
+std::uint64_t any_seed() {
+  std::random_device chance;
+  return std::uint64_t{chance()} << 32 | chance();
+}
+
+results::Bounds bounds_of(const ResultsOptions& options, const StartSettings& site) {
+  return {options.memory, options.entries, !options.store.empty(), site.settings.fresh};
+}
+
+std::int64_t unix_ms() { return static_cast<std::int64_t>(net::unix_now() * kMsPerSecond); }
+
+}  // namespace
+
+Recall::Recall(net::Reactor& reactor, Book& book, Send& send, Admit& admit, const StartSettings& site,
+               const ResultsOptions& options, Counters& counters, Logger& log)
+    : reactor_(reactor),
+      book_(book),
+      send_(send),
+      admit_(admit),
+      site_(site),
+      options_(options),
+      counters_(counters),
+      log_(log),
+      keys_(options.enabled ? any_seed() : 0),
+      table_(bounds_of(options, site)),
+      recovery_(site.type_names, site.settings.op_types),
+      by_digest_(site.type_names.size(), false) {
+  if (!on()) return;
+  for (std::size_t i = 0; i < by_digest_.size(); ++i) {
+    const auto& named = options_.digest;
+    by_digest_[i] = std::find(named.begin(), named.end(), site.type_names[i]) != named.end();
+  }
+  if (!options_.store.empty()) {
+    results::Store::Options how;
+    how.path = options_.store;
+    how.power_safe = options_.power_safe;
+    how.bytes = options_.disk;
+    how.queue = options_.queue;
+    results::StoreEvents& events = *this;
+    store_ = std::make_unique<results::Store>(reactor_, how, events);
+  }
+  book_.on_closed([this](const OpenOp& op) { on_closed(op); });
+  look();
+}
+
+Recall::~Recall() {
+  store_.reset();
+  reactor_.cancel(look_timer_);
+  for (auto& [id, timer] : recording_) reactor_.cancel(timer);
+  for (auto& [id, pending] : pending_) reactor_.cancel(pending.due);
+}
+
+// ---- The store.
+void Recall::on_seed(std::uint64_t seed, bool made_new) {
+  keys_ = results::KeyMaker(seed);
+  if (made_new) log_.event(Level::kInfo, "results", "new store", {{"path", options_.store}});
+}
+
+void Recall::on_recovered(const std::vector<results::Row>& rows) {
+  const double now = net::monotonic_now();
+  const std::int64_t now_ms = unix_ms();
+  std::vector<results::Key> over;
+  for (const results::Row& row : rows) {
+    const results::Recovered read = recovery_.read(row, now_ms);
+    if (!read.keep) {
+      over.push_back(row.key);
+      continue;
+    }
+    table_.recover(row.op, row.key, row.fingerprint, row.ended, now + read.left);
+    counters_.add(Count::kResultsRecovered);
+  }
+  store_->erase(std::move(over));
+}
+
+void Recall::on_store_state(results::StoreState state, const std::string& why) {
+  const bool sound = state == results::StoreState::kSound;
+  if (sound) {
+    log_.event(Level::kInfo, "results", "store open",
+               {{"path", options_.store},
+                {"entries", table_.entries()},
+                {"safety", options_.power_safe ? "power" : "process"}});
+  } else {
+    const char* then = state == results::StoreState::kRefused
+                           ? "keyed ops are nacked until it is looked at and the program restarted"
+                           : "keyed ops that are new are nacked until it is well";
+    log_.event(Level::kError, "results", why + "; " + then, {{"state", name_of(state)}});
+  }
+}
+
+void Recall::on_drops_wanted(const std::vector<results::Key>& keys) {
+  std::vector<results::Key> dropped;
+  for (const results::Key& key : keys) {
+    if (table_.drop(key)) dropped.push_back(key);
+  }
+  log_.event(Level::kWarning, "results", "dropped as an operator asked",
+             {{"asked", keys.size()}, {"dropped", dropped.size()}});
+  store_->erase(std::move(dropped));
+}
+
+// ---- As ops come.
+bool Recall::identify(const Op& op, const peers::IncomingOp& in, Candidate& out) const {
+  const auto type = static_cast<std::size_t>(op.type);
+  const OpType& settings = site_.settings.op_types[type];
+  const std::string& name = site_.type_names[type];
+  out.id = op.id;
+  if (settings.effect == Effect::kKeyed) {
+    out.kind = Kind::kKeyed;
+    out.fingerprint = keys_.fingerprint(in.body);
+    out.key = by_digest_[type] ? keys_.digest(name, options_.digest_by_caller ? in.caller : 0, in.body)
+                               : keys_.marked(name, in.mark);
+    return true;
+  }
+  if (settings.effect == Effect::kRetryable && site_.settings.fresh > 0 && op.key != 0 && !op.write) {
+    out.kind = Kind::kShared;
+    out.key = keys_.read(name, op.key, in.body);
+    return true;
+  }
+  return false;
+}
+
+bool Recall::meet(Op& op, const peers::IncomingOp& in, OpenOp& entered) {
+  candidate_ = {};
+  if (!on()) return false;
+  // Until the store is open nothing is known of what earlier lives ran: a key may be one of theirs.
+  const bool unread = store_ && (store_->state() == results::StoreState::kOpening);
+  const bool keyed = site_.settings.op_types[static_cast<std::size_t>(op.type)].effect == Effect::kKeyed;
+  const double now = net::monotonic_now();
+  if (unread && keyed) {
+    counters_.add(Count::kResultsNoStore);
+    nack(entered, store_->come_back_in(now));
+    return true;
+  }
+  Candidate candidate;
+  if (!identify(op, in, candidate)) return false;
+  if (std::vector<results::Key> over = table_.age(now, kAgedOnArrival); store_)
+    store_->erase(std::move(over));
+  const results::Met met = table_.meet(now, candidate.key, candidate.fingerprint, candidate.kind);
+  switch (met.what) {
+    case Meeting::kNew:
+      if (keyed && store_ && !store_->takes_intents(now)) {
+        counters_.add(Count::kResultsNoStore);
+        nack(entered, store_->come_back_in(now));
+        return true;
+      }
+      break;
+    case Meeting::kRepeat: op.original = met.original; break;
+    case Meeting::kUnknown:
+      counters_.add(Count::kResultsUnknown);
+      book_.fail(entered, peers::Failure::kOutcomeUnknown);
+      return true;
+    case Meeting::kOtherBody:
+      counters_.add(Count::kResultsConflicts);
+      book_.fail(entered, peers::Failure::kKeyConflict);
+      return true;
+    case Meeting::kNoRoom:
+      counters_.add(Count::kResultsNoRoom);
+      nack(entered, met.come_back_in);
+      return true;
+  }
+  candidate_ = candidate;
+  return false;
+}
+
+// Never ran: with a time to come back where the site's callers heed one.
+void Recall::nack(OpenOp& op, double come_back_in) {
+  const Settings& s = site_.settings;
+  book_.nack(op, s.retry_after ? std::min(come_back_in, s.max_retry_after) : 0, false);
+}
+
+// ---- Acts of the module.
+void Recall::remember(OpId id, double ttl) {
+  if (!must_hold(candidate_.id == id, counters_)) return;
+  const double now = net::monotonic_now();
+  const bool kept =
+      table_.reserve(now, id, candidate_.key, candidate_.fingerprint, candidate_.kind, now + ttl);
+  if (kept) counters_.add(Count::kResultsKept);
+  // There was room a moment ago for a keyed one; a read is worth remembering, no more.
+  must_hold(kept || candidate_.kind == Kind::kShared, counters_);
+}
+
+void Recall::forget(OpId id) { answer_repeats(table_.release(id), How::kNeverRan); }
+
+void Recall::join(OpId id) {
+  if (!must_hold(candidate_.id == id, counters_)) return;
+  const results::Key key = candidate_.key;
+  counters_.add(Count::kResultsJoined);
+  switch (table_.join(id, key)) {
+    case Joined::kWaits: return;
+    case Joined::kHere:
+      counters_.add(Count::kResultsFromMemory);
+      return answer_repeat(id, How::kAcked, *table_.result(key));
+    case Joined::kStored: return answer_from_store(id, key);
+    case Joined::kUnknown: return answer_repeat(id, How::kUnknown);
+    case Joined::kNeverRan: return answer_repeat(id, How::kNeverRan);
+  }
+}
+
+bool Recall::hold_start(OpenOp& op) {
+  if (!on()) return false;
+  const OpId id = op.id;
+  const results::Table::Entry* entry = table_.entry_of(id);
+  const bool keyed = site_.settings.op_types[static_cast<std::size_t>(op.type)].effect == Effect::kKeyed;
+  if (entry == nullptr) {
+    // Guards against a keyed run that nobody would remember.
+    if (must_hold(!keyed, counters_)) return false;
+    reactor_.post([this, id] { not_started(id, {}, 0); });
+    return true;
+  }
+  if (!keyed || !store_) {
+    table_.start(id);
+    return false;
+  }
+  const results::Key key = entry->key;
+  results::Row row;
+  row.key = key;
+  row.op = id;
+  row.type = site_.type_names[static_cast<std::size_t>(op.type)];
+  row.fingerprint = entry->fingerprint;
+  row.until_ms = unix_ms() + static_cast<std::int64_t>((entry->until - net::monotonic_now()) * kMsPerSecond);
+  op.run = Run::kRecording;
+  const bool taken =
+      store_->intent(std::move(row), [this, id, key](bool durable) { on_intent(id, key, durable); });
+  if (!taken) {
+    reactor_.post([this, id, key] { on_intent(id, key, false); });
+    return true;
+  }
+  counters_.add(Count::kResultsIntents);
+  recording_[id] = reactor_.after(options_.patience, [this, id, key] { on_intent(id, key, false); });
+  return true;
+}
+
+// Its intent is durable, or will not be in time. What comes after that is passed over.
+void Recall::on_intent(OpId id, const results::Key& key, bool durable) {
+  const auto timer = recording_.find(id);
+  if (timer != recording_.end()) {
+    reactor_.cancel(timer->second);
+    recording_.erase(timer);
+  }
+  OpenOp* op = book_.find(id);
+  const results::Table::Entry* entry = table_.entry_of(id);
+  if (op == nullptr || op->run != Run::kRecording || entry == nullptr || entry->key != key) return;
+  if (!durable) counters_.add(Count::kResultsNotDurable);
+  if (!durable || op->answered) return not_started(id, key, store_->come_back_in(net::monotonic_now()));
+  table_.start(id);
+  send_.start(*op);
+}
+
+// Nothing reached the runtime: the op is nacked, and so is who waits for it.
+void Recall::not_started(OpId id, const results::Key& key, double come_back_in) {
+  OpenOp* op = book_.find(id);
+  if (op == nullptr) return;
+  op->run = Run::kNone;
+  nack(*op, come_back_in);
+  answer_repeats(table_.release(id), How::kNeverRan);
+  if (store_) store_->erase({key});
+  admit_.on_run_end(id, Outcome::kMoot, 0);
+  if ((op = book_.find(id)) != nullptr) book_.settle(*op);
+}
+
+// ---- Ends of runs.
+bool Recall::on_run_ended(OpenOp& op, Outcome outcome, std::string_view result) {
+  if (!on()) return false;
+  const OpId id = op.id;
+  const results::Table::Entry* entry = table_.entry_of(id);
+  if (entry == nullptr || entry->state != State::kRunning) return false;
+  const double now = net::monotonic_now();
+  const results::Key key = entry->key;
+  switch (outcome) {
+    case Outcome::kOk: {
+      if (entry->kind == Kind::kShared || !store_) {
+        answer_repeats(table_.end(now, id, std::string(result)), How::kAcked, result);
+        return false;
+      }
+      Pending& pending = pending_[id];
+      pending.key = key;
+      pending.result = result;
+      const double left = std::max(0.0, op.due - net::unix_now());
+      pending.due =
+          reactor_.after(left, [this, id] {  // the answer is owed now; the result follows when it can
+            OpenOp* late = book_.find(id);
+            if (late == nullptr) return;
+            book_.fail(*late);
+            book_.settle(*late);
+          });
+      store_->result(key, pending.result, [this, id](bool durable) { on_result_written(id, durable); });
+      return true;
+    }
+    case Outcome::kMoot: {  // nothing was started
+      answer_repeats(table_.release(id), How::kNeverRan);
+      if (store_) store_->erase({key});
+      return false;
+    }
+    case Outcome::kCancelled:
+      if (!op.answered && site_.settings.halt == Halt::kPause) return false;  // it goes on later
+      [[fallthrough]];
+    default: answer_repeats(table_.lose(now, id), How::kUnknown); return false;
+  }
+}
+
+// A result that could not be written is still the result: its callers get it, and a repeat after a restart is
+// told that the outcome is unknown.
+void Recall::on_result_written(OpId id, bool durable) {
+  auto found = pending_.extract(id);
+  if (found.empty()) return;
+  Pending& pending = found.mapped();
+  reactor_.cancel(pending.due);
+  if (!durable) counters_.add(Count::kResultsNotDurable);
+  const std::vector<OpId> repeats = table_.end(net::monotonic_now(), id, pending.result);
+  if (OpenOp* op = book_.find(id)) {
+    book_.ack(*op, pending.result);
+    book_.settle(*op);
+  }
+  answer_repeats(repeats, How::kAcked, pending.result);
+}
+
+void Recall::on_closed(const OpenOp& op) {
+  if (!on()) return;
+  table_.leave(op.id);
+  const results::Table::Entry* entry = table_.entry_of(op.id);
+  if (entry == nullptr || pending_.contains(op.id)) return;
+  if (entry->state == State::kReserved) {
+    answer_repeats(table_.release(op.id), How::kNeverRan);
+  } else {  // a paused run that is dropped
+    answer_repeats(table_.lose(net::monotonic_now(), op.id), How::kUnknown);
+  }
+}
+
+// ---- Repeats.
+void Recall::answer_from_store(OpId id, const results::Key& key) {
+  counters_.add(Count::kResultsFromStore);
+  const bool asked = store_ && store_->fetch(key, [this, id](const std::optional<results::Row>& row) {
+    answer_repeat(id, row && row->ended ? How::kAcked : How::kUnknown, row ? row->result : std::string());
+  });
+  if (!asked) answer_repeat(id, How::kUnknown);
+}
+
+void Recall::answer_repeats(const std::vector<OpId>& repeats, How how, std::string_view result) {
+  for (const OpId id : repeats) answer_repeat(id, how, result);
+}
+
+// Its answer leaves at once; the module hears of it on the next turn, since this may be inside one of its
+// acts.
+void Recall::answer_repeat(OpId id, How how, std::string_view result) {
+  OpenOp* op = book_.find(id);
+  if (op == nullptr) return;
+  switch (how) {
+    case How::kAcked: book_.ack(*op, result); break;
+    case How::kUnknown: book_.fail(*op, peers::Failure::kOutcomeUnknown); break;
+    case How::kNeverRan: nack(*op, 0); break;
+  }
+  reactor_.post([this, id, how] {
+    OpenOp* there = book_.find(id);
+    if (there == nullptr) return;
+    admit_.on_run_end(id, how == How::kAcked ? Outcome::kOk : Outcome::kMoot, 0);
+    if ((there = book_.find(id)) != nullptr) book_.settle(*there);
+  });
+}
+
+// ---- Time passing.
+void Recall::look() {
+  if (!store_ || store_->roomy()) {
+    std::vector<results::Key> over = table_.age(net::monotonic_now(), kAgedAtOnce);
+    if (store_) store_->erase(std::move(over));
+  }
+  look_timer_ = reactor_.after(kLook, [this] { look(); });
+}
+
+void Recall::reconfigure(const ResultsOptions& options) {
+  if (!on() && !options.enabled) return;
+  const bool same = options.enabled == options_.enabled && options.store == options_.store &&
+                    options.power_safe == options_.power_safe && options.disk == options_.disk &&
+                    options.queue == options_.queue && options.key_field == options_.key_field &&
+                    options.key_length == options_.key_length && options.digest == options_.digest &&
+                    options.digest_by_caller == options_.digest_by_caller;
+  if (!same) log_.warn("results", "only memory, entries and patience are taken without a restart");
+  if (!on()) return;
+  options_.memory = options.memory;
+  options_.entries = options.entries;
+  options_.patience = options.patience;
+  table_.set_bounds(bounds_of(options_, site_));
+  log_.event(Level::kInfo, "results", "new bounds",
+             {{"memory", options_.memory}, {"entries", options_.entries}, {"in_use", table_.bytes()}});
+}
+
+void Recall::report() {
+  if (!on()) return;
+  counters_.set(Count::kResultsEntries, table_.entries());
+  counters_.set(Count::kResultsBytes, table_.bytes());
+  counters_.set(Count::kResultsEvicted, table_.evicted());
+  if (store_)
+    counters_.set(Count::kResultsCommitMostUs, static_cast<std::uint64_t>(store_->slowest_commit() * 1e6));
+}
+
+}  // namespace damsonspoke::stages
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -29,7 +29,8 @@
   // One that was stopped and is still owed an answer goes on later; what ran is kept where the site pauses.
   const bool goes_on = outcome == Outcome::kCancelled && !op->answered;
   op->run = goes_on && pauses_ ? Run::kPaused : Run::kNone;
-  if (outcome == Outcome::kOk) book_.ack(*op, result);
+  const bool answer_follows = recall_.on_run_ended(*op, outcome, result);
+  if (outcome == Outcome::kOk && !answer_follows) book_.ack(*op, result);
   // Nothing was started, as the op is over for the runtime: the module lets go of it, its caller is told.
   if (outcome == Outcome::kError || outcome == Outcome::kMoot) book_.fail(*op);
   admit_.on_run_end(id, outcome, spent);
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -1,21 +1,22 @@
 // Brings back what runs and calls come to: to the caller, to the run that waits, to the module.
 #pragma once
 
-#include "watch/counters.h"
-#include "watch/logger.h"
 #include "peers/ports.h"
 #include "stages/admit.h"
 #include "stages/book.h"
 #include "stages/send.h"
 #include "stages/take_in.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
 
 namespace damsonspoke::stages {
 
 class Relay : public peers::RuntimeEvents, public peers::BelowEvents {
  public:
-  Relay(Book& book, Send& send, Admit& admit, TakeIn& take_in, Halt halt, Counters& counters)
+  Relay(Book& book, Send& send, Recall& recall, Admit& admit, TakeIn& take_in, Halt halt, Counters& counters)
       : book_(book),
         send_(send),
+        recall_(recall),
         admit_(admit),
         take_in_(take_in),
         pauses_(halt == Halt::kPause),
@@ -31,6 +32,7 @@
  private:
   Book& book_;
   Send& send_;
+  Recall& recall_;
   Admit& admit_;
   TakeIn& take_in_;
   const bool pauses_;  // a stopped run keeps what it has done
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -14,7 +14,8 @@
 void Route::start(OpId id) {
   OpenOp* op = known(id);
   if (op == nullptr) return;
-  op->run == Run::kPaused ? send_.resume(*op) : send_.start(*op);
+  if (op->run == Run::kPaused) return send_.resume(*op);
+  if (!recall_.hold_start(*op)) send_.start(*op);
 }
 
 void Route::interrupt(OpId id) {
@@ -50,11 +51,17 @@
   if (op != nullptr && must_hold(op->run == Run::kAtCall, counters_)) send_.omit(*op);
 }
 
-// Settings under which the module would take these acts are refused at the start (see unserved() of the
-// configuration), so none of them comes.
-void Route::remember(OpId, double) { must_hold(false, counters_); }
-void Route::forget(OpId) { must_hold(false, counters_); }
-void Route::join(OpId) { must_hold(false, counters_); }
+// Settings under which the module would take acts that nobody serves are refused at the start (see unserved()
+// of the configuration), so none of them comes.
+void Route::remember(OpId id, double ttl) {
+  if (must_hold(recall_.on(), counters_)) recall_.remember(id, ttl);
+}
+void Route::forget(OpId id) {
+  if (must_hold(recall_.on(), counters_)) recall_.forget(id);
+}
+void Route::join(OpId id) {
+  if (must_hold(recall_.on(), counters_)) recall_.join(id);
+}
 void Route::announce(double) { must_hold(false, counters_); }
 
 }  // namespace damsonspoke::stages
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -4,18 +4,19 @@
 #include <functional>
 #include <string>
 
-#include "watch/logger.h"
 #include "decide.h"
 #include "stages/book.h"
+#include "stages/recall.h"
 #include "stages/send.h"
+#include "watch/logger.h"
 
 namespace damsonspoke::stages {
 
 class Route : public Host {
  public:
   using OnWakeAt = std::function<void(double time, std::uint64_t token)>;
-  Route(Book& book, Send& send, Counters& counters, Logger& log)
-      : book_(book), send_(send), counters_(counters), log_(log) {}
+  Route(Book& book, Send& send, Recall& recall, Counters& counters, Logger& log)
+      : book_(book), send_(send), recall_(recall), counters_(counters), log_(log) {}
   void set_wakes(OnWakeAt on_wake_at) { on_wake_at_ = std::move(on_wake_at); }
 
   void start(OpId id) override;
@@ -38,6 +39,7 @@
 
   Book& book_;
   Send& send_;
+  Recall& recall_;
   Counters& counters_;
   Logger& log_;
   OnWakeAt on_wake_at_;
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -15,6 +15,7 @@
 }
 
 void Send::stop(OpenOp& op) {
+  if (op.run == Run::kRecording) return;          // nothing runs yet, and what is answered will not start
   if (site_.settings.halt == Halt::kOff) return;  // the runtime would not carry it out
   counters_.add(Count::kRunsStopped);
   peers_.runtime->stop(op.id);
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <vector>
 
-#include "watch/counters.h"
 #include "peers/ports.h"
 #include "settings/settings.h"
 #include "stages/book.h"
+#include "watch/counters.h"
 
 namespace damsonspoke::stages {
 
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -37,13 +37,18 @@
   open.id = in.id;
   open.type = in.type;
   open.ticket = in.ticket;
-  open.body = std::move(in.body);
+  if (!stages_.recall.on()) {
+    open.body = std::move(in.body);
+  } else {
+    open.body = in.body;  // the digest is of it
+  }
   open.due = now - op.age + (in.limit > 0 ? in.limit : type.op_timeout);
   OpenOp& entered = stages_.book.enter(std::move(open));
   if (!stages_.admit.begun()) {  // nothing runs yet: others may have room
     stages_.book.nack(entered, 0, false);
     return stages_.book.settle(entered);
   }
+  if (stages_.recall.meet(op, in, entered)) return stages_.book.settle(entered);
   stages_.admit.on_op(op);
 }
 
--- a/src/stages/take_in.h
+++ b/src/stages/take_in.h
@@ -3,12 +3,13 @@
 
 #include <unordered_map>
 
-#include "watch/counters.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
 #include "stages/admit.h"
 #include "stages/book.h"
+#include "stages/recall.h"
 #include "stages/send.h"
+#include "watch/counters.h"
 
 namespace damsonspoke::stages {
 
@@ -18,6 +19,7 @@
     Book& book;
     Admit& admit;
     Send& send;
+    Recall& recall;
   };
   TakeIn(net::Reactor& reactor, Stages stages, const peers::Ports& peers, const StartSettings& site,
          Counters& counters)
--- a/src/watch/counters.h
+++ b/src/watch/counters.h
@@ -18,6 +18,7 @@
 class Counters {
  public:
   void add(Count what, std::uint64_t by = 1) { values_[static_cast<std::size_t>(what)] += by; }
+  void set(Count what, std::uint64_t value) { values_[static_cast<std::size_t>(what)] = value; }
   void most(Count what, std::uint64_t value) {
     auto& kept = values_[static_cast<std::size_t>(what)];
     if (value > kept) kept = value;
--- a/src/watch/logger.h
+++ b/src/watch/logger.h
@@ -32,8 +32,8 @@
   Field(std::string_view n, std::string_view v) : name(n), value(v) {}
   Field(std::string_view n, const char* v) : name(n), value(v) {}
   template <typename T>
-    requires std::is_arithmetic_v<T>
-  Field(std::string_view n, T v) : name(n), value(fmt::format("{}", v)), number(true) {}
+  requires std::is_arithmetic_v<T> Field(std::string_view n, T v)
+      : name(n), value(fmt::format("{}", v)), number(true) {}
 };
 
 class Logger {
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -60,6 +60,12 @@
     if (!has) sound_ = false;
     return true;
   }
+  bool text(std::string& out, bool& has) {
+    if (in_.kind() != JsonKind::kString) return wrong();
+    has = true;
+    out.clear();
+    return in_.string(out);
+  }
   bool boolean(bool& out) {
     if (in_.kind() != JsonKind::kBool) return wrong();
     return in_.boolean(out);
@@ -120,7 +126,7 @@
   return frame;
 }
 
-RpcProblem decode_request(std::string_view text, RpcRequest& out) {
+RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field) {
   JsonCursor in(text);
   if (in.kind() != JsonKind::kObject)
     return in.skip() && in.at_end() ? RpcProblem::kNoRequest : RpcProblem::kNoJson;
@@ -135,6 +141,7 @@
     if (key == "ram") return params.number(out.held_kb, 0, kMostKb);
     if (key == "probe") return params.boolean(out.probe);
     if (key == "arg") return params.body(out.body);
+    if (!mark_field.empty() && key == mark_field) return params.text(out.mark, out.has_mark);
     if (key != "lb") return in.skip();
     if (!params.number(number, 0, 4294967295.0)) return false;
     if (number >= 0 && number <= 4294967295.0) out.caller = static_cast<std::uint32_t>(number);
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -35,15 +35,20 @@
   bool has_item = false;
   std::uint64_t item = 0;
   bool probe = false;
+  std::string mark;  // by which a repeat is known
+  bool has_mark = false;
   std::string body;
 };
 
 // On a problem the id is filled in where it can be told, so that the request can be answered.
-RpcProblem decode_request(std::string_view text, RpcRequest& out);
+// `mark_field` names the member of the params that holds an op's mark, a string; empty: none is looked for.
+RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field = {});
 
 enum class RpcError {
   kNacked = -32001,
   kFailed = -32000,
+  kOutcomeUnknown = -32003,
+  kKeyConflict = -32004,
   kParse = -32700,
   kRequest = -32600,
   kMethod = -32601,
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -24,7 +24,10 @@
   void answer_nacked(peers::Ticket t, double, bool no_retry) override {
     std::printf("  caller %d: nacked%s\n", number(t.number), no_retry ? ", not elsewhere" : "");
   }
-  void answer_failed(peers::Ticket t) override { std::printf("  caller %d: failed\n", number(t.number)); }
+  void answer_failed(peers::Ticket t, peers::Failure why) override {
+    const char* const kWhy[] = {"", ", outcome unknown", ", key conflict"};
+    std::printf("  caller %d: failed%s\n", number(t.number), kWhy[static_cast<int>(why)]);
+  }
   void answer_check(peers::Ticket t, bool good) override {
     std::printf("  check %d: %s\n", number(t.number), good ? "good" : "bad");
   }
@@ -137,6 +140,7 @@
 
  private:
   StartSettings site_;
+  ResultsOptions options_;
   Logger log_{Level::kError};
   RecordedCallers callers_;
   RecordedRuntime runtime_;
@@ -149,10 +153,11 @@
   Counters counters;
   stages::Book book{ports_, counters};
   stages::Send send{ports_, site_, counters};
-  stages::Route route{book, send, counters, log_};
+  stages::Recall recall{reactor_, book, send, admit, site_, options_, counters, log_};
+  stages::Route route{book, send, recall, counters, log_};
   stages::Admit admit{reactor_, site_, 7, route, ports_, counters};
-  stages::TakeIn take_in{reactor_, {book, admit, send}, ports_, site_, counters};
-  stages::Relay relay{book, send, admit, take_in, site_.settings.halt, counters};
+  stages::TakeIn take_in{reactor_, {book, admit, send, recall}, ports_, site_, counters};
+  stages::Relay relay{book, send, recall, admit, take_in, site_.settings.halt, counters};
 };
 
 // An op passes the stages and leaves the book when it is answered and its run is over.
