--- /dev/null
+++ b/standins/callers.cpp
@@ -0,0 +1,257 @@
+#include "callers.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace damsonspoke::standins {
+namespace {
+
+constexpr std::size_t kOpenALink = 24;  // of the 32 that the protocol allows
+
+std::string base64(const std::string& bytes) {
+  static constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t three = 0;
+    for (std::size_t j = 0; j < 3; ++j)
+      three = three << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0u);
+    for (std::size_t j = 0; j < 4; ++j)
+      out += i + j > bytes.size() ? '=' : kDigits[three >> (18 - 6 * j) & 63];
+  }
+  return out;
+}
+
+std::string from_base64(const std::string& text) {
+  std::string out;
+  std::uint32_t bits = 0;
+  int have = 0;
+  for (const char c : text) {
+    const int value = c >= 'A' && c <= 'Z'   ? c - 'A'
+                      : c >= 'a' && c <= 'z' ? c - 'a' + 26
+                      : c >= '0' && c <= '9' ? c - '0' + 52
+                      : c == '+'             ? 62
+                      : c == '/'             ? 63
+                                             : -1;
+    if (value < 0) break;
+    bits = bits << 6 | static_cast<std::uint32_t>(value);
+    if ((have += 6) >= 8) out += static_cast<char>(bits >> (have -= 8) & 255);
+  }
+  return out;
+}
+
+AnswerKind kind_of(int code) {
+  switch (code) {
+    case -32001: return AnswerKind::kNacked;
+    case -32003: return AnswerKind::kUnknownOutcome;
+    case -32004: return AnswerKind::kConflict;
+    case -32000: return AnswerKind::kFailed;
+    default: return AnswerKind::kBad;
+  }
+}
+
+}  // namespace
+
+Callers::Callers(Loop& loop, Journal& journal, Options options)
+    : loop_(loop), journal_(journal), options_(std::move(options)), random_(options_.seed) {
+  for (std::size_t i = 0; i < options_.flows.size(); ++i) next_thing(i);
+}
+
+Callers::~Callers() { cut_off(); }
+
+double Callers::chance() { return std::ldexp(static_cast<double>(random_() >> 11), -53); }
+
+void Callers::reach(std::uint16_t port) { port_ = port; }
+void Callers::want_more(bool more) { more_ = more; }
+
+void Callers::cut_off() {
+  while (!links_.empty()) drop(links_.begin()->first);
+  port_ = 0;
+}
+
+// Things come at random, whatever becomes of those before: load does not wait for answers.
+void Callers::next_thing(std::size_t flow) {
+  const Flow& of = options_.flows[flow];
+  const double pause = -std::log(1 - chance()) / of.per_s;
+  loop_.after(pause, [this, flow] {
+    next_thing(flow);
+    if (!more_ || port_ == 0) return;
+    const Flow& f = options_.flows[flow];
+    const std::uint64_t number = ++things_;
+    Thing thing;
+    thing.flow = flow;
+    const std::uint64_t subject = f.shared ? 1 + random_() % 8 : number;
+    thing.key = fmt::format("{}-{}", f.type, subject);
+    thing.body = thing.key + ' ';
+    if (thing.body.size() < f.body_bytes) thing.body.resize(f.body_bytes, 'b');
+    thing.out = f.copies;
+    ++wanted_;
+    all_[number] = std::move(thing);
+    ask_for(number);
+    for (int i = 1; i < f.copies; ++i) loop_.after(chance() * f.spread, [this, number] { ask_for(number); });
+  });
+}
+
+void Callers::ask_for(std::uint64_t number) {
+  Thing& thing = all_.at(number);
+  const std::string key = thing.key, body = thing.body;
+  const Flow& flow = options_.flows[thing.flow];
+  const std::uint64_t op = send_try(flow, key, body, false);
+  if (op != 0) {
+    thing_of_[op] = number;
+    return;
+  }
+  // Nobody listens: tried again as long as somebody may.
+  loop_.after(flow.pause, [this, number] { ask_for(number); });
+}
+
+std::uint64_t Callers::ask(const Flow& flow, const std::string& key, const std::string& body,
+                           bool on_its_own) {
+  return send_try(flow, key, body, on_its_own);
+}
+
+int Callers::link(bool own) {
+  if (!own) {
+    for (auto& [fd, link] : links_) {
+      if (!link.no_more && link.open.size() < kOpenALink &&
+          static_cast<int>(links_.size()) >= options_.connections) {
+        // Spread: the emptiest one of those there are.
+        int best = fd;
+        for (auto& [other, at] : links_) {
+          if (!at.no_more && at.open.size() < links_.at(best).open.size()) best = other;
+        }
+        return best;
+      }
+    }
+  }
+  const int fd = port_ == 0 ? -1 : connected_socket(port_);
+  if (fd < 0) return -1;
+  links_[fd];
+  loop_.watch(fd, [this, fd] { read(fd); });
+  return fd;
+}
+
+std::uint64_t Callers::send_try(const Flow& flow, const std::string& key, const std::string& body, bool own) {
+  const int fd = link(own);
+  if (fd < 0) return 0;
+  const std::uint64_t op = (random_() & 0xffffffff00000000ULL) | next_op_++, number = next_number_++;
+  const double door = unix_now();
+  std::string more;
+  if (flow.marked) more += fmt::format(R"(,"key":"{}")", key);
+  if (flow.shared) {
+    std::uint64_t item = 1;
+    for (const char c : key) item = item * 131 + static_cast<unsigned char>(c);
+    more += fmt::format(R"(,"item":"{:016x}")", item);
+  }
+  const std::string text = fmt::format(
+      R"({{"jsonrpc":"2.0","id":{},"method":"{}","params":{{"txn":"{:016x}","door":{:.0f},"lb":1,"ram":10,"limit":{:.0f}{},"arg":"{}"}}}})",
+      number, flow.type, op, door * 1000, flow.patience * 1000, more, base64(body));
+  Try seen;
+  seen.op = op;
+  seen.key = key;
+  seen.type = flow.type;
+  seen.life = static_cast<int>(journal_.lives.size()) - 1;
+  seen.sent = now();
+  seen.due = seen.sent + flow.patience;
+  journal_.tries[op] = std::move(seen);
+  links_.at(fd).open[number] = op;
+  ++owed_;
+  loop_.send(fd, fmt::format("Content-Length: {}\r\n\r\n{}", text.size(), text));
+  return op;
+}
+
+void Callers::read(int fd) {
+  char bytes[65536];
+  const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (got < 0 && errno == EAGAIN) return;
+  if (got <= 0) return drop(fd);
+  Link& link = links_.at(fd);
+  link.in.append(bytes, static_cast<std::size_t>(got));
+  for (;;) {
+    const std::size_t head = link.in.find("\r\n\r\n");
+    if (head == std::string::npos) break;
+    const auto length = static_cast<std::size_t>(std::atoll(link.in.c_str() + link.in.find(':') + 1));
+    if (link.in.size() < head + 4 + length) break;
+    const std::string text = link.in.substr(head + 4, length);
+    link.in.erase(0, head + 4 + length);
+    take(link, text);
+  }
+  if (link.no_more && link.open.empty()) drop(fd);
+}
+
+void Callers::take(Link& link, const std::string& text) {
+  const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
+  if (!message.is_object()) return;
+  if (message.value("method", "") == "noMore") {
+    link.no_more = true;
+    return;
+  }
+  if (!message.contains("id") || !message["id"].is_number()) return;
+  const auto number = message["id"].get<std::uint64_t>();
+  const auto found = link.open.find(number);
+  if (found == link.open.end()) {
+    // A second answer under one number breaks a rule: the journal has to know.
+    const auto before = link.answered.find(number);
+    if (before != link.answered.end())
+      journal_.tries.at(before->second).answers.push_back({now(), AnswerKind::kBad, {}});
+    return;
+  }
+  const std::uint64_t op = found->second;
+  link.answered[number] = op;
+  link.open.erase(found);
+  --owed_;
+  Try& of = journal_.tries.at(op);
+  Answer answer;
+  answer.at = now();
+  double come_back = 0;
+  if (message.contains("result")) {
+    answer.kind = AnswerKind::kAcked;
+    answer.result = from_base64(message["result"].value("arg", ""));
+  } else {
+    const auto& error = message["error"];
+    answer.kind = kind_of(error.value("code", 0));
+    if (error.contains("data")) come_back = error["data"].value("later", 0.0) / 1000;
+  }
+  const bool final = answer.kind == AnswerKind::kAcked || answer.kind == AnswerKind::kUnknownOutcome ||
+                     answer.kind == AnswerKind::kConflict || answer.kind == AnswerKind::kBad;
+  of.answers.push_back(std::move(answer));
+  if (on_answer) on_answer(of);
+  over(op, final, come_back);
+}
+
+// A try is over; a further one follows where nothing final came of it.
+void Callers::over(std::uint64_t op, bool final, double come_back) {
+  const auto found = thing_of_.find(op);
+  if (found == thing_of_.end()) return;
+  const std::uint64_t number = found->second;
+  thing_of_.erase(found);
+  Thing& thing = all_.at(number);
+  const Flow& flow = options_.flows[thing.flow];
+  if (!final && !thing.over && thing.retries < flow.retries) {
+    ++thing.retries;
+    loop_.after(std::max(come_back, flow.pause) * (1 + chance()), [this, number] { ask_for(number); });
+    return;
+  }
+  if (final) thing.over = true;
+  if (--thing.out == 0) {
+    --wanted_;
+    all_.erase(number);
+  }
+}
+
+void Callers::drop(int fd) {
+  const Link link = std::move(links_.at(fd));
+  links_.erase(fd);
+  loop_.forget(fd);
+  ::close(fd);
+  for (const auto& [number, op] : link.open) {
+    --owed_;
+    journal_.tries.at(op).lost = true;
+    over(op, false, 0);
+  }
+}
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/callers.h
@@ -0,0 +1,89 @@
+// Callers that want things done, and ask again: each thing is wanted a few times, with or without a mark, and
+// every try and answer goes to the journal.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "journal.h"
+#include "loop.h"
+
+namespace damsonspoke::standins {
+
+// One op type as callers send it.
+struct Flow {
+  std::string type;
+  double per_s = 10;     // things wanted
+  double patience = 2;   // s, told with each try
+  bool marked = false;   // tries carry the key
+  bool shared = false;   // reads of few subjects, named by `item`
+  int copies = 1;        // tries of a thing that are sent whatever comes of the others
+  double spread = 0.05;  // s within which they are
+  int retries = 0;       // further tries after a failure, a refusal or a lost connection
+  double pause = 0.05;   // s before those, at least
+  std::size_t body_bytes = 32;
+};
+
+class Callers {
+ public:
+  struct Options {
+    std::vector<Flow> flows;
+    int connections = 8;
+    std::uint64_t seed = 1;
+  };
+  Callers(Loop& loop, Journal& journal, Options options);
+  ~Callers();
+
+  void reach(std::uint16_t port);             // the program listens there now
+  void cut_off();                             // it has gone: connections end
+  void want_more(bool more);                  // new things; what was wanted is still tried
+  std::size_t open() const { return owed_; }  // tries without an answer
+  std::size_t still_wanted() const { return wanted_; }
+  std::uint64_t things() const { return things_; }
+
+  // One try on its own, for tests; returns its op.
+  std::uint64_t ask(const Flow& flow, const std::string& key, const std::string& body,
+                    bool on_its_own = false);
+  std::function<void(const Try&)> on_answer;
+
+ private:
+  struct Thing {
+    std::size_t flow = 0;
+    std::string key, body;
+    int retries = 0;
+    bool over = false;
+    int out = 0;  // tries in hand or to come
+  };
+  struct Link {
+    std::string in;
+    std::map<std::uint64_t, std::uint64_t> open, answered;  // number to op
+    bool no_more = false;
+  };
+  void next_thing(std::size_t flow);
+  void ask_for(std::uint64_t thing);
+  std::uint64_t send_try(const Flow& flow, const std::string& key, const std::string& body, bool own_link);
+  int link(bool own);
+  void read(int fd);
+  void take(Link& link, const std::string& text);
+  void over(std::uint64_t op, bool good, double come_back);
+  void drop(int fd);
+  double chance();
+
+  Loop& loop_;
+  Journal& journal_;
+  Options options_;
+  pcg64 random_;
+  std::uint16_t port_ = 0;
+  std::map<int, Link> links_;
+  std::map<std::uint64_t, Thing> all_;               // by number
+  std::map<std::uint64_t, std::uint64_t> thing_of_;  // by op
+  std::uint64_t next_op_ = 1, next_number_ = 1, things_ = 0;
+  std::size_t owed_ = 0, wanted_ = 0;
+  bool more_ = true;
+};
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/demo.cpp
@@ -0,0 +1,100 @@
+// The main job in ten seconds: a relay among its stand-ins, asked for more than its cores can do, half of it
+// asked twice. Prints service by op type, waits, and the verdict of the four rules. usage: demo BINARY
+// [SECONDS]
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "fleet.h"
+
+using namespace damsonspoke::standins;
+
+namespace {
+
+struct Row {
+  int wanted = 0, served = 0, in_time = 0, nacked = 0, failed = 0;
+  std::vector<double> waits;
+};
+
+double quantile(std::vector<double>& values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    fmt::print(stderr, "usage: demo BINARY [SECONDS]\n");
+    return 2;
+  }
+  const double seconds = argc > 2 ? std::atof(argv[2]) : 10;
+  SiteSpec site;
+  site.types = {{"read", "retryable", 0.5, 1, 0, 1},
+                {"push", "retryable", 0.5, 1, 0, 1},
+                {"close", "dedup", 0.5, 1, 10, 3}};
+  site.operators = "results\n    enabled on\n    memory 16M\n    store STORE\n";
+  Callers::Options load;
+  Flow read{"read", 90, 1};
+  Flow push{"push", 60, 1};
+  Flow close{"close", 40, 1};
+  close.marked = true;
+  close.copies = 2;
+  close.retries = 2;
+  load.flows = {read, push, close};
+  Runtime::Options work;
+  work.cores = 2;
+  work.work = 0.012;
+  Fleet fleet(argv[1], site, work, load);
+  fmt::print(
+      "A relay with 2 cores; 190 ops wanted a second of 12 ms each, 1.14 times what the cores can do;\n"
+      "every close is sent twice. {:.0f} s of it, then the notice to leave.\n\n",
+      seconds);
+  if (!fleet.start()) {
+    fmt::print("the program does not start\n");
+    return 1;
+  }
+  fleet.loop.run_for(seconds);
+  const auto counters = fleet.process->counters();
+  const long resident = fleet.process->resident_kb();
+  fleet.settle(3);
+  const bool left = fleet.leave();
+  std::map<std::string, Row> rows;
+  std::map<std::string, std::map<std::string, bool>> keys;
+  for (const auto& [op, t] : fleet.journal.tries) {
+    Row& row = rows[t.type];
+    ++row.wanted;
+    for (const Answer& a : t.answers) {
+      row.served += a.kind == AnswerKind::kAcked;
+      row.nacked += a.kind == AnswerKind::kNacked;
+      row.failed += a.kind != AnswerKind::kAcked && a.kind != AnswerKind::kNacked;
+      if (a.kind != AnswerKind::kAcked) continue;
+      row.waits.push_back(a.at - t.sent);
+      row.in_time += a.at - t.sent <= 0.5;
+      keys[t.type][t.key] = true;
+    }
+  }
+  std::map<std::string, int> runs;
+  for (const RunSeen& run : fleet.journal.runs) ++runs[run.type];
+  fmt::print("{:<8}{:>8}{:>8}{:>9}{:>8}{:>8}{:>8}{:>10}{:>10}\n", "op type", "tries", "acked", "in time",
+             "nacked", "failed", "runs", "p50 ms", "p99 ms");
+  for (auto& [type, row] : rows) {
+    fmt::print("{:<8}{:>8}{:>8}{:>9}{:>8}{:>8}{:>8}{:>10.1f}{:>10.1f}\n", type, row.wanted, row.served,
+               row.in_time, row.nacked, row.failed, runs[type], quantile(row.waits, 0.5) * 1000,
+               quantile(row.waits, 0.99) * 1000);
+  }
+  const auto count = [&](const char* name) {
+    const auto found = counters.find(name);
+    return found == counters.end() ? 0 : found->second;
+  };
+  fmt::print("\nkeys acked {}, their runs {}; repeats joined {}; {} KB resident\n", keys["close"].size(),
+             runs["close"], count("results.joined"), resident);
+  const Verdict verdict = check_rules(fleet.journal, fleet.limits());
+  for (const std::string& line : verdict.broken) fmt::print("{}\n", line);
+  const bool good = verdict.kept() && left && !fleet.journal.runs.empty();
+  fmt::print("the four rules: {}; left in order: {}\n", verdict.kept() ? "kept" : "BROKEN",
+             left ? "yes" : "no");
+  return good ? 0 : 1;
+}
--- /dev/null
+++ b/standins/journal.h
@@ -0,0 +1,79 @@
+// What the stand-ins saw, and the four rules over it. One journal for a whole play, over all lives of the
+// program.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace damsonspoke::standins {
+
+enum class AnswerKind { kAcked, kNacked, kFailed, kUnknownOutcome, kConflict, kBad };
+
+struct Answer {
+  double at = 0;  // s, monotonic
+  AnswerKind kind = AnswerKind::kFailed;
+  std::string result;
+};
+
+// One try of an op, as its caller saw it.
+struct Try {
+  std::uint64_t op = 0;
+  std::string key;  // of the thing wanted; tries of one thing share it
+  std::string type;
+  int life = 0;          // of the program, when it was sent
+  double sent = 0;       // s
+  double due = 0;        // s
+  bool lost = false;     // its connection ended before an answer
+  bool refused = false;  // never sent
+  std::vector<Answer> answers;
+};
+
+// One run, as the runtime saw it.
+struct RunSeen {
+  std::uint64_t op = 0;
+  std::string key;
+  std::string type;
+  int life = 0;
+  double began = 0;
+  std::string result;  // what it was given to end with
+  bool completed = false;
+};
+
+// One life of the program.
+struct Life {
+  double began = 0;
+  double leave_at = -1;  // the notice
+  double ended_at = -1;
+  bool killed = false;  // by us
+  int status = 0;       // otherwise
+};
+
+struct Journal {
+  std::map<std::uint64_t, Try> tries;
+  std::vector<RunSeen> runs;
+  std::vector<Life> lives;
+  int most_running = 0;
+};
+
+struct RuleLimits {
+  std::vector<std::string> keyed;  // op types that must not run twice a key
+  double slack = 0.1;              // s after the due time that an answer may come
+  double grace = 0.3;              // s after the notice in which what comes may still run
+  int survivable = 0;              // ops running at once; 0: any
+};
+
+struct Verdict {
+  std::vector<std::string> broken;  // plain words, the first few of each kind
+  int double_runs = 0;
+  int wrong_results = 0;
+  int unanswered = 0;
+  int late = 0;
+  int answered_twice = 0;
+  bool kept() const { return broken.empty(); }
+};
+
+Verdict check_rules(const Journal& journal, const RuleLimits& limits);
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/loop.cpp
@@ -0,0 +1,122 @@
+#include "loop.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <stdexcept>
+#include <vector>
+
+namespace damsonspoke::standins {
+namespace {
+
+sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+int bound_socket(int kind, std::uint16_t& port) {
+  const int fd = ::socket(AF_INET, kind | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  sockaddr_in address = loopback(0);
+  socklen_t size = sizeof address;
+  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0)
+    throw std::runtime_error("no loopback socket");
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  port = ntohs(address.sin_port);
+  return fd;
+}
+
+}  // namespace
+
+double now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+double unix_now() {
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+int listening_socket(std::uint16_t& port) {
+  const int fd = bound_socket(SOCK_STREAM, port);
+  if (::listen(fd, 256) != 0) throw std::runtime_error("cannot listen on loopback");
+  return fd;
+}
+int datagram_socket(std::uint16_t& port) { return bound_socket(SOCK_DGRAM, port); }
+
+int connected_socket(std::uint16_t port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = loopback(port);
+  if (fd < 0 || ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    ::close(fd);
+    return -1;
+  }
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+  return fd;
+}
+
+void Loop::watch(int fd, std::function<void()> on_readable) { watched_[fd] = std::move(on_readable); }
+
+void Loop::forget(int fd) {
+  watched_.erase(fd);
+  unsent_.erase(fd);
+}
+
+void Loop::send(int fd, const std::string& bytes) {
+  std::string& waiting = unsent_[fd];
+  waiting += bytes;
+  const ssize_t wrote = ::send(fd, waiting.data(), waiting.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (wrote > 0) waiting.erase(0, static_cast<std::size_t>(wrote));
+  if (waiting.empty()) unsent_.erase(fd);
+}
+
+void Loop::at(double time, std::function<void()> task) { timers_.emplace(time, std::move(task)); }
+
+void Loop::turn(double longest) {
+  std::vector<pollfd> fds;
+  for (const auto& [fd, task] : watched_) {
+    fds.push_back({fd, static_cast<short>(POLLIN | (unsent_.contains(fd) ? POLLOUT : 0)), 0});
+  }
+  double wait = longest;
+  if (!timers_.empty()) wait = std::clamp(timers_.begin()->first - now(), 0.0, longest);
+  timespec time{static_cast<time_t>(wait), static_cast<long>(std::fmod(wait, 1.0) * 1e9)};
+  ::ppoll(fds.data(), fds.size(), &time, nullptr);
+  for (const pollfd& ready : fds) {
+    if ((ready.revents & POLLOUT) != 0 && unsent_.contains(ready.fd)) send(ready.fd, "");
+    if ((ready.revents & ~POLLOUT) == 0) continue;
+    const auto found = watched_.find(ready.fd);
+    if (found == watched_.end()) continue;
+    const std::function<void()> task = found->second;  // it may forget itself
+    task();
+  }
+  for (int i = 0; i < 1000 && !timers_.empty() && timers_.begin()->first <= now(); ++i) {
+    const auto first = timers_.extract(timers_.begin());
+    first.mapped()();
+  }
+}
+
+bool Loop::run_until(const std::function<bool()>& enough, double patience) {
+  const double until = now() + patience;
+  while (!enough()) {
+    if (now() >= until) return false;
+    turn(0.01);
+  }
+  return true;
+}
+
+void Loop::run_for(double seconds) {
+  const double until = now() + seconds;
+  run_until([&] { return now() >= until; }, seconds + 1);
+}
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/process.cpp
@@ -0,0 +1,116 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+namespace damsonspoke::standins {
+
+Process::Process(Loop& loop, const std::vector<std::string>& command) : loop_(loop) {
+  int log[2];
+  if (::pipe2(log, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  std::vector<char*> words;
+  for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
+  words.push_back(nullptr);
+  pid_ = ::fork();
+  if (pid_ == 0) {
+    ::dup2(log[1], STDERR_FILENO);
+    ::execv(words[0], words.data());
+    std::_Exit(127);
+  }
+  ::close(log[1]);
+  log_ = log[0];
+  ::fcntl(log_, F_SETFL, O_NONBLOCK);
+  loop_.watch(log_, [this] { read(); });
+}
+
+Process::~Process() {
+  if (!over()) {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  loop_.forget(log_);
+  ::close(log_);
+}
+
+void Process::read() {
+  char bytes[65536];
+  const ssize_t got = ::read(log_, bytes, sizeof bytes);
+  if (got == 0) loop_.forget(log_);
+  if (got <= 0) return;
+  buffer_.append(bytes, static_cast<std::size_t>(got));
+  for (std::size_t end; (end = buffer_.find('\n')) != std::string::npos;) {
+    lines_.push_back(buffer_.substr(0, end));
+    if (on_line) on_line(lines_.back());
+    buffer_.erase(0, end + 1);
+  }
+}
+
+std::string Process::expect_log(const std::string& part, double patience) {
+  std::string found;
+  loop_.run_until(
+      [&] {
+        while (!lines_.empty()) {
+          found = lines_.front();
+          lines_.pop_front();
+          if (found.find(part) != std::string::npos) return true;
+        }
+        found.clear();
+        return over();
+      },
+      patience);
+  return found;
+}
+
+std::uint16_t Process::port() {
+  const std::string line = expect_log("listens on");
+  return line.empty() ? 0 : static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(':') + 1).c_str()));
+}
+
+void Process::signal(int number) {
+  if (!over()) ::kill(pid_, number);
+}
+
+bool Process::over() {
+  int status = 0;
+  if (over_ || ::waitpid(pid_, &status, WNOHANG) != pid_) return over_;
+  over_ = true;
+  status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return true;
+}
+
+long Process::resident_kb() const {
+  std::ifstream file(fmt::format("/proc/{}/status", pid_));
+  for (std::string line; std::getline(file, line);) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6);
+  }
+  return 0;
+}
+
+std::map<std::string, std::uint64_t> Process::counters() {
+  std::map<std::string, std::uint64_t> seen;
+  lines_.clear();
+  signal(SIGUSR1);
+  if (expect_log("counters:").empty()) return seen;
+  loop_.run_until(
+      [&] {
+        while (!lines_.empty()) {
+          const std::string line = lines_.front();
+          lines_.pop_front();
+          const std::size_t name = line.find_first_not_of(' '), end = line.find(' ', name);
+          if (name == 0 || end == std::string::npos) continue;
+          seen[line.substr(name, end - name)] = std::strtoull(line.c_str() + end, nullptr, 10);
+        }
+        return seen.contains("invariants.broken");
+      },
+      2);
+  return seen;
+}
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/rules.cpp
@@ -0,0 +1,106 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "journal.h"
+
+namespace damsonspoke::standins {
+namespace {
+
+constexpr std::size_t kTold = 5;  // breaks of one kind that are told
+
+class Told {
+ public:
+  Told(Verdict& verdict, int& count) : verdict_(verdict), count_(count) {}
+  void add(std::string text) {
+    if (static_cast<std::size_t>(count_++) < kTold) verdict_.broken.push_back(std::move(text));
+  }
+
+ private:
+  Verdict& verdict_;
+  int& count_;
+};
+
+// Rule 1: one final answer each, in time, unless its caller or the program itself was cut off.
+void one_answer(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  Told none(verdict, verdict.unanswered), late(verdict, verdict.late), twice(verdict, verdict.answered_twice);
+  for (const auto& [op, t] : journal.tries) {
+    if (t.refused) continue;
+    const Life& life = journal.lives.at(static_cast<std::size_t>(t.life));
+    const bool cut = t.lost && (life.killed || life.leave_at >= 0);
+    if (t.answers.empty() && !cut) none.add(fmt::format("rule 1: {} {:016x} has no answer", t.type, op));
+    if (t.answers.size() > 1)
+      twice.add(fmt::format("rule 1: {} {:016x} has {} answers", t.type, op, t.answers.size()));
+    if (!t.answers.empty() && t.answers.front().at > t.due + limits.slack) {
+      late.add(fmt::format("rule 1: {} {:016x} answered {:.0f} ms after its due time", t.type, op,
+                           (t.answers.front().at - t.due) * 1000));
+    }
+  }
+}
+
+// Rule 2: a key runs once, and what anybody is told of it is what that run came to.
+void one_effect(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  Told runs(verdict, verdict.double_runs), wrong(verdict, verdict.wrong_results);
+  std::map<std::string, std::vector<const RunSeen*>> by_key;
+  for (const RunSeen& run : journal.runs) by_key[run.type + " " + run.key].push_back(&run);
+  for (const auto& [name, of] : by_key) {
+    const bool keyed =
+        std::find(limits.keyed.begin(), limits.keyed.end(), of.front()->type) != limits.keyed.end();
+    if (keyed && of.size() > 1) {
+      runs.add(fmt::format("rule 2: key {} ran {} times, in lives {} and {}", name, of.size(), of[0]->life,
+                           of[1]->life));
+    }
+  }
+  std::map<std::uint64_t, bool> ran;
+  for (const RunSeen& run : journal.runs) ran[run.op] = true;
+  for (const auto& [op, t] : journal.tries) {
+    for (const Answer& answer : t.answers) {
+      if (answer.kind == AnswerKind::kNacked && ran.contains(op)) {
+        wrong.add(fmt::format("rule 2: {} {:016x} was nacked and had run", t.type, op));
+      }
+      if (answer.kind != AnswerKind::kAcked) continue;
+      const auto found = by_key.find(t.type + " " + t.key);
+      const bool known = found != by_key.end() &&
+                         std::any_of(found->second.begin(), found->second.end(),
+                                     [&](const RunSeen* run) { return run->result == answer.result; });
+      if (!known)
+        wrong.add(fmt::format("rule 2: {} {:016x} was acked with what no run of its key made", t.type, op));
+    }
+  }
+}
+
+// Rule 3: nothing that comes after the grace runs.
+void drain(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  int count = 0;
+  Told told(verdict, count);
+  for (const RunSeen& run : journal.runs) {
+    const Life& life = journal.lives.at(static_cast<std::size_t>(run.life));
+    const auto found = journal.tries.find(run.op);
+    if (life.leave_at < 0 || found == journal.tries.end()) continue;
+    if (found->second.sent > life.leave_at + limits.grace)
+      told.add(fmt::format("rule 3: {:016x} came after the grace and ran", run.op));
+  }
+}
+
+// Rule 4: it ends when it is told to, and the crowd stays under what the runtime survives.
+void no_fall(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  for (const Life& life : journal.lives) {
+    if (life.ended_at >= 0 && !life.killed && (life.leave_at < 0 || life.status != 0))
+      verdict.broken.push_back(fmt::format("rule 4: the program ended by itself, status {}", life.status));
+  }
+  if (limits.survivable > 0 && journal.most_running > limits.survivable)
+    verdict.broken.push_back(fmt::format("rule 4: {} ops ran at once", journal.most_running));
+}
+
+}  // namespace
+
+Verdict check_rules(const Journal& journal, const RuleLimits& limits) {
+  Verdict verdict;
+  one_answer(journal, limits, verdict);
+  one_effect(journal, limits, verdict);
+  drain(journal, limits, verdict);
+  no_fall(journal, limits, verdict);
+  return verdict;
+}
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/runtime.cpp
@@ -0,0 +1,173 @@
+#include "runtime.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <sstream>
+#include <vector>
+
+namespace damsonspoke::standins {
+namespace {
+
+constexpr double kStep = 0.001;      // s; between steps of the work
+constexpr double kBusyMemory = 0.5;  // s; over which the busy gauge is a mean
+constexpr std::size_t kKept = 4000;  // notices, as the protocol says
+constexpr std::size_t kMostInput = 1 << 22;
+
+}  // namespace
+
+Runtime::Runtime(Loop& loop, Journal& journal, Options how)
+    : options(how), loop_(loop), journal_(journal), worked_at_(now()), began_(now()) {
+  listener_ = listening_socket(port_);
+  loop_.watch(listener_, [this] { accept(); });
+  work();
+}
+
+Runtime::~Runtime() {
+  for (const int fd : {listener_, link_}) {
+    if (fd < 0) continue;
+    loop_.forget(fd);
+    ::close(fd);
+  }
+}
+
+std::string Runtime::key_of(const std::string& body) { return body.substr(0, body.find(' ')); }
+
+void Runtime::new_life() {
+  kept_.clear();
+  notices_ = 0;
+  runs_.clear();  // their effects stand; the journal has them
+  if (link_ >= 0) {
+    loop_.forget(link_);
+    ::close(link_);
+    link_ = -1;
+  }
+}
+
+void Runtime::accept() {
+  const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (fd < 0) return;
+  if (link_ >= 0) {
+    loop_.forget(link_);
+    ::close(link_);
+  }
+  link_ = fd;
+  in_.clear();
+  loop_.watch(fd, [this] { read(); });
+}
+
+void Runtime::read() {
+  char bytes[65536];
+  const ssize_t got = ::recv(link_, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (got == 0 || (got < 0 && errno != EAGAIN) || in_.size() > kMostInput) {
+    loop_.forget(link_);
+    ::close(link_);
+    link_ = -1;
+    return;
+  }
+  if (got > 0) in_.append(bytes, static_cast<std::size_t>(got));
+  while (take_one()) {
+  }
+}
+
+bool Runtime::take_one() {
+  const std::size_t line_end = in_.find("\r\n");
+  if (line_end == std::string::npos) return false;
+  std::istringstream line(in_.substr(0, line_end));
+  std::vector<std::string> words;
+  for (std::string word; line >> word;) words.push_back(word);
+  std::size_t used = line_end + 2;
+  std::string payload;
+  const bool long_one = !words.empty() && (words[0] == "start" || words[0] == "give");
+  if (long_one) {
+    const auto length = static_cast<std::size_t>(std::atoll(words.back().c_str()));
+    if (in_.size() < used + length + 2) return false;
+    payload = in_.substr(used, length);
+    used += length + 2;
+  }
+  in_.erase(0, used);
+  if (words.empty()) return true;
+  const std::uint64_t op = words.size() > 1 ? std::strtoull(words[1].c_str(), nullptr, 16) : 0;
+  if (words[0] == "sync") {
+    loop_.send(link_, fmt::format("ready hot {:.0f}\r\n", (now() - began_) * 1000));
+    const std::uint64_t last = std::strtoull(words[1].c_str(), nullptr, 10);
+    for (const auto& [number, text] : kept_) {
+      if (number > last) loop_.send(link_, text);
+    }
+  } else if (words[0] == "gauges") {
+    const double busy = std::min(1.0, busy_);
+    loop_.send(link_, fmt::format("load {} {:.3f} {} 0 0\r\n", words[1], busy, runs_.size()));
+  } else if (words[0] == "selftest") {
+    loop_.send(link_, fmt::format("verdict {} complete\r\n", words[1]));
+  } else if (words[0] == "start") {
+    start(op, words[2], payload);
+  } else if (words[0] == "stop") {
+    if (runs_.contains(op)) end(op, "cancelled", "");
+  } else if (words[0] == "give" || words[0] == "omit") {
+    const auto found = runs_.find(op);
+    if (found != runs_.end()) found->second.at_call = false;
+  }
+  return true;
+}
+
+void Runtime::start(std::uint64_t op, const std::string& type, const std::string& body) {
+  if (runs_.contains(op)) return;  // it runs already
+  std::string result = fmt::format("{} made {} ", key_of(body), ++made_);
+  if (result.size() < options.result_bytes) result.resize(options.result_bytes, 'r');
+  const int life = static_cast<int>(journal_.lives.size()) - 1;
+  journal_.runs.push_back({op, key_of(body), type, life, now(), std::move(result), false});
+  runs_[op] = {journal_.runs.size() - 1, options.work, false, false};
+  journal_.most_running = std::max(journal_.most_running, static_cast<int>(runs_.size()));
+}
+
+void Runtime::end(std::uint64_t op, const char* how, const std::string& result) {
+  runs_.erase(op);
+  const std::string text = fmt::format("end {} {:016x} {} {:.0f} {}\r\n{}\r\n", ++notices_, op, how,
+                                       options.work * 1000, result.size(), result);
+  notice(text);
+}
+
+void Runtime::notice(const std::string& text) {
+  kept_.emplace_back(notices_, text);
+  if (kept_.size() > kKept) kept_.pop_front();
+  if (link_ >= 0) loop_.send(link_, text);
+}
+
+// What runs shares the cores evenly.
+void Runtime::work() {
+  const double dt = now() - worked_at_;
+  worked_at_ = now();
+  int on_cores = 0;
+  for (const auto& [op, run] : runs_) on_cores += run.at_call ? 0 : 1;
+  const double share = on_cores > options.cores ? static_cast<double>(options.cores) / on_cores : 1;
+  busy_ += (std::min(1.0, static_cast<double>(on_cores) / options.cores) - busy_) *
+           std::min(1.0, dt / kBusyMemory);
+  std::vector<std::uint64_t> over, wanting;
+  for (auto& [op, run] : runs_) {
+    if (run.at_call) continue;
+    run.left -= dt * share;
+    const double place = static_cast<double>(op % 1000) / 1000;  // the same op fares the same each time
+    if (!run.called && place < options.calls && run.left < options.work / 2) {
+      run.called = run.at_call = true;
+      wanting.push_back(op);
+    } else if (run.left <= 0) {
+      over.push_back(op);
+    }
+  }
+  for (const std::uint64_t op : wanting) {
+    const std::string text = fmt::format("wants {} {:016x} 4\r\ncall\r\n", ++notices_, op);
+    notice(text);
+  }
+  for (const std::uint64_t op : over) {
+    RunSeen& seen = journal_.runs[runs_.at(op).record];
+    const bool fails = static_cast<double>(op / 1000 % 1000) / 1000 < options.fails;
+    seen.completed = !fails;
+    fails ? end(op, "error", "") : end(op, "complete", seen.result);
+  }
+  loop_.after(kStep, [this] { work(); });
+}
+
+}  // namespace damsonspoke::standins
