--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Short names for what one does here; each is one call of CMake, CTest or a tool.
-SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h' 'bench/*.cpp')
 CONFIG ?= docs/example.json
 
-.PHONY: build test lint format run
+.PHONY: build test lint format run demo bench
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF && cmake --build build -j4
@@ -20,5 +20,13 @@
 format:
 	clang-format -i $(SOURCES)
 
+# Ten seconds of the main job among stand-ins, and the verdict of the four rules.
+demo:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DDAMSONSPOKE_DEMO=ON && cmake --build build -j4
+	build/standins/damsonspoke_demo build/damsonspoke
+
+bench:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DDAMSONSPOKE_BENCH=ON && cmake --build build -j4
+
 run: build
 	build/damsonspoke serve --config $(CONFIG)
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -46,6 +46,14 @@
 void config_flags(cxxopts::Options& options) {
   add_operator(options), add_words(options, "check, show or reference");
 }
+void results_flags(cxxopts::Options& options) {
+  add_operator(options), add_words(options, "stat, list, verify or drop");
+  options.add_options()("store", "the store's file; without it, the one that the operators' file names",
+                        cxxopts::value<std::string>(), "FILE")(
+      "limit", "list: so many entries at most", cxxopts::value<std::size_t>()->default_value("100"), "N")(
+      "key", "drop: this key, as list shows it", cxxopts::value<std::string>(), "KEY")(
+      "expired", "drop: all whose window is over")("all", "drop: all of them");
+}
 void no_flags(cxxopts::Options&) {}
 
 struct Command {
@@ -59,6 +67,7 @@
     {"check", "read a configuration and say what is wrong with it", check_flags, check_command},
     {"config", "check or show an operators' file, or print the reference of its directives", config_flags,
      config_command},
+    {"results", "look at, verify or drop remembered results", results_flags, results_command},
     {"version", "print the version", no_flags, version_command},
 };
 
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -28,5 +28,6 @@
 int serve_command(const cxxopts::ParseResult& flags);
 int check_command(const cxxopts::ParseResult& flags);
 int config_command(const cxxopts::ParseResult& flags);
+int results_command(const cxxopts::ParseResult& flags);
 
 }  // namespace damsonspoke
--- a/src/results/database.cpp
+++ b/src/results/database.cpp
@@ -16,8 +16,10 @@
 
 constexpr int kApplicationId = 0x64616d73;  // "dams": tells our files from any others
 constexpr int kPageBytes = 4096;
-constexpr int kCacheKb = 512;          // of pages; beside it SQLite takes some 100 KB
-constexpr int kLogPages = 256;         // of the write-ahead log, then its pages go to the file: 1 MB
+constexpr int kCacheKb = 512;   // of pages; beside it SQLite takes some 100 KB
+constexpr int kLogPages = 256;  // of the write-ahead log, then its pages go to the file: 1 MB
+constexpr int kLongestValue =
+    256 * 1024;                        // bytes; results are far shorter, a spoilt length must not be believed
 constexpr int kBusyMs = 500;           // another process, an operator's command, has it for a moment
 constexpr std::size_t kKeyBytes = 16;  // as stored
 
@@ -123,6 +125,7 @@
   try {
     sqlite3_extended_result_codes(db_, 1);
     sqlite3_busy_timeout(db_, kBusyMs);
+    sqlite3_limit(db_, SQLITE_LIMIT_LENGTH, kLongestValue);
     set_up(options.only_if_there);
     run(options.power_safe ? "pragma synchronous=full" : "pragma synchronous=normal");
     if (options.bytes > 0) {
--- a/src/results/table.cpp
+++ b/src/results/table.cpp
@@ -79,6 +79,20 @@
   return true;
 }
 
+// For one more that is open, in the place of what has that key and is over, if anything has.
+bool Table::make_room_for(const Key& key) {
+  constexpr std::size_t kOpen = kEntryBytes + kMostResult;
+  for (;;) {
+    const auto found = entries_.find(key);
+    if (found == entries_.end()) return make_room(kOpen, 1);
+    const std::size_t old = size_of(found->second);
+    if (!make_room(kOpen - old, 0)) return false;
+    // Room may have been made by giving up that very one.
+    const auto still = entries_.find(key);
+    if (still != entries_.end() && size_of(still->second) == old) return true;
+  }
+}
+
 void Table::set_bounds(Bounds bounds) {
   const bool stored = bounds_.stored;
   bounds_ = bounds;
@@ -98,8 +112,7 @@
       return {Meeting::kRepeat, entry.id, 0};
     }
   }
-  const bool room = found != entries_.end() || make_room(kEntryBytes + kMostResult, 1);
-  if (room || kind == Kind::kShared) return {Meeting::kNew, 0, 0};
+  if (make_room_for(key) || kind == Kind::kShared) return {Meeting::kNew, 0, 0};
   return {Meeting::kNoRoom, 0, ends_.empty() ? 0 : std::max(0.0, ends_.begin()->first - now)};
 }
 
@@ -220,6 +233,7 @@
   entry.until = until;
   ends_.insert({until, key});
   add(std::move(entry));
+  make_room(0, 0);  // it stays; what need not be remembered goes for it
 }
 
 bool Table::drop(const Key& key) {
--- a/src/results/table.h
+++ b/src/results/table.h
@@ -126,6 +126,7 @@
   using Entries = std::unordered_map<Key, Entry, KeyHash>;
   static std::size_t size_of(const Entry& entry);
   bool make_room(std::size_t bytes, std::size_t entries);
+  bool make_room_for(const Key& key);
   bool give_up_one();
   void add(Entry entry);
   void erase(const Key& key);
--- /dev/null
+++ b/tests/recording_disk.h
@@ -0,0 +1,62 @@
+// A file layer for SQLite that keeps files in memory and records every write, truncation and sync, so that a
+// crash after any of them can be played: with all that was written, or without what was not synced.
+#pragma once
+
+#include <sqlite3.h>
+
+#include <cstdint>
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+namespace damsonspoke::testing {
+
+struct DiskOp {
+  enum class What { kWrite, kTruncate, kSync, kDelete } what = What::kWrite;
+  std::string file;
+  std::uint64_t at = 0;  // of a write; the size of a truncation
+  std::string bytes;
+};
+
+using DiskState = std::map<std::string, std::string>;
+
+class RecordingDisk {
+ public:
+  // Registers it under this name for as long as it lives.
+  explicit RecordingDisk(const char* name);
+  ~RecordingDisk();
+  RecordingDisk(const RecordingDisk&) = delete;
+  RecordingDisk& operator=(const RecordingDisk&) = delete;
+
+  void begin_with(DiskState state);  // and nothing recorded
+  const std::vector<DiskOp>& ops() const { return ops_; }
+
+  // What is there after a crash behind the first `count` operations: the process was killed...
+  static DiskState after_kill(const std::vector<DiskOp>& ops, std::size_t count, bool torn);
+  // ... or the power was cut: of each file's writes behind its last sync any part is there, or torn.
+  static DiskState after_power_cut(const std::vector<DiskOp>& ops, std::size_t count, std::uint64_t seed);
+
+ private:
+  struct File;
+  static File* file(sqlite3_file* file) { return reinterpret_cast<File*>(file); }
+  static int open(sqlite3_vfs* vfs, const char* name, sqlite3_file* out, int flags, int* out_flags);
+  static int remove(sqlite3_vfs* vfs, const char* name, int sync_folder);
+  static int access(sqlite3_vfs* vfs, const char* name, int flags, int* out);
+  static int full_path(sqlite3_vfs* vfs, const char* name, int size, char* out);
+  static int close(sqlite3_file* file);
+  static int read(sqlite3_file* file, void* out, int count, sqlite3_int64 at);
+  static int write(sqlite3_file* file, const void* bytes, int count, sqlite3_int64 at);
+  static int truncate(sqlite3_file* file, sqlite3_int64 size);
+  static int sync(sqlite3_file* file, int flags);
+  static int size(sqlite3_file* file, sqlite3_int64* out);
+  static int map_shared(sqlite3_file* file, int region, int bytes, int extend, void volatile** out);
+  static void apply(DiskState& state, const DiskOp& op, std::size_t bytes);
+
+  sqlite3_vfs vfs_{};
+  DiskState state_;
+  std::vector<DiskOp> ops_;
+  std::map<int, std::vector<char>> shared_;  // regions of the log's index, gone in a crash
+};
+
+}  // namespace damsonspoke::testing
--- /dev/null
+++ b/tests/results_kills.cpp
@@ -0,0 +1,66 @@
+// Kills the program at random moments while callers ask for each thing three times and more; then the four
+// rules over all lives: no key runs twice, no result is changed or another key's. usage: results_kills BINARY
+// KILLS [SEED]
+#include <cstdio>
+#include <cstdlib>
+
+#include "fleet.h"
+
+using namespace damsonspoke::standins;
+
+int main(int argc, char** argv) {
+  if (argc < 3) {
+    std::fprintf(stderr, "usage: results_kills BINARY KILLS [SEED]\n");
+    return 2;
+  }
+  const int kills = std::atoi(argv[2]);
+  const std::uint64_t seed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
+  SiteSpec site;
+  site.types = {{"push", "dedup", 1, 2, 60, 1}, {"pull", "dedup", 1, 2, 60, 1}};
+  site.operators = "results\n    enabled on\n    memory 4M\n    store STORE\n    digest pull\n";
+  Callers::Options load;
+  Flow push{"push", 60, 1};
+  push.marked = true;
+  push.copies = 3;
+  push.spread = 0.3;
+  push.retries = 6;
+  Flow pull = push;
+  pull.type = "pull";
+  pull.marked = false;
+  load.flows = {push, pull};
+  load.seed = seed;
+  Runtime::Options work;
+  work.cores = 4;
+  work.work = 0.012;
+  work.fails = 0.01;
+  Fleet fleet(argv[1], site, work, load);
+  pcg64 random(seed);
+  for (int i = 0; i < kills; ++i) {
+    if (!fleet.start()) return std::printf("the program does not start in life %d\n", i), 1;
+    fleet.loop.run_for(0.06 + static_cast<double>(random() % 1000) / 1000 * 0.2);
+    fleet.kill();
+  }
+  if (!fleet.start()) return std::printf("the program does not start again\n"), 1;
+  fleet.loop.run_for(0.3);
+  const bool settled = fleet.settle(15), left = fleet.leave();
+  const Verdict verdict = check_rules(fleet.journal, fleet.limits());
+  for (const std::string& line : verdict.broken) std::printf("%s\n", line.c_str());
+  std::map<AnswerKind, int> answers;
+  for (const auto& [op, t] : fleet.journal.tries) {
+    for (const Answer& a : t.answers) ++answers[a.kind];
+  }
+  std::fprintf(stderr, "lives %zu, tries %zu, runs %zu, acked %d, unknown %d, failed %d, nacked %d\n",
+               fleet.journal.lives.size(), fleet.journal.tries.size(), fleet.journal.runs.size(),
+               answers[AnswerKind::kAcked], answers[AnswerKind::kUnknownOutcome],
+               answers[AnswerKind::kFailed], answers[AnswerKind::kNacked]);
+  std::printf("double runs %d, wrong results %d, without an answer %d, late %d, answered twice %d\n",
+              verdict.double_runs, verdict.wrong_results, verdict.unanswered, verdict.late,
+              verdict.answered_twice);
+  std::printf("repeats were answered, outcomes were unknown: %s\n",
+              answers[AnswerKind::kAcked] > static_cast<int>(fleet.journal.runs.size()) &&
+                      (kills < 10 || answers[AnswerKind::kUnknownOutcome] > 0)
+                  ? "yes"
+                  : "no");
+  std::printf("settled: %s, left in order: %s\n", settled ? "yes" : "no", left ? "yes" : "no");
+  return verdict.kept() ? 0 : 1;
+}
