--- a/standins/below.cpp
+++ b/standins/below.cpp
@@ -24,7 +24,7 @@
 }
 
 void Below::accept() {
-  const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  const int fd = accepted_socket(listener_);
   if (fd < 0) return;
   links_[fd];
   serials_[fd] = next_serial_++;
--- a/standins/loop.cpp
+++ b/standins/loop.cpp
@@ -52,6 +52,13 @@
 }
 int datagram_socket(std::uint16_t& port) { return bound_socket(SOCK_DGRAM, port); }
 
+int accepted_socket(int listener) {
+  const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  const int on = 1;
+  if (fd >= 0) ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return fd;
+}
+
 int connected_socket(std::uint16_t port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = loopback(port);
--- a/standins/loop.h
+++ b/standins/loop.h
@@ -16,6 +16,7 @@
 // Sockets on loopback, ports that the system picks.
 int listening_socket(std::uint16_t& port);
 int datagram_socket(std::uint16_t& port);
+int accepted_socket(int listener);         // non-blocking; -1: none
 int connected_socket(std::uint16_t port);  // non-blocking from then on; -1: refused
 
 class Loop {
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -48,7 +48,7 @@
 }
 
 void Runtime::accept() {
-  const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  const int fd = accepted_socket(listener_);
   if (fd < 0) return;
   if (link_ >= 0) {
     loop_.forget(link_);
--- /dev/null
+++ b/tests/results_fleet.cpp
@@ -0,0 +1,152 @@
+// Remembered results under load: a relay among stand-ins that work and ask again, and the four rules over
+// what they saw. CTest compares with tests/traces/results_fleet_NAME.txt. usage: results_fleet BINARY
+// SCENARIO
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <set>
+
+#include "fleet.h"
+
+using namespace damsonspoke::standins;
+
+namespace {
+
+const char* binary = "";
+
+SiteSpec site_of(const std::string& operators, double window = 60) {
+  SiteSpec site;
+  site.types = {{"push", "dedup", 1, 2, window, 1}, {"pull", "dedup", 1, 2, window, 1}};
+  site.cores = 4;
+  site.operators = "results\n    enabled on\n    digest pull\n" + operators;
+  return site;
+}
+
+// Push is marked, pull is known by what it says; each thing is tried `copies` times whatever comes of it.
+Callers::Options load_of(double per_s, int copies) {
+  Flow push{"push", per_s, 1.5};
+  push.marked = true;
+  push.copies = copies;
+  push.spread = 0.1;
+  push.retries = 2;
+  Flow pull = push;
+  pull.type = "pull";
+  pull.marked = false;
+  return {{push, pull}, 8, 3};
+}
+
+Runtime::Options work_of(double work, std::size_t result_bytes = 64) {
+  Runtime::Options o;
+  o.cores = 4;
+  o.work = work;
+  o.result_bytes = result_bytes;
+  return o;
+}
+
+int count(const Journal& journal, AnswerKind kind) {
+  int n = 0;
+  for (const auto& [op, t] : journal.tries) {
+    for (const Answer& a : t.answers) n += a.kind == kind;
+  }
+  return n;
+}
+
+void verdict(Fleet& fleet) {
+  const Verdict v = check_rules(fleet.journal, fleet.limits());
+  for (const std::string& line : v.broken) std::printf("%s\n", line.c_str());
+  std::printf("the four rules: %s\n", v.kept() ? "kept" : "broken");
+}
+
+const char* yes(bool is) { return is ? "yes" : "no"; }
+
+void ends(Fleet& fleet, double patience) {
+  std::printf("settles: %s\n", yes(fleet.settle(patience)));
+  std::printf("leaves: %s\n", yes(fleet.leave()));
+}
+
+// Each thing three times: once run, three times answered.
+void surge() {
+  Fleet fleet(binary, site_of("    store STORE\n"), work_of(0.005), load_of(60, 3));
+  std::printf("starts: %s\n", yes(fleet.start()));
+  fleet.loop.run_for(2);
+  ends(fleet, 5);
+  std::set<std::string> unique;
+  for (const RunSeen& run : fleet.journal.runs) unique.insert(run.key);
+  const auto tries = static_cast<int>(fleet.journal.tries.size());
+  std::printf("runs a thing: %.2f; nearly all tries acked: %s; enough of them: %s\n",
+              static_cast<double>(fleet.journal.runs.size()) / static_cast<double>(unique.size()),
+              yes(count(fleet.journal, AnswerKind::kAcked) > tries * 9 / 10), yes(tries > 300));
+  verdict(fleet);
+}
+
+// Twice what the cores can do, all of it asked three times; then the notice to leave in the middle of it.
+void drain() {
+  Fleet fleet(binary, site_of("    store STORE\n    safety power\n"), work_of(0.02), load_of(200, 3));
+  std::printf("starts: %s\n", yes(fleet.start()));
+  fleet.loop.run_for(1.5);
+  std::printf("leaves in order: %s\n", yes(fleet.leave()));
+  const int acked = count(fleet.journal, AnswerKind::kAcked),
+            nacked = count(fleet.journal, AnswerKind::kNacked);
+  std::printf("some were acked: %s, some nacked: %s\n", yes(acked > 100), yes(nacked > 100));
+  verdict(fleet);
+}
+
+// The disk's bound is reached within a second: nothing dies, nothing runs twice, what can't be written never
+// runs.
+void full_disk() {
+  Fleet fleet(binary, site_of("    store STORE\n    disk 1M\n"), work_of(0.003, 4096), load_of(150, 2));
+  std::printf("starts: %s\n", yes(fleet.start()));
+  fleet.loop.run_for(2.5);
+  auto counters = fleet.process->counters();
+  std::printf("nacked for want of the store: %s\n",
+              yes(counters["results.no_store"] + counters["results.not_durable"] > 50));
+  ends(fleet, 8);
+  verdict(fleet);
+}
+
+// Bounds shrink and grow under load; windows are short, so that entries age all the time.
+void bounds() {
+  const std::string head = "results\n    enabled on\n    digest pull\n    store STORE\n";
+  Fleet fleet(binary, site_of("    store STORE\n", 1), work_of(0.005), load_of(80, 2));
+  std::printf("starts: %s\n", yes(fleet.start()));
+  for (const char* more : {"    entries 40\n", "    memory 64K\n", "    entries 5000\n    memory 4M\n",
+                           "    entries nonsense\n"}) {
+    fleet.loop.run_for(0.6);
+    fleet.write_operators(head + more);
+    fleet.process->signal(SIGHUP);
+  }
+  fleet.loop.run_for(0.6);
+  auto counters = fleet.process->counters();
+  std::printf("nacked for want of room: %s\n", yes(counters["results.no_room"] > 20));
+  ends(fleet, 8);
+  verdict(fleet);
+}
+
+// Many results of 4 KiB under 1 MB of memory: the rest is answered from the store.
+void large() {
+  Callers::Options load = load_of(300, 2);
+  for (Flow& flow : load.flows) flow.spread = 1.5;
+  Fleet fleet(binary, site_of("    store STORE\n    memory 1M\n"), work_of(0.001, 4096), load);
+  std::printf("starts: %s\n", yes(fleet.start()));
+  fleet.loop.run_for(3);
+  auto counters = fleet.process->counters();
+  std::printf("hundreds kept: %s, within the bound: %s, some answered from the store: %s\n",
+              yes(counters["results.entries"] > 300), yes(counters["results.bytes"] <= 1 << 20),
+              yes(counters["results.from_store"] > 50));
+  ends(fleet, 8);
+  verdict(fleet);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::pair<const char*, void (*)()> kScenarios[] = {
+      {"surge", surge}, {"drain", drain}, {"full_disk", full_disk}, {"bounds", bounds}, {"large", large}};
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc == 3) binary = argv[1];
+  for (const auto& [name, play] : kScenarios) {
+    if (argc == 3 && std::strcmp(argv[2], name) == 0) return play(), 0;
+  }
+  std::fprintf(stderr, "usage: results_fleet BINARY SCENARIO\n");
+  return 2;
+}
