Learning that survives a restart: the module's knowledge, its ageing, sealed files, command line

After a restart a backend knew neither how long runs and calls take nor whether its callers return, and admitted by guess. The module now tells what it has learned as one plain value and takes such a value at its start: a weak prior that four contradicting warm runs replace; a cold backend with a prior begins at the pace of the stated speed floor. knowledge/age decides how far a record is believed, part by part; record is CBOR; store/sealed_file writes it aside, synced, renamed, one generation kept, with form, length and sum; a keeper thread has the folder. Off without an operators' file. Over 10,000 crash points (every step, torn writes, unsynced bytes and names lost in any subset) gave the acknowledged record or the one being written, never garbage; 4,000 seeded records: belief never grows with age nor outweighs what was seen.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -64,8 +64,9 @@
       book_(ports_, counters_),
       send_(ports_, config_.site, counters_),
       recall_(reactor_, book_, send_, admit_, config_.site, options_.results, counters_, log_),
+      learn_(reactor_, admit_, config_.site, config_.name, options_.knowledge, counters_, log_),
       route_(book_, send_, recall_, counters_, log_),
-      admit_(reactor_, config_.site, config_.seed, route_, ports_, counters_),
+      admit_(reactor_, config_.site, config_.seed, route_, learn_, ports_, counters_),
       take_in_(reactor_, {book_, admit_, send_, recall_}, ports_, config_.site, counters_),
       relay_(book_, send_, recall_, admit_, take_in_, config_.site.settings.halt, counters_),
       callers_(reactor_, config_.listen, config_.site.type_names, marks(config_, options_.results),
@@ -85,6 +86,7 @@
 int Backend::run() {
   const std::string host = config_.listen.substr(0, config_.listen.rfind(':'));
   log_.info("backend", "{} listens on {}:{}", config_.name, host, callers_.port());
+  learn_.get_ready();
   reactor_.run();
   report();
   return 0;
@@ -120,6 +122,7 @@
   leaving_since_ = net::monotonic_now();
   log_.info("backend", "notice to leave, {} ops open, {} connections", book_.unanswered(),
             callers_.connections());
+  learn_.leaving();
   send_.leaving();
   admit_.on_leave(config_.stop_after);
   look_at_leaving();
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -12,6 +12,7 @@
 #include "settings/config.h"
 #include "stages/admit.h"
 #include "stages/book.h"
+#include "stages/learn.h"
 #include "stages/recall.h"
 #include "stages/relay.h"
 #include "stages/route.h"
@@ -48,6 +49,7 @@
   stages::Book book_;
   stages::Send send_;
   stages::Recall recall_;
+  stages::Learn learn_;
   stages::Route route_;
   stages::Admit admit_;
   stages::TakeIn take_in_;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -54,6 +54,11 @@
       "key", "drop: this key, as list shows it", cxxopts::value<std::string>(), "KEY")(
       "expired", "drop: all whose window is over")("all", "drop: all of them");
 }
+void knowledge_flags(cxxopts::Options& options) {
+  add_operator(options), add_words(options, "show, verify or forget");
+  options.add_options()("folder", "the folder; without it, the one that the operators' file names",
+                        cxxopts::value<std::string>(), "FOLDER");
+}
 void no_flags(cxxopts::Options&) {}
 
 struct Command {
@@ -67,6 +72,7 @@
     {"check", "read a configuration and say what is wrong with it", check_flags, check_command},
     {"config", "check or show an operators' file, or print the reference of its directives", config_flags,
      config_command},
+    {"knowledge", "show, verify or forget what a backend has learned", knowledge_flags, knowledge_command},
     {"results", "look at, verify or drop remembered results", results_flags, results_command},
     {"version", "print the version", no_flags, version_command},
 };
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -28,6 +28,7 @@
 int serve_command(const cxxopts::ParseResult& flags);
 int check_command(const cxxopts::ParseResult& flags);
 int config_command(const cxxopts::ParseResult& flags);
+int knowledge_command(const cxxopts::ParseResult& flags);
 int results_command(const cxxopts::ParseResult& flags);
 
 }  // namespace damsonspoke
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -83,7 +83,10 @@
 constexpr double kReturns = 0.5;         // share of ops whose connection was worth keeping
 constexpr double kWorthKeeping = 1.0 / 6;   // of the callers' idle time; open that long costs as much as new
 constexpr std::size_t kCallersKept = 1024;  // entries; beyond what one backend meets in that time
-constexpr double kLeastAdvice = 0.05;       // s; a shorter stay away changes nothing
+constexpr int kJudged = 4;  // fresh runs of a type that a prior is held against: one odd run is chance
+constexpr double kContradicted =
+    2;  // x, either way, between their mean and the prior's: another machine or load
+constexpr double kLeastAdvice = 0.05;  // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
 class Pcg {
@@ -118,6 +121,13 @@
     sum_ /= 2;
   }
   bool learned() const { return count_ > 0; }
+  LearnedTimes told() const { return {{bins_.begin(), bins_.end()}, sum_}; }
+  void begin_with(const LearnedTimes& prior) {
+    if (prior.bins.size() != bins_.size()) return;
+    std::copy(prior.bins.begin(), prior.bins.end(), bins_.begin());
+    for (const double n : bins_) count_ += n;
+    sum_ = prior.sum;
+  }
   double mean() const { return learned() ? sum_ / count_ : 0; }
   double quantile(double share) const {  // the upper end of the bin in which it lies
     double seen = 0;
@@ -159,6 +169,10 @@
 struct Row {
   Histogram run;   // s on the cores
   Histogram away;  // s at calls
+  // While a prior is held against the first warm runs: what it said, and what they say.
+  double remembered = 0;
+  int fresh = 0;
+  Histogram fresh_run, fresh_away;
 };
 
 struct Bucket {
@@ -169,7 +183,7 @@
 }  // namespace
 
 struct Decider::State {
-  State(const Settings& settings, std::uint64_t seed, Host& host, double now)
+  State(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior)
       : set_(settings),
         host_(host),
         chance_(seed),
@@ -181,6 +195,15 @@
         created_(now) {
     for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
+    for (std::size_t i = 0; i < rows_.size() && i < prior.types.size(); ++i) {
+      rows_[i].run.begin_with(prior.types[i].run);
+      rows_[i].away.begin_with(prior.types[i].away);
+      rows_[i].remembered = rows_[i].run.mean();
+      remembers_ = remembers_ || rows_[i].remembered > 0;
+    }
+    calls_.begin_with(prior.calls);
+    recent_call_ = calls_.mean();
+    if (prior.returns >= 0) returns_ = prior.returns;
     call_ceiling_ = kAtCallsPerCore * set_.cores;
     call_bound_ = call_ceiling_;
     // A second tier runs this code too and refuses for itself; a shared layer below has a part for each
@@ -237,7 +260,9 @@
       const double mean = mean_run(s.op.type), spent = s.on_cores + last_ - s.since;
       if (spent <= kOverdue * mean) done += std::min(spent, mean);
     }
-    return std::clamp((done + kPacePrior) / (core_time_ + kPacePrior), kPaceLeast, kPaceMost);
+    // A cold backend that knows how long warm runs take begins at the pace that the settings state.
+    const double usual = remembers_ ? speed_floor() : 1;
+    return std::clamp((done + kPacePrior * usual) / (core_time_ + kPacePrior), kPaceLeast, kPaceMost);
   }
 
   double predicted_wait() const {
@@ -541,6 +566,7 @@
     if (outcome == Outcome::kOk) {
       row_of(s).run.add(s.on_cores);
       row_of(s).away.add(s.away);
+      judge_prior(s);
       done_work_ += mean_run(s.op.type);
       ++sound_runs_;
       pace_ = pace();
@@ -554,6 +580,31 @@
     start_more();
   }
 
+  // What an earlier life knew is a prior, not a fact: where the first warm runs take other times, only they
+  // count. Guards against another machine, another release or another load behind the same settings; a cold
+  // backend is slow by nature and contradicts nobody.
+  void judge_prior(Slot& s) {
+    Row& row = row_of(s);
+    if (row.remembered <= 0 || cold(last_)) return;
+    row.fresh_run.add(s.on_cores);
+    row.fresh_away.add(s.away);
+    if (++row.fresh < kJudged) return;
+    const double now_takes = row.fresh_run.mean(), said = std::exchange(row.remembered, 0);
+    if (now_takes <= said * kContradicted && now_takes >= said / kContradicted) return;
+    row.run = row.fresh_run;
+    row.away = row.fresh_away;
+    host_.log("knowledge: dropped for op type " + std::to_string(s.op.type) + ", runs take " +
+              std::to_string(now_takes) + " s, not " + std::to_string(said));
+  }
+  Knowledge learned() const {
+    Knowledge out;
+    for (const Row& row : rows_) out.types.push_back({row.run.told(), row.away.told()});
+    out.calls = calls_.told();
+    out.returns = returns_;
+    out.troubled = ailing_ || cold(last_) || call_bound_ < call_ceiling_;
+    return out;
+  }
+
   // ---- Calls below.
   void on_call_needed(OpId id) {
     const auto at = ops_.find(id);
@@ -862,6 +913,7 @@
   double pool_used_ = 0, key_kb_ = 0, largest_kb_ = 0;
   double run_limit_, full_since_ = 0;
   int running_ = 0, calling_ = 0;
+  bool remembers_ = false;  // began with what an earlier life learned
   double core_time_ = 0, done_work_ = 0, pace_ = 1;
   Histogram calls_;
   double turned_away_ = 0;  // share of the recent calls
@@ -882,8 +934,8 @@
   std::uint64_t wake_token_ = 0;
 };
 
-Decider::Decider(const Settings& settings, std::uint64_t seed, Host& host, double now)
-    : state_(std::make_unique<State>(settings, seed, host, now)) {}
+Decider::Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior)
+    : state_(std::make_unique<State>(settings, seed, host, now, prior)) {}
 Decider::~Decider() = default;
 
 void Decider::on_op(double now, const Op& op) {
@@ -914,6 +966,7 @@
   state_->advance(now);
   state_->on_wake(token, gauges);
 }
+Knowledge Decider::learned() const { return state_->learned(); }
 double Decider::pool_in_use() const { return state_->pool_used_; }
 
 }  // namespace damsonspoke
--- a/src/decide.h
+++ b/src/decide.h
@@ -84,6 +84,25 @@
   double connections = -1;
 };
 
+// How long something takes, as a Histogram of the module holds it: values by bin, each bin twice as wide as
+// the one before, and the sum of the values, in seconds.
+struct LearnedTimes {
+  std::vector<double> bins;
+  double sum = 0;
+};
+
+// What one life has learned that may mean something to the next. Counts say how much it weighs.
+struct Knowledge {
+  struct Times {
+    LearnedTimes run, away;
+  };
+  std::vector<Times> types;  // by position, as the op types
+  LearnedTimes calls;
+  double returns = -1;  // share of ops whose connection was worth keeping; < 0: not known
+  bool troubled =
+      false;  // learned while runs failed, were too slow or stale, or the layer below was under pressure
+};
+
 class Host {
  public:
   virtual ~Host() = default;
@@ -105,7 +124,8 @@
 
 class Decider {
  public:
-  Decider(const Settings& settings, std::uint64_t seed, Host& host, double now);
+  // A prior is believed as far as its counts go, until the first runs speak against it.
+  Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior = {});
   ~Decider();
   Decider(const Decider&) = delete;
   Decider& operator=(const Decider&) = delete;
@@ -117,6 +137,7 @@
   void on_gone(double now, OpId id);
   void on_leave(double now, double time_left);
   void on_wake(double now, std::uint64_t token, const Gauges& gauges);
+  Knowledge learned() const;
   double pool_in_use() const;  // kilobytes charged, for tests and reports
 
  private:
--- /dev/null
+++ b/src/knowledge/keeper.cpp
@@ -0,0 +1,149 @@
+#include "knowledge/keeper.h"
+
+#include <charconv>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <mutex>
+#include <utility>
+
+namespace damsonspoke::knowledge {
+namespace {
+
+constexpr auto kLastWords = std::chrono::milliseconds(200);  // at the end, for the write in hand
+constexpr const char* kTrial = "knowledge.trial";  // how many lives began with it and have not come through
+
+}  // namespace
+
+// ---- The files.
+Reading Folder::read() {
+  Reading out;
+  store::SealedFile::Found found = file_.read();
+  out.older = found.older;
+  if (found.newest.problem == store::SealProblem::kMissing) return out.problem = "nothing is there", out;
+  if (found.newest.problem != store::SealProblem::kNone)
+    return out.problem = store::text_of(found.newest.problem), out;
+  out.record = decode(found.newest.content);
+  if (!out.record) out.problem = "whole, but no knowledge";
+  if (const std::optional<std::string> trial = disk_.read(kTrial, 16)) {
+    // What can't be read counts as one life lost: no reason to believe more.
+    const auto [stop, error] = std::from_chars(trial->data(), trial->data() + trial->size(), out.starts);
+    if (error != std::errc() || out.starts < 0 || out.starts > 1000) out.starts = 1;
+  }
+  return out;
+}
+
+void Folder::begins(int starts) {
+  const std::string aside = std::string(kTrial) + ".new";
+  if (disk_.write(aside, std::to_string(starts)) && disk_.sync(aside) && disk_.rename(aside, kTrial))
+    disk_.sync_folder();
+}
+void Folder::came_through() {
+  if (disk_.exists(kTrial) && disk_.remove(kTrial)) disk_.sync_folder();
+}
+bool Folder::write(const Record& record) { return write_bytes(encode(record)); }
+bool Folder::write_bytes(std::string_view encoded) { return disk_.lock() && file_.write(encoded); }
+void Folder::forget() {
+  file_.forget();
+  came_through();
+}
+
+// ---- The thread.
+struct Keeper::Shared {
+  std::mutex lock;
+  std::condition_variable changed;
+  std::optional<Reading> reading;
+  std::optional<std::string> to_write;
+  std::optional<int> to_begin;
+  bool to_come_through = false;
+  bool busy = true, closing = false, ended = false;
+  std::optional<std::string> trouble;  // not told yet
+  std::string last_trouble;
+  std::uint64_t written = 0;
+
+  void run(const MakeDisk& make_disk) {
+    const std::unique_ptr<store::Disk> disk = make_disk();
+    Folder folder(*disk);
+    Reading read = folder.read();
+    std::unique_lock guard(lock);
+    reading = std::move(read);
+    for (;;) {
+      busy = false;
+      changed.notify_all();
+      changed.wait(guard, [this] { return closing || to_write || to_begin || to_come_through; });
+      if (!to_write && !to_begin && !to_come_through) break;  // closing, and nothing is left
+      const std::optional<std::string> bytes = std::exchange(to_write, std::nullopt);
+      const std::optional<int> starts = std::exchange(to_begin, std::nullopt);
+      const bool through = std::exchange(to_come_through, false);
+      busy = true;
+      guard.unlock();
+      if (starts) folder.begins(*starts);
+      if (through) folder.came_through();
+      const bool good = !bytes || folder.write_bytes(*bytes);
+      const std::string now_trouble = good ? std::string() : disk->why();
+      guard.lock();
+      if (!bytes) continue;
+      if (good) ++written;
+      if (now_trouble != last_trouble) trouble = last_trouble = now_trouble;
+    }
+    ended = true;
+    changed.notify_all();
+  }
+};
+
+Keeper::Keeper(MakeDisk make_disk) : shared_(std::make_shared<Shared>()) {
+  thread_ = std::thread([shared = shared_, make = std::move(make_disk)] {
+    try {
+      shared->run(make);
+    } catch (const std::exception& error) {
+      std::fprintf(stderr, "damsonspoke: knowledge: %s\n", error.what());
+      const std::lock_guard guard(shared->lock);
+      shared->ended = true;
+      shared->changed.notify_all();
+    }
+  });
+}
+
+Keeper::~Keeper() {
+  std::unique_lock guard(shared_->lock);
+  shared_->closing = true;
+  shared_->changed.notify_all();
+  const bool ended = shared_->changed.wait_for(guard, kLastWords, [this] { return shared_->ended; });
+  guard.unlock();
+  ended ? thread_.join() : thread_.detach();
+}
+
+void Keeper::wait_for_reading(double seconds) {
+  std::unique_lock guard(shared_->lock);
+  shared_->changed.wait_for(guard, std::chrono::duration<double>(seconds),
+                            [this] { return shared_->reading.has_value() || shared_->ended; });
+}
+std::optional<Reading> Keeper::take_reading() {
+  const std::lock_guard guard(shared_->lock);
+  return std::exchange(shared_->reading, std::nullopt);
+}
+void Keeper::write(std::string encoded) {
+  const std::lock_guard guard(shared_->lock);
+  shared_->to_write = std::move(encoded);
+  shared_->changed.notify_all();
+}
+void Keeper::begins(int starts) {
+  const std::lock_guard guard(shared_->lock);
+  shared_->to_begin = starts;
+  shared_->changed.notify_all();
+}
+void Keeper::came_through() {
+  const std::lock_guard guard(shared_->lock);
+  shared_->to_come_through = true;
+  shared_->changed.notify_all();
+}
+std::optional<std::string> Keeper::take_trouble() {
+  const std::lock_guard guard(shared_->lock);
+  return std::exchange(shared_->trouble, std::nullopt);
+}
+std::uint64_t Keeper::written() const {
+  const std::lock_guard guard(shared_->lock);
+  return shared_->written;
+}
+
+}  // namespace damsonspoke::knowledge
--- /dev/null
+++ b/src/knowledge/keeper.h
@@ -0,0 +1,69 @@
+// Reads what an earlier life has left, once, and writes what this one learns: on a thread of its own, since a
+// folder may hang. The reactor's thread only hands over bytes and looks whether something has been read.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "knowledge/record.h"
+#include "store/disk.h"
+#include "store/sealed_file.h"
+
+namespace damsonspoke::knowledge {
+
+struct Reading {
+  std::optional<Record> record;
+  int starts = 0;       // lives that began with it and did not come through
+  std::string problem;  // in plain words; empty: none
+  bool older = false;   // the generation before: the newest was of no use
+};
+
+// The way of the files, without a thread: what a keeper does, for tests and for the command line.
+class Folder {
+ public:
+  explicit Folder(store::Disk& disk) : disk_(disk), file_(disk, "knowledge", kForm, kMostBytes) {}
+  Reading read();
+  // A life begins with what was read: until it has come through, this counts against it.
+  void begins(int starts);
+  void came_through();
+  // False where it could not be written, or another process has the folder.
+  bool write(const Record& record);
+  bool write_bytes(std::string_view encoded);
+  void forget();
+
+ private:
+  store::Disk& disk_;
+  store::SealedFile file_;
+};
+
+class Keeper {
+ public:
+  // Makes the disk on the thread: even that may hang.
+  using MakeDisk = std::function<std::unique_ptr<store::Disk>()>;
+  explicit Keeper(MakeDisk make_disk);
+  // Waits a short time for what is being written; a folder that hangs is left behind.
+  ~Keeper();
+  Keeper(const Keeper&) = delete;
+  Keeper& operator=(const Keeper&) = delete;
+
+  // Until it has been read, or so long; before there is anything else to do.
+  void wait_for_reading(double seconds);
+  // What was read; nothing while it is being read. Whoever asks first takes it.
+  std::optional<Reading> take_reading();
+  void write(std::string encoded);  // the newest one wins
+  void begins(int starts);
+  void came_through();
+  // The last write's trouble, told once a change; empty: it went well.
+  std::optional<std::string> take_trouble();
+  std::uint64_t written() const;
+
+ private:
+  struct Shared;
+  std::shared_ptr<Shared> shared_;
+  std::thread thread_;
+};
+
+}  // namespace damsonspoke::knowledge
--- /dev/null
+++ b/src/knowledge/record.cpp
@@ -0,0 +1,104 @@
+#include "knowledge/record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace damsonspoke::knowledge {
+namespace {
+
+using Json = nlohmann::json;
+
+Json json_of(const LearnedTimes& times) { return {{"bins", times.bins}, {"sum", times.sum}}; }
+
+// What is of another kind than expected reads as nothing: the policy then finds it senseless.
+double number(const Json& from, const char* key, double otherwise) {
+  const auto at = from.find(key);
+  return at != from.end() && at->is_number() ? at->get<double>() : otherwise;
+}
+std::string text(const Json& from, const char* key) {
+  const auto at = from.find(key);
+  return at != from.end() && at->is_string() ? at->get<std::string>() : std::string();
+}
+bool flag(const Json& from, const char* key, bool otherwise) {
+  const auto at = from.find(key);
+  return at != from.end() && at->is_boolean() ? at->get<bool>() : otherwise;
+}
+LearnedTimes times(const Json& from, const char* key) {
+  LearnedTimes out;
+  const auto at = from.find(key);
+  if (at == from.end() || !at->is_object()) return out;
+  out.sum = number(*at, "sum", -1);
+  const auto bins = at->find("bins");
+  if (bins == at->end() || !bins->is_array() || bins->size() > 64) return out;
+  for (const Json& bin : *bins) out.bins.push_back(bin.is_number() ? bin.get<double>() : -1);
+  return out;
+}
+int whole(const Json& from, const char* key) {
+  const double value = number(from, key, -1);
+  return value >= 0 && value <= 1e6 ? static_cast<int>(value) : -1;
+}
+
+}  // namespace
+
+Record record_of(const Knowledge& learned, const StartSettings& site, const std::string& name, double written,
+                 double lived) {
+  Record out;
+  out.written = written;
+  out.lived = lived;
+  out.site = name;
+  out.cores = site.settings.cores;
+  out.below = static_cast<int>(site.settings.below);
+  out.caller_idle = site.settings.caller_idle;
+  out.troubled = learned.troubled;
+  out.calls = learned.calls;
+  out.returns = learned.returns;
+  for (std::size_t i = 0; i < learned.types.size() && i < kMostTypes; ++i) {
+    const OpType& type = site.settings.op_types[i];
+    out.types.push_back({site.type_names[i], type.target_latency, type.op_timeout, type.calls,
+                         learned.types[i].run, learned.types[i].away});
+  }
+  return out;
+}
+
+std::string encode(const Record& r) {
+  Json types = Json::array();
+  for (const TypeRecord& t : r.types) {
+    types.push_back({{"name", t.name},
+                     {"target", t.target},
+                     {"timeout", t.timeout},
+                     {"calls", t.calls},
+                     {"run", json_of(t.run)},
+                     {"away", json_of(t.away)}});
+  }
+  const Json top = {{"written", r.written},   {"lived", r.lived},          {"site", r.site},
+                    {"cores", r.cores},       {"below", r.below},          {"caller_idle", r.caller_idle},
+                    {"troubled", r.troubled}, {"types", std::move(types)}, {"calls", json_of(r.calls)},
+                    {"returns", r.returns}};
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(top);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::optional<Record> decode(std::string_view bytes) {
+  if (bytes.size() > kMostBytes) return std::nullopt;
+  const Json top = Json::from_cbor(bytes, true, false);
+  if (!top.is_object()) return std::nullopt;
+  Record r;
+  r.written = number(top, "written", -1);
+  r.lived = number(top, "lived", 0);
+  r.site = text(top, "site");
+  r.cores = whole(top, "cores");
+  r.below = whole(top, "below");
+  r.caller_idle = number(top, "caller_idle", -1);
+  r.troubled = flag(top, "troubled", true);
+  r.calls = times(top, "calls");
+  r.returns = number(top, "returns", -1);
+  const auto types = top.find("types");
+  if (types == top.end() || !types->is_array() || types->size() > kMostTypes) return std::nullopt;
+  for (const Json& t : *types) {
+    if (!t.is_object()) return std::nullopt;
+    r.types.push_back({text(t, "name"), number(t, "target", -1), number(t, "timeout", -1),
+                       flag(t, "calls", false), times(t, "run"), times(t, "away")});
+  }
+  return r;
+}
+
+}  // namespace damsonspoke::knowledge
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -155,6 +155,8 @@
   const StartSettings& site = config.site;
   std::string lacking = unserved_results(config, options.results);
   if (!lacking.empty()) return lacking;
+  if (options.knowledge.enabled && options.knowledge.folder.empty())
+    return "knowledge: enabled, but no folder is named";
   if (site.settings.say != Say::kOff)
     return "settings: 'say' is not off; this program announces nothing on sockets yet";
   if (site.settings.below == Below::kTier)
--- a/src/settings/operator_file.cpp
+++ b/src/settings/operator_file.cpp
@@ -154,6 +154,13 @@
   r.key_length = read.whole("results", "key-length");
   r.digest = read.words("results", "digest");
   r.digest_by_caller = read.text("results", "digest-by") == "caller";
+  KnowledgeOptions& k = o.knowledge;
+  k.enabled = read.flag("knowledge", "enabled");
+  k.folder = read.text("knowledge", "folder");
+  k.interval = read.number("knowledge", "interval");
+  k.half_life = read.number("knowledge", "half-life");
+  k.most_age = read.number("knowledge", "most-age");
+  k.weight = read.number("knowledge", "weight");
   return o;
 }
 
--- a/src/settings/operator_file.h
+++ b/src/settings/operator_file.h
@@ -29,8 +29,19 @@
   bool digest_by_caller = true;
 };
 
+// Learning that survives a restart; see src/knowledge.
+struct KnowledgeOptions {
+  bool enabled = false;
+  std::string folder;
+  double interval = 0;   // s
+  double half_life = 0;  // s
+  double most_age = 0;   // s
+  double weight = 0;     // values
+};
+
 struct OperatorOptions {
   ResultsOptions results;
+  KnowledgeOptions knowledge;
 };
 
 struct OperatorFile {
--- a/src/settings/operator_schema.cpp
+++ b/src/settings/operator_schema.cpp
@@ -36,6 +36,17 @@
      "Op types whose ops carry no key and are known by a digest of caller, type and body."},
     {"results", "digest-by", Type::kChoice, "caller", 0, 0, "caller body",
      "Whether the caller's number is part of that digest, or only type and body are."},
+    {"knowledge", "enabled", Type::kFlag, "off", 0, 0, "",
+     "Starts with what the life before has learned, and writes what this one learns."},
+    {"knowledge", "folder", Type::kText, "", 0, 4096, "",
+     "The folder for it, one a backend; it has to be there."},
+    {"knowledge", "interval", Type::kDuration, "30s", 0.2, 3600, "", "Time between two records."},
+    {"knowledge", "half-life", Type::kDuration, "12h", 1, 30 * 86400.0, "",
+     "Age at which a record is believed half."},
+    {"knowledge", "most-age", Type::kDuration, "72h", 1, 90 * 86400.0, "",
+     "Age from which it is not believed at all."},
+    {"knowledge", "weight", Type::kCount, "4", 1, 16, "",
+     "Runs that a fresh record weighs as, an op type; as many new ones outweigh it."},
 });
 
 std::string shown(Type type, double value) {
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -1,5 +1,6 @@
 #include "stages/admit.h"
 
+#include "stages/learn.h"
 #include "stages/route.h"
 
 namespace damsonspoke::stages {
@@ -12,12 +13,13 @@
 
 }  // namespace
 
-Admit::Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route,
+Admit::Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route, Learn& learn,
              const peers::Ports& peers, Counters& counters)
     : reactor_(reactor),
       settings_(site.settings),
       seed_(seed),
       route_(route),
+      learn_(learn),
       peers_(peers),
       counters_(counters) {
   route_.set_wakes([this](double time, std::uint64_t token) { wake_at(time, token); });
@@ -25,7 +27,8 @@
 
 void Admit::begin(bool cold, double ago) {
   settings_.cold = cold;
-  decider_ = std::make_unique<Decider>(settings_, seed_, route_, net::monotonic_now() - (cold ? ago : 0));
+  decider_ = std::make_unique<Decider>(settings_, seed_, route_, net::monotonic_now() - (cold ? ago : 0),
+                                       learn_.prior());
 }
 
 void Admit::wake_at(double time, std::uint64_t token) {
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -12,11 +12,12 @@
 
 namespace damsonspoke::stages {
 
+class Learn;
 class Route;
 
 class Admit {
  public:
-  Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route,
+  Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route, Learn& learn,
         const peers::Ports& peers, Counters& counters);
 
   // Its life starts with the runtime's, which came up this long ago.
@@ -29,6 +30,7 @@
   void on_call_end(OpId id, Outcome outcome, double spent);
   void on_gone(OpId id);
   void on_leave(double time_left);
+  Knowledge learned() const { return decider_ ? decider_->learned() : Knowledge{}; }
   double pool_in_use() const { return decider_ ? decider_->pool_in_use() : 0; }
 
  private:
@@ -39,6 +41,7 @@
   Settings settings_;
   std::uint64_t seed_;
   Route& route_;
+  Learn& learn_;
   const peers::Ports& peers_;
   Counters& counters_;
   std::unique_ptr<Decider> decider_;
--- /dev/null
+++ b/src/stages/learn.h
@@ -0,0 +1,52 @@
+// What is learned goes to a successor: the prior at the start, a record now and then, the last one at the
+// notice to leave. With knowledge off it does nothing.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "decide.h"
+#include "knowledge/age.h"
+#include "knowledge/keeper.h"
+#include "net/reactor.h"
+#include "settings/operator_file.h"
+#include "settings/settings.h"
+#include "watch/counters.h"
+#include "watch/logger.h"
+
+namespace damsonspoke::stages {
+
+class Admit;
+
+class Learn {
+ public:
+  Learn(net::Reactor& reactor, const Admit& admit, const StartSettings& site, std::string name,
+        const KnowledgeOptions& options, Counters& counters, Logger& log);
+  ~Learn();
+
+  bool on() const { return options_.enabled; }
+  // Before the reactor turns: a short time for the folder to be read.
+  void get_ready();
+  // As the module's life begins: what it may start with. Never waits: what has not been read by then is not
+  // used.
+  Knowledge prior();
+  void leaving();  // a last record, and nothing after it
+
+ private:
+  void look();
+  void write();
+
+  net::Reactor& reactor_;
+  const Admit& admit_;
+  const StartSettings& site_;
+  const std::string name_;
+  const KnowledgeOptions options_;
+  Counters& counters_;
+  Logger& log_;
+  double began_ = -1;  // monotonic s
+  bool left_ = false;
+  net::Reactor::TimerId timer_;
+  std::unique_ptr<knowledge::Keeper> keeper_;
+};
+
+}  // namespace damsonspoke::stages
--- /dev/null
+++ b/src/store/sealed_file.cpp
@@ -0,0 +1,99 @@
+#include "store/sealed_file.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace damsonspoke::store {
+namespace {
+
+// "DSPKFILE", the form, the length and the checksum of form, length and content; numbers as little endian.
+constexpr std::string_view kMark = "DSPKFILE";
+constexpr std::size_t kHead = 8 + 4 + 8 + 8;
+
+void put(std::string& out, std::uint64_t value, int bytes) {
+  for (int i = 0; i < bytes; ++i) out += static_cast<char>(value >> (8 * i));
+}
+std::uint64_t take(std::string_view in, std::size_t at, int bytes) {
+  std::uint64_t value = 0;
+  for (int i = bytes; i-- > 0;)
+    value = value << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
+  return value;
+}
+std::uint64_t sum_of(std::uint32_t form, std::string_view content) {
+  return XXH3_64bits_withSeed(content.data(), content.size(), form * 0x9e3779b97f4a7c15ULL + content.size());
+}
+
+}  // namespace
+
+std::string_view text_of(SealProblem problem) {
+  switch (problem) {
+    case SealProblem::kNone: return "sound";
+    case SealProblem::kMissing: return "not there";
+    case SealProblem::kTorn: return "torn or damaged";
+    case SealProblem::kForeign: return "no file of ours";
+    case SealProblem::kNewer: return "written by a newer program";
+  }
+  return "";
+}
+
+std::string seal(std::uint32_t form, std::string_view content) {
+  std::string out(kMark);
+  put(out, form, 4);
+  put(out, content.size(), 8);
+  put(out, sum_of(form, content), 8);
+  out += content;
+  return out;
+}
+
+Sealed unseal(std::string_view bytes, std::uint32_t known) {
+  Sealed out;
+  out.problem = SealProblem::kTorn;
+  const std::size_t shown = std::min(bytes.size(), kMark.size());
+  if (bytes.substr(0, shown) != kMark.substr(0, shown)) out.problem = SealProblem::kForeign;
+  if (out.problem == SealProblem::kForeign || bytes.size() < kHead) return out;
+  out.form = static_cast<std::uint32_t>(take(bytes, 8, 4));
+  const std::string_view content = bytes.substr(kHead);
+  if (take(bytes, 12, 8) != content.size() || take(bytes, 20, 8) != sum_of(out.form, content)) return out;
+  out.problem = out.form > known ? SealProblem::kNewer : SealProblem::kNone;
+  if (out.problem == SealProblem::kNone) out.content = content;
+  return out;
+}
+
+SealedFile::Found SealedFile::read() {
+  Found found;
+  const auto look = [&](const std::string& name) {
+    const std::optional<std::string> bytes = disk_.read(name, most_ + kHead);
+    if (bytes) return unseal(*bytes, form_);
+    Sealed none;
+    none.problem = disk_.exists(name) ? SealProblem::kTorn : SealProblem::kMissing;
+    return none;
+  };
+  found.newest = look(name_);
+  if (found.newest.problem == SealProblem::kNone || found.newest.problem == SealProblem::kNewer) return found;
+  Sealed before = look(older());
+  if (before.problem != SealProblem::kNone) return found;
+  found.newest = std::move(before);
+  found.older = true;
+  return found;
+}
+
+bool SealedFile::write(std::string_view content) {
+  if (content.size() > most_) return false;
+  const std::string aside = name_ + ".new";
+  if (!disk_.write(aside, seal(form_, content)) || !disk_.sync(aside)) return false;
+  const std::optional<std::string> there = disk_.read(name_, most_ + kHead);
+  const SealProblem was = there ? unseal(*there, form_).problem : SealProblem::kMissing;
+  // Only what is sound becomes the one before: a torn file must not push out the last good one.
+  if (was == SealProblem::kNone && !disk_.rename(name_, older())) return false;
+  if (was == SealProblem::kNewer && !disk_.exists(name_ + ".newer") && !disk_.rename(name_, name_ + ".newer"))
+    return false;
+  return disk_.rename(aside, name_) && disk_.sync_folder();
+}
+
+void SealedFile::forget() {
+  for (const std::string& name : {name_, older(), name_ + ".new"}) disk_.remove(name);
+  disk_.sync_folder();
+}
+
+}  // namespace damsonspoke::store
--- /dev/null
+++ b/src/store/sealed_file.h
@@ -0,0 +1,55 @@
+// A small file that is there whole or not at all: written aside, synced, renamed, its folder synced; with a
+// length and a checksum, so that a part of it is never taken for it; and the one before it kept beside.
+//
+// After "All File Systems Are Not Created Equal" (OSDI 2014): a rename may reach the disk before the bytes of
+// what was renamed, so bytes are synced first; names are not durable until their folder is.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "store/disk.h"
+
+namespace damsonspoke::store {
+
+enum class SealProblem { kNone, kMissing, kTorn, kForeign, kNewer };
+std::string_view text_of(SealProblem problem);
+
+struct Sealed {
+  SealProblem problem = SealProblem::kMissing;
+  std::uint32_t form = 0;  // of the content, as its writer names it
+  std::string content;     // where there is no problem
+};
+
+std::string seal(std::uint32_t form, std::string_view content);
+// Forms above `known` are kNewer: whole, and not for us.
+Sealed unseal(std::string_view bytes, std::uint32_t known);
+
+class SealedFile {
+ public:
+  // `most`: bytes of content.
+  SealedFile(Disk& disk, std::string name, std::uint32_t form, std::size_t most)
+      : disk_(disk), name_(std::move(name)), form_(form), most_(most) {}
+
+  struct Found {
+    Sealed newest;       // what is to be used, or why there is nothing
+    bool older = false;  // it is the one before: the newest was of no use
+  };
+  Found read();
+  // False where it could not be made durable; what was there is still there. A newer program's file is never
+  // overwritten: it is moved aside once, to NAME.newer.
+  bool write(std::string_view content);
+  void forget();  // both generations
+
+ private:
+  std::string older() const { return name_ + ".1"; }
+
+  Disk& disk_;
+  const std::string name_;
+  const std::uint32_t form_;
+  const std::size_t most_;
+};
+
+}  // namespace damsonspoke::store
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -24,7 +24,8 @@
 
 struct SiteSpec {
   std::vector<OpTypeSpec> types;
-  double fresh = 0;  // s
+  double fresh = 0;                     // s
+  double cold_from = 1, cold_time = 0;  // s, as the settings tell
   int cores = 2;
   double memory_mb = 192;
   double stop_after = 2;  // s
@@ -55,6 +56,7 @@
   // No new things are wanted; goes on until all tries have ended.
   bool settle(double patience);
   void write_operators(const std::string& text);
+  std::string folder() const { return folder_.path("."); }
   std::string store_path() const { return folder_.path("results"); }
   std::string operators_path() const { return folder_.path("operator.conf"); }
   RuleLimits limits() const;
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -18,6 +18,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -77,9 +78,11 @@
     start();
   }
   std::string store_path() const { return config_path_ + ".store"; }
+  std::string folder() const { return config_path_ + ".folder"; }
   std::string operators_path() const { return config_path_ + ".operators"; }
   void write_operators(const std::string& text) {
-    std::ofstream(operators_path()) << replaced(text, "STORE", store_path());
+    if (text.find("FOLDER") != std::string::npos) std::filesystem::create_directory(folder());
+    std::ofstream(operators_path()) << replaced(replaced(text, "STORE", store_path()), "FOLDER", folder());
   }
   void start() {
     int log[2];
@@ -98,9 +101,11 @@
   }
   // Killed outright, and started again; everybody's connections are gone.
   void kill_and_start() {
-    std::printf("-- killed, and started again\n");
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
+    std::printf("-- %s\n", pid_ > 0 ? "killed, and started again" : "started again");
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
     for (int* fd : {&log_, &runtime_, &below_}) {
       if (*fd >= 0) ::close(*fd);
       *fd = -1;
@@ -152,6 +157,8 @@
       ::kill(pid_, SIGKILL);
       ::waitpid(pid_, nullptr, 0);
     }
+    std::error_code ignored;
+    std::filesystem::remove_all(folder(), ignored);
     for (const char* more : {"", ".operators", ".store", ".store-wal", ".store-shm", ".store.lock"})
       std::remove((config_path_ + more).c_str());
   }
--- /dev/null
+++ b/tests/knowledge.cpp
@@ -0,0 +1,274 @@
+// Learning that survives: crashes while it is written, how far it is believed, and what is made of files that
+// are not what they should be. CTest compares with tests/traces/knowledge_NAME.txt. usage: knowledge SCENARIO
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <limits>
+
+#include "knowledge/age.h"
+#include "knowledge/keeper.h"
+#include "recording_folder.h"
+
+using namespace damsonspoke;
+using namespace damsonspoke::knowledge;
+using testing::RecordingFolder;
+
+namespace {
+
+LearnedTimes times(std::size_t bin, double count) {
+  LearnedTimes out;
+  out.bins.assign(13, 0);
+  out.bins[bin] = count;
+  out.sum = count * 0.005 * std::exp2(static_cast<double>(bin)) * 0.75;
+  return out;
+}
+
+StartSettings site() {
+  StartSettings s;
+  OpType push, pull;
+  push.target_latency = 1, push.op_timeout = 2, push.calls = true;
+  pull.target_latency = 0.5, pull.op_timeout = 2;
+  s.settings.op_types = {push, pull};
+  s.settings.cores = 2;
+  s.settings.below = Below::kShared;
+  s.settings.caller_idle = 10;
+  s.type_names = {"push", "pull"};
+  return s;
+}
+
+Record good(double written = 1000) {
+  Knowledge learned;
+  learned.types = {{times(5, 20), times(3, 20)}, {times(4, 8), times(0, 0)}};
+  learned.types[1].away.sum = 0;
+  learned.calls = times(3, 20);
+  learned.returns = 0.4;
+  return record_of(learned, site(), "n1", written, 60);
+}
+
+constexpr Terms kTerms{43200, 259200, 4};
+
+double count_of(const LearnedTimes& t) {
+  double n = 0;
+  for (const double b : t.bins) n += b;
+  return n;
+}
+
+// ---- Crashes.
+void crash() {
+  RecordingFolder folder;
+  Folder files(folder);
+  std::vector<std::pair<std::size_t, double>> acked;  // steps so far, and what was written last
+  for (int i = 1; i <= 40; ++i) {
+    if (i % 7 == 0) files.begins(1);
+    if (i % 7 == 2) files.came_through();
+    if (files.write(good(i))) acked.emplace_back(folder.steps().size(), i);
+  }
+  int points = 0, garbage = 0, older = 0, none = 0;
+  std::string first;
+  const auto look = [&](std::size_t count, std::size_t returned, RecordingFolder::Files state) {
+    ++points;
+    double last = 0;
+    for (const auto& [steps, written] : acked) {
+      if (steps <= returned) last = written;
+    }
+    RecordingFolder after(std::move(state));
+    Folder there(after);
+    const Reading read = there.read();
+    const double found = read.record ? read.record->written : 0;
+    const bool whole = !read.record || encode(*read.record) == encode(good(found));
+    if (!whole || found > last + 1) ++garbage;
+    if (whole && found < last) ++(found == 0 ? none : older);
+    if ((!whole || found > last + 1 || found < last) && first.empty())
+      first = "behind step " + std::to_string(count) + ": " + std::to_string(found) + " where " +
+              std::to_string(last) + " was acknowledged, " + read.problem;
+  };
+  const auto& steps = folder.steps();
+  pcg32 random(3);
+  for (std::size_t count = 0; count <= steps.size(); ++count) {
+    look(count, count, RecordingFolder::after_kill(steps, count, std::string::npos));
+    for (int i = 0; i < 8 && count > 0; ++i)
+      look(count, count - 1,
+           RecordingFolder::after_kill(steps, count, random() % (steps[count - 1].bytes.size() + 1)));
+    for (std::uint64_t seed = 1; seed <= 48; ++seed)
+      look(count, count, RecordingFolder::after_power_cut(steps, count, seed * 100000 + count));
+  }
+  std::printf("crash points over 10000: %s\n", points > 10000 ? "yes" : "no");
+  std::printf("garbage %d, acknowledged and an older one found %d, acknowledged and nothing found %d\n",
+              garbage, older, none);
+  if (!first.empty()) std::printf("  %s\n", first.c_str());
+}
+
+// ---- Belief.
+void cases() {
+  const auto say = [](const char* what, const Record& record, double now, int starts = 0,
+                      const StartSettings& with = site()) {
+    const Belief b = believe(record, with, now, starts, kTerms);
+    std::printf("%-28s believed %-3s share %.2f", what, b.any ? "yes" : "no", b.share);
+    for (const auto& t : b.prior.types) std::printf(", run %.2f values", count_of(t.run));
+    if (b.prior.returns >= 0) std::printf(", returns %.2f", b.prior.returns);
+    for (const std::string& why : b.reasons) std::printf("\n  %s", why.c_str());
+    std::printf("\n");
+  };
+  say("just now", good(), 1000);
+  say("half a day old", good(), 1000 + 43200);
+  say("last week", good(), 1000 + 7 * 86400.0);
+  say("from the future", good(), 900);
+  say("clocks a little apart", good(), 997);
+  Record r = good();
+  r.troubled = true;
+  say("a bad spell", r, 1000);
+  say("one life lost with it", good(), 1000, 1);
+  say("two lives lost with it", good(), 1000, 2);
+  StartSettings other = site();
+  other.settings.cores = 8;
+  say("another machine", good(), 1000, 0, other);
+  other = site();
+  other.settings.op_types[0].target_latency = 3;
+  say("one type's target changed", good(), 1000, 0, other);
+  other = site();
+  other.type_names[1] = "poll";
+  say("another site's types", good(), 1000, 0, other);
+  other = site();
+  other.settings.below = Below::kOff;
+  say("no layer below any more", good(), 1000, 0, other);
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  for (const auto& [what, value] : {std::pair{"a count that is no number", nan},
+                                    std::pair{"a negative count", -1.0}, std::pair{"a huge count", 1e18}}) {
+    r = good();
+    r.types[0].run.bins[2] = value;
+    say(what, r, 1000);
+  }
+  r = good();
+  r.types[0].run.sum = 1e9;
+  say("a sum that can't be", r, 1000);
+  r = good();
+  r.types[1].run.bins.resize(5);
+  say("too few bins", r, 1000);
+  r = good();
+  r.written = nan;
+  say("no time of writing", r, 1000);
+}
+
+// Seeded records, sound and spoilt: belief never grows with age, never outweighs what was seen, and nothing
+// senseless comes through.
+void properties() {
+  pcg32 random(11);
+  const auto chance = [&] { return random() / 4294967296.0; };
+  int grows = 0, outweighs = 0, senseless = 0, lost = 0, believed = 0, refused = 0;
+  for (int i = 0; i < 4000; ++i) {
+    Record r = good(1000);
+    for (TypeRecord& t : r.types) {
+      t.run = times(random() % 13, chance() * 63);
+      t.away = times(random() % 13, chance() * 20);
+    }
+    for (int spoil = static_cast<int>(random() % 3); spoil > 0; --spoil) {
+      LearnedTimes& t = random() % 2   ? r.types[random() % 2].run
+                        : random() % 2 ? r.types[random() % 2].away
+                                       : r.calls;
+      const double values[] = {-chance(),
+                               chance() * 1e12,
+                               std::numeric_limits<double>::infinity(),
+                               std::numeric_limits<double>::quiet_NaN(),
+                               0,
+                               chance() * 64};
+      const double value = values[random() % 6];
+      random() % 3 ? t.bins[random() % t.bins.size()] = value : t.sum = value;
+    }
+    r.returns = chance() * 3 - 1;
+    const std::optional<Record> back = decode(encode(r));
+    if (!back || encode(*back) != encode(r)) ++lost;
+    double last = 1e9;
+    for (const double age : {0.0, 100.0, 3600.0, 40000.0, 100000.0, 250000.0, 400000.0}) {
+      const Belief b = believe(r, site(), 1000 + age, 0, kTerms);
+      double weight = 0;
+      for (std::size_t k = 0; k < b.prior.types.size(); ++k) {
+        const auto& t = b.prior.types[k];
+        for (const auto& [prior, seen] :
+             {std::pair{&t.run, &r.types[k].run}, std::pair{&t.away, &r.types[k].away}}) {
+          if (prior->bins.empty()) continue;
+          weight += count_of(*prior);
+          if (!sensible(*prior)) ++senseless;
+          if (count_of(*prior) > std::min(kTerms.weight, count_of(*seen)) + 1e-9) ++outweighs;
+        }
+      }
+      if (!b.prior.calls.bins.empty() && !sensible(b.prior.calls)) ++senseless;
+      if (b.prior.returns > 1) ++senseless;
+      if (weight > last + 1e-9) ++grows;
+      last = weight;
+      ++(b.any ? believed : refused);
+    }
+  }
+  std::printf(
+      "grows with age %d, outweighs what was seen %d, senseless %d, lost on the way through CBOR %d\n", grows,
+      outweighs, senseless, lost);
+  std::printf("believed and refused often: %s\n", believed > 5000 && refused > 5000 ? "yes" : "no");
+}
+
+// ---- Files that are not what they should be.
+void files() {
+  const auto say = [](const char* what, RecordingFolder& folder) {
+    Folder there(folder);
+    const Reading read = there.read();
+    std::printf("%-34s %s%s%s", what, read.record ? "record of " : "nothing",
+                read.record ? std::to_string(static_cast<int>(read.record->written)).c_str() : "",
+                read.older ? ", the one before" : "");
+    std::printf("%s%s, lives lost %d\n", read.problem.empty() ? "" : ": ", read.problem.c_str(), read.starts);
+  };
+  RecordingFolder folder;
+  Folder mine(folder);
+  say("an empty folder", folder);
+  mine.write(good(1));
+  mine.write(good(2));
+  say("two records", folder);
+  RecordingFolder::Files kept = folder.files();
+  const auto with = [&](const char* what, const std::function<void(RecordingFolder::Files&)>& change) {
+    RecordingFolder::Files files = kept;
+    change(files);
+    RecordingFolder changed(files);
+    say(what, changed);
+  };
+  with("the newest is cut short", [](auto& f) { f["knowledge"].resize(100); });
+  with("one bit of the newest", [](auto& f) { f["knowledge"][60] ^= 4; });
+  with("both are cut short", [](auto& f) { f["knowledge"].resize(20), f["knowledge.1"].resize(9); });
+  with("somebody else's file", [](auto& f) { f["knowledge"] = "#!/bin/sh\n", f.erase("knowledge.1"); });
+  with("a megabyte", [](auto& f) { f["knowledge"].assign(1 << 20, 'x'), f.erase("knowledge.1"); });
+  with("sealed, and no record", [](auto& f) { f["knowledge"] = store::seal(kForm, "hello"); });
+  with("a newer form", [](auto& f) { f["knowledge"] = store::seal(kForm + 1, "what it knows"); });
+  with("a trial that can't be read", [](auto& f) { f["knowledge.trial"] = "many"; });
+  with("two lives lost", [](auto& f) { f["knowledge.trial"] = "2"; });
+
+  RecordingFolder newer({{"knowledge", store::seal(kForm + 1, "what it knows")}});
+  Folder over(newer);
+  over.write(good(5));
+  over.write(good(6));
+  say("written over a newer form", newer);
+  std::printf("the newer one is kept: %s\n",
+              newer.files().at("knowledge.newer") == store::seal(kForm + 1, "what it knows") ? "yes" : "no");
+
+  folder.full = true;
+  std::printf("on a full disk: %s\n", mine.write(good(3)) ? "written" : "not written");
+  say("and then", folder);
+  folder.full = false;
+  folder.locked_elsewhere = true;
+  std::printf("while another has it: %s\n", mine.write(good(4)) ? "written" : "not written");
+  folder.locked_elsewhere = false;
+  mine.begins(1);
+  say("a life begins with it", folder);
+  mine.came_through();
+  say("and comes through", folder);
+  mine.forget();
+  say("forgotten", folder);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::pair<const char*, void (*)()> kScenarios[] = {
+      {"crash", crash}, {"cases", cases}, {"properties", properties}, {"files", files}};
+  for (const auto& [name, play] : kScenarios) {
+    if (argc == 2 && std::strcmp(argv[1], name) == 0) return play(), 0;
+  }
+  std::fprintf(stderr, "usage: knowledge SCENARIO\n");
+  return 2;
+}
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -392,6 +392,38 @@
   }
 }
 
+// What an earlier life learned: its times are used from the first op on; a few runs that take other times
+// outweigh it, and while the backend is cold nothing speaks against it.
+void prior() {
+  const Settings s = plain_settings();
+  Backend first(s);
+  for (int i = 0; i < 6; ++i) first.learn(0, 0.4);
+  Knowledge known = first.learned();
+  const auto scaled = [&](double values) {
+    Knowledge weak = known;
+    double count = 0;
+    for (const double n : weak.types[0].run.bins) count += n;
+    for (double& n : weak.types[0].run.bins) n *= values / count;
+    weak.types[0].run.sum *= values / count;
+    return weak;
+  };
+  for (const bool with : {false, true}) {
+    Backend next(s, with ? scaled(4) : Knowledge{});
+    next.say("-- %s, and 14 ops at once", with ? "with what was learned" : "without");
+    for (OpId id = 1; id <= 14; ++id) next.arrives(next.op(id));
+  }
+  Backend same(s, scaled(4)), slower(s, scaled(4));
+  for (int i = 0; i < 4; ++i) same.learn(0, 0.5);
+  for (int i = 0; i < 4; ++i) slower.learn(0, 1.6);
+  Settings cold_settings = s;
+  cold_settings.cold = true;
+  cold_settings.cold_from = 0.2;
+  cold_settings.cold_time = 100;
+  Backend cold(cold_settings, scaled(4));
+  for (int i = 0; i < 4; ++i) cold.learn(0, 1.6);
+  std::printf("troubled: warm %d, cold %d\n", same.learned().troubled, cold.learned().troubled);
+}
+
 // Many callers that seldom return: their idle connections go soon, but stay when reading falls behind, until
 // newcomers find room again. A caller that returns keeps its connection.
 void connections() {
@@ -443,6 +475,7 @@
     {"storm", storm},
     {"further_try", further_try},
     {"connections", connections},
+    {"prior", prior},
 };
 
 }  // namespace
