--- /dev/null
+++ b/fuzz/knowledge.cpp
@@ -0,0 +1,26 @@
+// A record of knowledge, sealed and not: any bytes are refused or read, and what is believed of them is
+// sensible.
+#include <cstdlib>
+
+#include "knowledge/age.h"
+#include "store/sealed_file.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const unsigned char* data, std::size_t size) {
+  using namespace damsonspoke;
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  store::unseal(bytes, knowledge::kForm);
+  const std::optional<knowledge::Record> record = knowledge::decode(bytes);
+  if (!record) return 0;
+  StartSettings site;
+  OpType type;
+  type.target_latency = 1, type.op_timeout = 2;
+  site.settings.op_types = {type};
+  site.settings.cores = record->cores;
+  site.type_names = {"push"};
+  const knowledge::Belief belief =
+      knowledge::believe(*record, site, record->written + 1, 0, {43200, 259200, 4});
+  for (const auto& times : belief.prior.types) {
+    if (!times.run.bins.empty() && !knowledge::sensible(times.run)) std::abort();
+  }
+  return 0;
+}
--- a/src/knowledge/record.cpp
+++ b/src/knowledge/record.cpp
@@ -79,7 +79,12 @@
 
 std::optional<Record> decode(std::string_view bytes) {
   if (bytes.size() > kMostBytes) return std::nullopt;
-  const Json top = Json::from_cbor(bytes, true, false);
+  Json top;
+  try {
+    top = Json::from_cbor(bytes, true, false);
+  } catch (const Json::exception&) {  // a length that no memory holds is thrown whatever is asked for
+    return std::nullopt;
+  }
   if (!top.is_object()) return std::nullopt;
   Record r;
   r.written = number(top, "written", -1);
