Names of the protocol's params stand in src/wire alone; the check of key-field asks there

Reading the landing as a whole: the configuration repeated the callers' protocol word for word, where a name added to the parser would have been missed. Refused as before: key-field item gives one plain line (looked at by hand).

--- a/src/app/serve_command.cpp
+++ b/src/app/serve_command.cpp
@@ -8,6 +8,7 @@
 #include "app/commands.h"
 #include "net/address.h"
 #include "watch/logger.h"
+#include "wire/rpc.h"
 
 namespace damsonspoke {
 namespace {
@@ -42,6 +43,10 @@
   const OperatorOptions options = chosen.operators ? chosen.operators->options : OperatorOptions{};
   const std::string lacking = unserved(chosen.config, options);
   if (!lacking.empty()) throw SettingsError(lacking);
+  if (options.results.enabled && wire::is_param(options.results.key_field)) {
+    throw SettingsError(
+        fmt::format("results: key-field '{}' is the protocol's own", options.results.key_field));
+  }
   const Config& config = chosen.config;
   for (const std::string* address : {&config.listen, &config.runtime, &config.roster, &config.below}) {
     if (!address->empty()) net::parse_address(*address);
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -137,10 +137,6 @@
     if (site.settings.op_types[i].effect != Effect::kKeyed)
       return "results: digest names '" + type + "', which is not keyed: its ops are not remembered";
   }
-  for (const char* known : {"txn", "door", "lb", "limit", "ram", "standing", "item", "probe", "arg"}) {
-    if (results.key_field == known)
-      return "results: key-field '" + results.key_field + "' is the protocol's own";
-  }
   const double most = config.limits.memory_mb * kResultsShare * kBytesPerMb;
   if (static_cast<double>(results.memory) > most) {
     return "results: memory is over " + std::to_string(static_cast<int>(most / 1024)) +
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -126,6 +126,15 @@
   return frame;
 }
 
+bool is_param(std::string_view name) {
+  constexpr std::string_view kNames[] = {"txn",      "door", "lb",    "limit", "ram",
+                                         "standing", "item", "probe", "arg"};
+  for (const std::string_view known : kNames) {
+    if (name == known) return true;
+  }
+  return false;
+}
+
 RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field) {
   JsonCursor in(text);
   if (in.kind() != JsonKind::kObject)
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -44,6 +44,9 @@
 // `mark_field` names the member of the params that holds an op's mark, a string; empty: none is looked for.
 RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field = {});
 
+// Whether the protocol has a member of that name among its params already.
+bool is_param(std::string_view name);
+
 enum class RpcError {
   kNacked = -32001,
   kFailed = -32000,
