--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,6 +66,7 @@
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
 constexpr double kStorm = 0.5;     // share of newcomers nacked; over it most of what is read are repeats
+constexpr double kWalkTier = 25;  // backends; a larger tier has callers walk on over more of its backends
 constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
 constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
@@ -232,6 +233,10 @@
   }
   double bucket_size(std::size_t i) const { return kQuotaSpread + quota_here(i) * kQuotaBurst; }
   bool leaving() const { return leave_at_ >= 0; }
+  // A nack that walks on costs a reading at each backend it reaches, and the walk grows with the tier, where
+  // the others are as short as this one. Guards against a retry storm of a large tier that reads more than
+  // it runs.
+  double storm_at() const { return kStorm * std::min(1.0, kWalkTier / std::max(1, set_.servers)); }
   bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
 
   // The share of full speed that a cold backend has at least; its true speed is not told.
@@ -343,7 +348,7 @@
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
     // Ailing is this backend's own trouble: others may well have room.
-    host_.nack(id, advice(wait), !ailing_ && (no_retry || shortage_ > kStorm));
+    host_.nack(id, advice(wait), !ailing_ && (no_retry || shortage_ > storm_at()));
     erase(id);
   }
   void fail(OpId id) {
