Ops that tell their work are judged by it: runs predicted in proportion to the hint

Now the submit's hint (where its bit says valid) reaches the module as work_hint, and an op's run is the hint times its type's learned ratio of time on the cores to hinted work.

--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -1,5 +1,6 @@
 // The adapter: decodes the bench's batches into calls of Deciders and encodes what their Hosts are told to
 // do. One process carries many instances; they share nothing but the stream.
+#include <cmath>
 #include <cstdio>
 #include <exception>
 #include <map>
@@ -145,12 +146,13 @@
   op.customer = in.take<std::uint16_t>();
   op.key = in.take<std::uint64_t>();
   op.remaining_wait = in.take_number<double>("expires-in") * kSecondsPerMs;
-  in.take_number<double>("predicted");
+  const double predicted = in.take_number<double>("predicted") * kSecondsPerMs;
   op.held_kb = in.take_number<float>("mem-kb");
   in.take_number<float>("place");
   const auto options = in.take<std::uint8_t>();
   op.again = (options & 2) != 0;
   op.write = (options & 4) != 0;
+  if ((options & 1) != 0 && std::isfinite(predicted) && predicted > 0) op.work_hint = predicted;
   op.caller = in.take<std::uint32_t>();
   op.age = in.take_number<double>("age") * kSecondsPerMs;
   op.original = in.take<std::uint64_t>();
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -170,6 +170,7 @@
 struct Row {
   Histogram run;   // s on the cores
   Histogram away;  // s at calls
+  Histogram hinted, hints;  // s on the cores of runs whose op told its work, and the work told
   // While a prior is held against the first warm runs: what it said, and what they say.
   double remembered = 0;
   int fresh = 0;
@@ -256,13 +257,22 @@
     return n > 0 ? sum / n : 0;
   }
 
+  // An op that tells its work takes the learned time of its type in proportion: a caller's estimate is on
+  // another machine, but larger stays larger. Guards against wide spreads of work, where a mean of the type
+  // misjudged both the op and the line before it.
+  double run_of(const Slot& s) const {
+    const Row& row = rows_[static_cast<std::size_t>(s.op.type)];
+    if (s.op.work_hint <= 0 || !row.hints.learned() || row.hints.mean() <= 0) return mean_run(s.op.type);
+    return s.op.work_hint * row.hinted.mean() / row.hints.mean();
+  }
+
   // Learned work done per second on the cores, against what the learned run times promise. One measure for a
   // slow machine, a stolen one, a slow dependency of all and a hung one: it sees only that runs do not end.
   double pace() const {
     double done = done_work_;
     for (const auto& [id, s] : ops_) {
       if (s.stage != Stage::kRunning) continue;
-      const double mean = mean_run(s.op.type), spent = s.on_cores + last_ - s.since;
+      const double mean = run_of(s), spent = s.on_cores + last_ - s.since;
       if (spent <= kOverdue * mean) done += std::min(spent, mean);
     }
     // A cold backend that knows how long warm runs take begins at the pace that the settings state.
@@ -273,10 +283,10 @@
   double predicted_wait() const {
     double ahead = 0;
     for (const auto& line : lines_) {
-      for (const OpId id : line) ahead += mean_run(ops_.at(id).op.type);
+      for (const OpId id : line) ahead += run_of(ops_.at(id));
     }
     for (const auto& [id, s] : ops_) {
-      if (s.stage == Stage::kRunning) ahead += mean_run(s.op.type) / 2;
+      if (s.stage == Stage::kRunning) ahead += run_of(s) / 2;
     }
     return ahead / (run_limit_ * pace_);
   }
@@ -288,7 +298,7 @@
       away *= std::max(1.0, recent_call_ / calls_.mean());
       away += static_cast<double>(call_line_.size()) * recent_call_ / call_bound_;
     }
-    return mean_run(s.op.type) / pace_ + away;
+    return run_of(s) / pace_ + away;
   }
   bool work_waits() const {
     return !lines_[0].empty() || !lines_[1].empty() || !call_line_.empty() || running_ >= limit();
@@ -524,7 +534,7 @@
         if (lines_[i].empty()) continue;
         const Slot& s = ops_.at(lines_[i].front());
         if (calls_full && type_of(s).calls) continue;
-        const double slack = s.useful_by - mean_run(s.op.type);
+        const double slack = s.useful_by - run_of(s);
         if (pick < 0 || slack < least_slack) pick = i, least_slack = slack;
       }
       if (pick < 0) return;
@@ -572,7 +582,8 @@
       row_of(s).run.add(s.on_cores);
       row_of(s).away.add(s.away);
       judge_prior(s);
-      done_work_ += mean_run(s.op.type);
+      done_work_ += run_of(s);
+      if (s.op.work_hint > 0) row_of(s).hinted.add(s.on_cores), row_of(s).hints.add(s.op.work_hint);
       ++sound_runs_;
       pace_ = pace();
     }
--- a/src/decide.h
+++ b/src/decide.h
@@ -70,6 +70,7 @@
   double remaining_wait = 0;  // 0: not told
   double age = 0;
   double held_kb = 0;
+  double work_hint = 0;  // s of work on a standard core, as the caller estimates it; 0: not told
   bool again = false;  // a further try, where such are marked
   bool write = false;
   std::uint32_t caller = 0;
