The program takes an op's work hint where its settings say so; a mix of shapes is refused

Settings gain "hints" (none, good, rough; none by default) and read "counted-by"; JSON-RPC requests may carry "work" (ms on a standard core, checked like "limit"), passed to the module only where hints are on. Counting by work without hints is refused at start with one line naming 'counted-by'.

Tests: traces hints (the long hinted op is nacked; with the hint ignored it is not), settings_shape (the mix served without its check), wire requests with work.

--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -213,6 +213,7 @@
   op.held_kb = request.held_kb;
   op.door = request.door_ms * kSecondsPerMs;
   op.limit = request.limit_ms * kSecondsPerMs;
+  op.work = request.work_ms * kSecondsPerMs;
   op.mark = std::move(request.mark);
   op.body = std::move(request.body);
   op.ticket = {tag, request.id};
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -25,6 +25,7 @@
   double held_kb = 0;
   double door = 0;   // Unix s, when it came to the machine; 0: not told
   double limit = 0;  // s from then on that its caller waits; 0: not told
+  double work = 0;   // s of work on a standard core, as its caller estimates it; 0: not told
   std::string mark;  // by which a repeat is known; empty: none
   std::string body;
   bool known_only = false;  // answered from what is remembered of its key, or not at all: it never runs
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -177,6 +177,9 @@
   if (!lacking.empty()) return lacking;
   if (options.knowledge.enabled && options.knowledge.folder.empty())
     return "knowledge: enabled, but no folder is named";
+  // The new shape counts worth by work that the ops tell; counted so without hints, it would be blind.
+  if (site.by_work && !site.hints)
+    return "settings: 'counted-by' is 'work', but 'hints' is 'none': no op would tell its work";
   if (site.settings.say != Say::kOff)
     return "settings: 'say' is not off; this program announces nothing on sockets yet";
   if (site.settings.below == Below::kTier)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -137,6 +137,8 @@
       {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
   s.deep_checks = flag(family, "deep-checks");
   start.list_follows = flag(family, "list-follows");
+  start.hints = word<bool>(top, "hints", {{"none", false}, {"good", true}, {"rough", true}});
+  start.by_work = word<bool>(top, "counted-by", {{"request", false}, {"work", true}});
   s.caller_idle = seconds(family, "caller-idle");
   s.below = word<Below>(family, "below",
                         {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -32,6 +32,7 @@
   op.held_kb = in.held_kb;
   op.caller = in.caller;
   op.write = in.key == 0;
+  if (site_.hints) op.work_hint = in.work;  // where the site says so; else a caller's figure means nothing
   op.age = in.door > 0 ? std::max(0.0, now - in.door) : 0;
   if (in.limit > 0) op.remaining_wait = std::max(kOverdueLeft, in.limit - op.age);
   counters_.add(Count::kReadSumUs, static_cast<std::uint64_t>(op.age * 1e6));
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -30,6 +30,7 @@
   bool has_txn = false;
   double door_ms = 0;   // Unix, when it came to the machine; 0: not told
   double limit_ms = 0;  // from then on; 0: not told
+  double work_ms = 0;   // the op's work on a standard core, as its caller estimates it; 0: not told
   std::uint32_t caller = 0;
   double held_kb = 0;
   bool has_item = false;
--- /dev/null
+++ b/tests/settings_shape.cpp
@@ -0,0 +1,43 @@
+// One build serves the old shape and the new: which one follows from the settings, and a mix is refused
+// with one line that names the key.
+#include <cstdio>
+#include <string>
+
+#include "settings/config.h"
+
+namespace {
+
+using namespace damsonspoke;
+
+std::string config_with(const std::string& extra) {
+  return R"({"name": "n1", "listen": "127.0.0.1:5050", "runtime": "127.0.0.1:4400", "roster": "127.0.0.1:7946",
+  "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024},
+  "settings": {)" +
+         extra + R"("servers": 1, "resolution": 4,
+    "request-classes": [{"name": "read", "semantics": "retryable", "target": 1000, "give-up": 3000, "worth": 1}],
+    "family-info": {"cores": 4, "memory-kb": 100000, "run-factor": 16, "callers": 2, "halt": "off"},
+    "rules": {"fall-multiple": 6, "stop-sending-within": 2500}}})";
+}
+
+void show(const char* name, const std::string& extra) {
+  try {
+    const Config config = parse_config(config_with(extra));
+    const std::string lacking = unserved(config, OperatorOptions{});
+    std::printf("%-22s hints %d, by work %d: %s\n", name, config.site.hints, config.site.by_work,
+                lacking.empty() ? "served" : lacking.c_str());
+  } catch (const SettingsError& error) {
+    std::printf("%-22s refused: %s\n", name, error.what());
+  }
+}
+
+}  // namespace
+
+int main() {
+  show("old shape", "");
+  show("new shape", R"("hints": "good", "counted-by": "work", )");
+  show("rough hints", R"("hints": "rough", )");
+  show("by work without hints", R"("counted-by": "work", )");
+  show("hints of no kind", R"("hints": "sometimes", )");
+  show("counted by no unit", R"("hints": "good", "counted-by": "hour", )");
+  return 0;
+}
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -341,6 +341,24 @@
   for (OpId id = 29; id <= 31; ++id) b.arrives(b.op(id));
 }
 
+// An op that tells its work is judged by it: the long one misses and is nacked at once, the short one and the
+// untold one wait, though the three are of one op type.
+void hints() {
+  Backend b(plain_settings());
+  const auto hinted = [&](OpId id, double work) {
+    Op op = b.op(id);
+    op.work_hint = work;
+    return op;
+  };
+  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(id, 0.1));
+  b.until(0.6);
+  for (OpId id = 1; id <= 2; ++id) b.ends(id);
+  for (OpId id = 3; id <= 4; ++id) b.arrives(hinted(id, 0.1));
+  b.arrives(hinted(5, 0.3));
+  b.arrives(hinted(6, 0.02));
+  b.arrives(b.op(7));
+}
+
 // A marked further try has spent part of its target: the same line is too long for it.
 void further_try() {
   Backend b(plain_settings());
@@ -473,7 +491,7 @@
     {"announce", announce},
     {"silence", silence},
     {"storm", storm},
-    {"further_try", further_try},
+    {"further_try", further_try}, {"hints", hints},
     {"connections", connections},
     {"prior", prior},
 };
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -92,6 +92,7 @@
     if (r.has_item) std::printf(", item %s", format_id(r.item).c_str());
     std::printf(", door %.0f, limit %.0f, caller %u, %.1f kB, probe %d, body '%s'", r.door_ms, r.limit_ms,
                 r.caller, r.held_kb, r.probe, shown(r.body).c_str());
+    if (r.work_ms > 0) std::printf(", work %.1f ms", r.work_ms);
   }
   std::printf("\n");
 }
@@ -106,7 +107,7 @@
   for (const char* params :
        {R"("txn":5}})", R"("txn":"9b1f"}})", R"("txn":"9b1f03aa5c7e2d4g"}})", R"("ram":-1}})",
         R"("ram":2001}})", R"("door":1e300}})", R"("limit":"1"}})", R"("lb":-1}})", R"("arg":"abc"}})",
-        R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})", R"("probe":1}})"}) {
+        R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})", R"("probe":1}})", R"("work":312.5}})", R"("work":-1}})", R"("work":"300"}})"}) {
     print_request(head + params);
   }
   for (const char* text : {"",
