--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,7 +66,7 @@
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
 constexpr double kStorm = 0.5;     // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kWalkTier = 25;  // backends; a larger tier has callers walk on over more of its backends
+constexpr double kWalkTier = 25;   // backends; a larger tier has callers walk on over more of its backends
 constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
 constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
@@ -168,8 +168,8 @@
 
 // What differs by op type.
 struct Row {
-  Histogram run;   // s on the cores
-  Histogram away;  // s at calls
+  Histogram run;            // s on the cores
+  Histogram away;           // s at calls
   Histogram hinted, hints;  // s on the cores of runs whose op told its work, and the work told
   // While a prior is held against the first warm runs: what it said, and what they say.
   double remembered = 0;
--- a/src/decide.h
+++ b/src/decide.h
@@ -71,7 +71,7 @@
   double age = 0;
   double held_kb = 0;
   double work_hint = 0;  // s of work on a standard core, as the caller estimates it; 0: not told
-  bool again = false;  // a further try, where such are marked
+  bool again = false;    // a further try, where such are marked
   bool write = false;
   std::uint32_t caller = 0;
   OpId original = 0;  // the kept op that this one repeats, or 0
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -127,7 +127,7 @@
 }
 
 bool is_param(std::string_view name) {
-  constexpr std::string_view kNames[] = {"txn",  "door",  "lb",  "limit", "ram",
+  constexpr std::string_view kNames[] = {"txn",  "door",     "lb",   "limit", "ram",
                                          "work", "standing", "item", "probe", "arg"};
   for (const std::string_view known : kNames) {
     if (name == known) return true;
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -68,8 +68,11 @@
     std::string operators;
   };
   explicit Site(const std::string& more_family = "", const std::string& more_top = "",
-                Remembering remembering = {})
-      : more_family_(more_family), more_top_(more_top), remembering_(std::move(remembering)) {
+                Remembering remembering = {}, const std::string& more_settings = "")
+      : more_family_(more_family),
+        more_top_(more_top),
+        more_settings_(more_settings),
+        remembering_(std::move(remembering)) {
     char path[] = "/tmp/damsonspoke-XXXXXX";
     ::close(::mkstemp(path));
     config_path_ = path;
@@ -132,8 +135,8 @@
     std::ofstream(config_path_)
         << R"({"name":"n1","listen":"127.0.0.1:0","runtime":)" << at(runtime_port_) << R"(,"roster":)"
         << at(roster_port_) << R"(,"backend":)" << at(below_port_) << R"(,"seed":"7","stop_ms":2000)"
-        << more_top_
-        << R"(,"settings":{"servers":1,"resolution":4,"rules":{"fall-multiple":8,"stop-sending-within":300},)"
+        << more_top_ << R"(,"settings":{"servers":1,"resolution":4,)" << more_settings_
+        << R"("rules":{"fall-multiple":8,"stop-sending-within":300},)"
         << R"("allowed":{"retry-after":true,"max-retry-after":1000},)"
         << R"("request-classes":)"
         << (remembering_.types.empty()
@@ -436,7 +439,7 @@
   }
 
   std::uint16_t runtime_port_ = 0, below_port_ = 0, roster_port_ = 0, port_ = 0;
-  const std::string more_family_, more_top_;
+  const std::string more_family_, more_top_, more_settings_;
   const Remembering remembering_;
   int runtime_listener_ = -1, below_listener_ = -1, roster_ = -1, log_ = -1, runtime_ = -1, below_ = -1;
   std::string config_path_;
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -38,6 +38,29 @@
                  "runs.error", "runs.cancelled", "calls.made", "calls.ok", "checks.good"});
 }
 
+// Where the settings say that ops tell their work, a run is judged by it: the op that tells fifty times the
+// work of those that ran is nacked at once, the one that tells a tenth waits. Without "hints" both are
+// nacked.
+void hints() {
+  Site site("", "", {}, R"("hints":"good",)");
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "pull", R"("ram":10,"limit":3000,"work":100)");
+  site.runtime_hears(2);
+  site.pause(0.2);
+  site.runtime_says("end 1 " + kId1 + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.send_op(caller, 2, "pull", R"("ram":10,"limit":3000,"work":100)");
+  site.send_op(caller, 3, "pull", R"("ram":10,"limit":3000,"work":100)");
+  site.runtime_hears(4);
+  site.send_op(caller, 4, "pull", R"("ram":10,"limit":3000,"work":5000)");
+  const std::string answer = site.heard(caller);  // "later" follows real run times: only the verdict is kept
+  std::printf("caller hears: %s\n", answer.find("-32001") != std::string::npos ? "nacked" : answer.c_str());
+  site.send_op(caller, 5, "pull", R"("ram":10,"limit":3000,"work":10)");
+  site.pause(0.05);
+  site.counters({"ops.read", "ops.acked", "ops.nacked"});
+}
+
 // Nothing runs before the runtime is up; it may come up late.
 void late_runtime() {
   Site site;
@@ -467,6 +490,7 @@
 
 int main(int argc, char** argv) {
   const std::pair<const char*, void (*)()> kScenarios[] = {{"served", served},
+                                                           {"hints", hints},
                                                            {"late_runtime", late_runtime},
                                                            {"broken_link", broken_link},
                                                            {"bad_runtime", bad_runtime},
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -491,7 +491,8 @@
     {"announce", announce},
     {"silence", silence},
     {"storm", storm},
-    {"further_try", further_try}, {"hints", hints},
+    {"further_try", further_try},
+    {"hints", hints},
     {"connections", connections},
     {"prior", prior},
 };
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -104,10 +104,10 @@
   print_request(
       R"( { "params" : { "probe" : true, "new" : [1,{"a":null}] } , "method":"h\u00e9\ud83d\ude00\n",)"
       R"("id":1,"jsonrpc":"2.0" } )");
-  for (const char* params :
-       {R"("txn":5}})", R"("txn":"9b1f"}})", R"("txn":"9b1f03aa5c7e2d4g"}})", R"("ram":-1}})",
-        R"("ram":2001}})", R"("door":1e300}})", R"("limit":"1"}})", R"("lb":-1}})", R"("arg":"abc"}})",
-        R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})", R"("probe":1}})", R"("work":312.5}})", R"("work":-1}})", R"("work":"300"}})"}) {
+  for (const char* params : {R"("txn":5}})", R"("txn":"9b1f"}})", R"("txn":"9b1f03aa5c7e2d4g"}})",
+                             R"("ram":-1}})", R"("ram":2001}})", R"("door":1e300}})", R"("limit":"1"}})",
+                             R"("lb":-1}})", R"("arg":"abc"}})", R"("arg":"a b="}})", R"("arg":"aGVsbG9="}})",
+                             R"("probe":1}})", R"("work":312.5}})", R"("work":-1}})", R"("work":"300"}})"}) {
     print_request(head + params);
   }
   for (const char* text : {"",
