A told work is believed within 8 times its type's mean run

Reading the change as a newcomer: a caller's work figure moved predictions without bound, and tiny figures that ran could skew the learned ratio for every honest op after them. Now a prediction from a hint stays within 8 times and an eighth of the type's mean run. No test shows the bound yet: on the present traces both sides of it give the same verdicts.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,9 +33,11 @@
 constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
 constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
 constexpr double kPaceMost = 3;       // a backend that warms up outruns what it learned cold
-constexpr double kOverdue = 2;        // x mean run; a run past this is no longer taken as progress
-constexpr double kAilingEnter = 0.9;  // predicted bare run over target: nothing would be in time
-constexpr double kAilingLeave = 0.6;  // and back only when clearly better, so that it does not flap
+constexpr double kHintSpread =
+    8;  // x the type's mean run: past it a told work is not believed; few honest ones are
+constexpr double kOverdue = 2;         // x mean run; a run past this is no longer taken as progress
+constexpr double kAilingEnter = 0.9;   // predicted bare run over target: nothing would be in time
+constexpr double kAilingLeave = 0.6;   // and back only when clearly better, so that it does not flap
 constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
 constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
 constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
@@ -263,7 +265,11 @@
   double run_of(const Slot& s) const {
     const Row& row = rows_[static_cast<std::size_t>(s.op.type)];
     if (s.op.work_hint <= 0 || !row.hints.learned() || row.hints.mean() <= 0) return mean_run(s.op.type);
-    return s.op.work_hint * row.hinted.mean() / row.hints.mean();
+    // A caller's figure is believed within a spread of the type's mean: one that lies, or whose tiny figures
+    // skewed the learned ratio, moves a prediction that far and no further.
+    const double usual = mean_run(s.op.type);
+    return std::clamp(s.op.work_hint * row.hinted.mean() / row.hints.mean(), usual / kHintSpread,
+                      usual * kHintSpread);
   }
 
   // Learned work done per second on the cores, against what the learned run times promise. One measure for a
