Attempts are numbered by steps drawn by chance; a false answer can't hit one on its way

Change: Fence numbers by steps up to 2^24, drawn by the dispatch; the wire is unchanged, numbers still rise. The scripted stranger now reads nothing for 50 ms and answers the next 16 numbers.

--- a/src/stages/forward.cpp
+++ b/src/stages/forward.cpp
@@ -14,6 +14,9 @@
 constexpr double kLook = 0.1;      // s; between looks at health, for the roster
 constexpr double kSixteenth = 16;  // of a kB, as sizes stand on the wire
 constexpr double kMicro = 1e-6;
+// Between attempts' numbers at most: one guess in 8 million hits the next, and 64 bits last for 10^12
+// attempts.
+constexpr std::uint64_t kNumberSteps = 1 << 24;
 constexpr double kReadPatience = 2;    // s at the start, for the folder of the lists
 constexpr std::size_t kOpBytes = 512;  // that an open op takes beside its body
 
@@ -56,6 +59,7 @@
   terms.line_ops = options.line;
   terms.line_bytes = options.line_memory;
   terms.by_key = options.by_subject;
+  terms.number_steps = kNumberSteps;
   if (site.settings.retry_after && site.settings.max_retry_after > 0)
     terms.outlook.most_come_back = site.settings.max_retry_after;
   return terms;
--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -159,7 +159,11 @@
   Op& op = ops_.at(id);
   const Link& link = links_[static_cast<std::size_t>(planner)];
   const double left = op.due - now;
-  const Attempt attempt = fence_.begin(id, planner, link.epoch);
+  const std::uint64_t step =
+      terms_.number_steps <= 1
+          ? 1
+          : static_cast<std::uint64_t>(chance_() * static_cast<double>(terms_.number_steps)) + 1;
+  const Attempt attempt = fence_.begin(id, planner, link.epoch, step);
   picker_.sent(planner);
   op.sent = now;
   ++(op.tries++ == 0 ? counts_.first_tries : counts_.second_tries);
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -37,6 +37,9 @@
   std::size_t line_ops = 512;
   std::size_t line_bytes = 4 << 20;
   bool by_key = false;  // ops with a subject go by it
+  // Attempts are numbered by steps by chance of at most so much. 1: a planner that is wrong can hit on the
+  // number of an attempt that is still on its way to it, and its answer would be believed.
+  std::uint64_t number_steps = 1;
 };
 
 struct ForwardOp {
--- a/src/tier/fence.cpp
+++ b/src/tier/fence.cpp
@@ -4,8 +4,8 @@
 
 namespace damsonspoke::tier {
 
-Attempt Fence::begin(OpId op, int planner, std::uint64_t epoch) {
-  const Attempt attempt = next_++;
+Attempt Fence::begin(OpId op, int planner, std::uint64_t epoch, std::uint64_t step) {
+  const Attempt attempt = last_ += std::max<std::uint64_t>(step, 1);
   seen_[attempt] = {op, planner, epoch, Standing::kOpen};
   by_op_[op] = attempt;
   ++open_at_[planner];
--- a/src/tier/fence.h
+++ b/src/tier/fence.h
@@ -36,8 +36,10 @@
 
 class Fence {
  public:
-  // Numbers go up for as long as this lives; none is used twice. The op must have no attempt in hand.
-  Attempt begin(OpId op, int planner, std::uint64_t epoch);
+  // Numbers go up for as long as this lives; none is used twice. The op must have no attempt in hand. `step`,
+  // at least 1: how far above the last; by chance, so that a planner can't name an attempt that it was never
+  // given.
+  Attempt begin(OpId op, int planner, std::uint64_t epoch, std::uint64_t step = 1);
   // The attempt in hand of an op, or none.
   std::optional<Attempt> in_hand(OpId op) const;
   const AttemptSeen* find(Attempt attempt) const;
@@ -72,7 +74,7 @@
   std::optional<OpId> end(Attempt attempt);
   std::vector<Attempt> of_planner(int planner) const;
 
-  Attempt next_ = 1;
+  Attempt last_ = 0;
   std::unordered_map<Attempt, AttemptSeen> seen_;
   std::unordered_map<OpId, Attempt> by_op_;
   std::unordered_map<int, int> open_at_;
--- a/standins/planner.cpp
+++ b/standins/planner.cpp
@@ -10,6 +10,11 @@
 
 namespace wt = wire::tier;
 
+namespace {
+constexpr double kBlind = 0.05;         // s that a stranger reads nothing: a few ops are sent to it meanwhile
+constexpr std::uint64_t kGuesses = 16;  // attempts that it answers then
+}  // namespace
+
 Planner::Planner(Loop& loop, Journal& journal, Options how, std::uint16_t port)
     : options(how), loop_(loop), journal_(journal), port_(port) {
   static std::uint64_t lives = 0;
@@ -53,6 +58,20 @@
     in.erase(0, taken.length);
     take(fd, taken.message);
   }
+  if (const Link& link = links_.at(fd); options.manner == PlannerManner::kStranger && link.last != 0)
+    guess(fd, link.serial, link.last);
+}
+
+// Reads nothing for a while, and then answers what may have been sent meanwhile before it has seen any of it.
+void Planner::guess(int fd, std::uint64_t serial, std::uint64_t last) {
+  loop_.forget(fd);
+  loop_.after(kBlind, [this, here = here_, fd, serial, last] {
+    if (!*here || !links_.contains(fd) || links_.at(fd).serial != serial) return;
+    for (std::uint64_t other = last + 1; other <= last + kGuesses; ++other)
+      answer(fd, serial, other, wire::tier::Result::kAcked, "of nobody");
+    links_.at(fd).last = 0;
+    loop_.watch(fd, [this, fd] { read(fd); });
+  });
 }
 
 void Planner::take(int fd, const wt::Message& message) {
@@ -86,12 +105,13 @@
 void Planner::submit(int fd, const wt::Submit& op) {
   ++taken_;
   const std::uint64_t serial = links_.at(fd).serial, attempt = op.attempt;
+  links_.at(fd).last = attempt;
   switch (options.manner) {
     case PlannerManner::kMute:
     case PlannerManner::kLies: return;
     case PlannerManner::kNacks: return answer(fd, serial, attempt, wt::Result::kNacked, "");
     case PlannerManner::kStranger:
-      for (const std::uint64_t other : {attempt + 1, attempt + 1000, std::uint64_t{0}})
+      for (const std::uint64_t other : {attempt + 1000, std::uint64_t{0}})
         answer(fd, serial, other, wt::Result::kAcked, "of nobody");
       break;
     default: break;
--- a/standins/planner.h
+++ b/standins/planner.h
@@ -20,7 +20,7 @@
   kNacks,    // refuses everything
   kHalf,     // sends the first half of its first answer and then nothing, ever
   kLies,     // says that a fenced attempt never ran, and acks it all the same
-  kStranger  // answers attempts that it was never given, then what it was
+  kStranger  // answers attempts that it was never given, those on their way to it too, then what it was
 };
 
 class Planner {
@@ -44,6 +44,7 @@
   void read(int fd);
   void take(int fd, const wire::tier::Message& message);
   void submit(int fd, const wire::tier::Submit& op);
+  void guess(int fd, std::uint64_t serial, std::uint64_t last);
   void answer(int fd, std::uint64_t serial, std::uint64_t attempt, wire::tier::Result result,
               const std::string& body);
   void put(int fd, const wire::tier::Message& message) { loop_.send(fd, wire::tier::encode(message)); }
@@ -52,6 +53,7 @@
     std::string in;
     std::uint64_t serial = 0;  // a descriptor may come again
     bool halved = false;
+    std::uint64_t last = 0;          // attempt that it was given
     std::vector<std::string> types;  // as its hello names them
   };
   std::shared_ptr<bool> here_ = std::make_shared<bool>(true);  // timers may outlive this
--- a/tests/tier.cpp
+++ b/tests/tier.cpp
@@ -1168,13 +1168,51 @@
   std::printf("open at the end: %zu\n", d.open());
 }
 
+// A planner acks the numbers after the last that it has read, while the next four are on their way to it.
+struct Numbers : DispatchHost {
+  void send(int, Attempt attempt, OpId, double, bool) override { sent.push_back(attempt); }
+  void cancel(int, Attempt) override {}
+  void fence(int, Attempt) override {}
+  void reply(OpId, Reply, double, bool) override {}
+  void wake_at(double) override {}
+  std::vector<Attempt> sent;
+};
+void guessed() {
+  for (const std::uint64_t steps : {1, 1 << 24}) {
+    Numbers numbers;
+    DispatchTerms terms;
+    terms.picker.slow_start = 0;
+    terms.number_steps = steps;
+    pcg64 random(9);
+    Dispatch d(
+        terms, 1, {"p0"}, numbers, [&] { return std::ldexp(static_cast<double>(random() >> 11), -53); }, 0);
+    d.on_link_up(0, 7, 8, 0);
+    const auto answer = [&](Attempt attempt) {
+      return d.on_answer(0, 7, attempt, AnswerKind::kAcked, 0, false, 0).has_value();
+    };
+    int believed = 0, truly = 0;
+    Attempt read = 0;
+    for (OpId id = 1; id <= 4000; ++id) {
+      ForwardOp op;
+      op.id = id, op.left = 1;
+      d.on_op(op, 0);
+      if (id % 4 != 0) continue;
+      for (Attempt guess = read + 1; guess <= read + 100; ++guess) believed += answer(guess);
+      for (const Attempt attempt : numbers.sent) truly += answer(read = attempt);
+      numbers.sent.clear();
+    }
+    std::printf("steps of at most %d: %s of 4000 false answers were believed, %s of the true ones\n",
+                static_cast<int>(steps), believed == 0 ? "none" : "some", truly == 4000 ? "all" : "not all");
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const std::pair<const char*, void (*)()> kScenarios[] = {
       {"histories", histories}, {"picker", picker},   {"line", line},     {"outlook", outlook},
       {"homes", homes},         {"lists", lists},     {"moving", moving}, {"holdings", holdings},
-      {"dispatch", dispatch},   {"waiting", waiting}, {"frames", frames}};
+      {"dispatch", dispatch},   {"waiting", waiting}, {"frames", frames}, {"guessed", guessed}};
   if (argc == 4 && std::strcmp(argv[1], "history") == 0) {
     History history(std::strtoull(argv[2], nullptr, 10) * 1000 + std::strtoull(argv[3], nullptr, 10),
                     std::atoi(argv[3]), true);
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -359,6 +359,24 @@
   b.arrives(b.op(7));
 }
 
+// Two ops told a thousandth of their work: an honest one after them is not taken for a thousand times its
+// own.
+void told_too_little() {
+  Settings s = plain_settings();
+  s.op_types[0].target_latency = 10;
+  s.op_types[0].op_timeout = 20;
+  Backend b(s);
+  const auto hinted = [&](OpId id, double work) {
+    Op op = b.op(id);
+    op.work_hint = work;
+    return op;
+  };
+  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(id, 0.0006));
+  b.until(0.6);
+  for (OpId id = 1; id <= 2; ++id) b.ends(id);
+  for (OpId id = 3; id <= 6; ++id) b.arrives(hinted(id, 0.6));
+}
+
 // A marked further try has spent part of its target: the same line is too long for it.
 void further_try() {
   Backend b(plain_settings());
@@ -493,6 +511,7 @@
     {"storm", storm},
     {"further_try", further_try},
     {"hints", hints},
+    {"told_too_little", told_too_little},
     {"connections", connections},
     {"prior", prior},
 };
