A newcomer that finds the line too long takes the place of held ops worth less

Now the least important held ops that never ran go, the last to come first, never worth more together than the newcomer; they are nacked at once. Traces displaced, displaced_few, displaced_run: each fails without the guard it is for.

--- a/bench/ajp.cpp
+++ b/bench/ajp.cpp
@@ -33,11 +33,14 @@
 }
 
 struct Played {
-  double closes_asked = 0, closes_served = 0, asked = 0, served = 0;
+  double closes_asked = 0, closes_served = 0;          // by JSON-RPC
+  double all_closes_asked = 0, all_closes_served = 0;  // by either front
+  double asked = 0, served = 0;
   int lost = 0, late = 0, doubled = 0, broken = 0;
   std::uint64_t ops = 0;
   double cpu = 0;  // s
   double closeouts() const { return closes_asked > 0 ? closes_served / closes_asked : 0; }
+  double all_closeouts() const { return all_closes_asked > 0 ? all_closes_served / all_closes_asked : 0; }
 };
 
 double processor_time(int pid) {  // s so far
@@ -50,25 +53,27 @@
   return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
-// `rpc`, `ajp`: ops a second by either front; a share of them close-outs.
-Played play(double rpc, double ajp, double work, double seconds, std::uint64_t seed) {
+// `rpc`, `ajp`: ops a second by either front; a share of them close-outs, of AJP's `ajp_closes` where that is
+// told.
+Played play(double rpc, double ajp, double work, double seconds, std::uint64_t seed,
+            double ajp_closes = kCloses) {
   Played out;
   Loop loop;
   Journal journal;
-  const auto flows = [](double per_s) {
+  const auto flows = [](double per_s, double closes) {
     std::vector<Flow> all;
     if (per_s <= 0) return all;
-    all.push_back({"read", per_s * (1 - kCloses), kTimeout});
-    all.push_back({"close", per_s * kCloses, kTimeout});
+    all.push_back({"read", per_s * (1 - closes), kTimeout});
+    all.push_back({"close", per_s * closes, kTimeout});
     for (Flow& flow : all) flow.retries = 0;
     return all;
   };
   Callers::Options load;
-  load.flows = flows(rpc);
+  load.flows = flows(rpc, kCloses);
   load.connections = 12, load.seed = seed;
   load.hotels = 9;  // the same ones as the gateway's: a hotel with over half of what waits loses room first
   AjpGateway::Options asking;
-  asking.flows = flows(ajp);
+  asking.flows = flows(ajp, ajp_closes);
   asking.connections = 150, asking.seed = seed + 1;
   Runtime::Options runtime;
   runtime.cores = kCores, runtime.work = work;
@@ -94,7 +99,9 @@
     const bool in_time =
         !t.answers.empty() && t.answers[0].kind == AnswerKind::kAcked && t.answers[0].at - t.sent <= kTarget;
     ++out.asked, out.served += in_time;
-    if (t.unnumbered || t.type != "close") continue;
+    if (t.type != "close") continue;
+    ++out.all_closes_asked, out.all_closes_served += in_time;
+    if (t.unnumbered) continue;
     ++out.closes_asked, out.closes_served += in_time;
   }
   RuleLimits limits;
@@ -109,6 +116,7 @@
 
 void add(Played& to, const Played& from) {
   to.closes_asked += from.closes_asked, to.closes_served += from.closes_served;
+  to.all_closes_asked += from.all_closes_asked, to.all_closes_served += from.all_closes_served;
   to.asked += from.asked, to.served += from.served, to.lost += from.lost, to.late += from.late;
   to.doubled += from.doubled, to.broken += from.broken, to.ops += from.ops, to.cpu += from.cpu;
 }
@@ -149,32 +157,40 @@
       "execs", "spoilt inputs for the codec", cxxopts::value<std::size_t>()->default_value("1000000"));
   const auto flags = options.parse(argc, argv);
   const double seconds = flags["seconds"].as<double>();
-  Played alone, mixed, only_rpc, only_ajp;
+  Played alone, mixed, reads, only_rpc, only_ajp;
   constexpr double kShare = 0.6 * kCapacity;  // of either front: together 1.2 of the capacity
   for (int round = 0; round < flags["rounds"].as<int>(); ++round) {
     const std::uint64_t seed = flags["seed"].as<std::uint64_t>() + static_cast<std::uint64_t>(round) * 10;
     add(alone, play(kShare, kShare, kWork, seconds, seed));
     add(mixed, play(kShare, 6 * kShare, kWork, seconds, seed));
+    // The flood asks for more reads only: its close-outs stay as many as without it.
+    add(reads, play(kShare, 6 * kShare, kWork, seconds, seed, kCloses / 6));
     add(only_rpc, play(400, 0, 0.001, seconds, seed));
     add(only_ajp, play(0, 400, 0.001, seconds, seed));
   }
   const auto row = [](const char* name, const Played& p) {
-    fmt::print("{:<22}{:>8}{:>10.3f}{:>12.3f}{:>8.1f}\n", name, p.ops, p.served / std::max(1.0, p.asked),
-               p.closeouts(), p.cpu / static_cast<double>(std::max<std::uint64_t>(1, p.ops)) * 1e6);
+    fmt::print("{:<22}{:>8}{:>10.3f}{:>12.3f}{:>12.3f}{:>8.1f}\n", name, p.ops,
+               p.served / std::max(1.0, p.asked), p.closeouts(), p.all_closeouts(),
+               p.cpu / static_cast<double>(std::max<std::uint64_t>(1, p.ops)) * 1e6);
   };
-  fmt::print("{:<22}{:>8}{:>10}{:>12}{:>8}\n", "play", "ops", "in time", "close-outs", "us/op");
+  fmt::print("{:<22}{:>8}{:>10}{:>12}{:>12}{:>8}\n", "play", "ops", "in time", "close-outs", "both fronts",
+             "us/op");
   row("both at their share", alone), row("AJP at six times", mixed);
+  row("AJP's reads at six", reads);
   row("JSON-RPC alone, 400/s", only_rpc), row("AJP alone, 400/s", only_ajp);
   const std::size_t execs = spoil(flags["execs"].as<std::size_t>(), 7);
   const auto cpu = [](const Played& p) {
     return p.cpu / static_cast<double>(std::max<std::uint64_t>(1, p.ops)) * 1e6;
   };
-  const auto sum = [&](int Played::*of) { return alone.*of + mixed.*of + only_rpc.*of + only_ajp.*of; };
+  const auto sum = [&](int Played::*of) {
+    return alone.*of + mixed.*of + reads.*of + only_rpc.*of + only_ajp.*of;
+  };
   fmt::print(
       "figures: lost={} late={} doubled={} rule_breaks={} closeout_worth_mixed={:.4f} "
-      "closeout_worth_alone={:.4f} "
+      "closeout_worth_alone={:.4f} closeout_worth_both={:.4f} "
+      "closeout_worth_reads={:.4f} "
       "ajp_cpu_us_per_op={:.1f} rpc_cpu_us_per_op={:.1f} fuzz_execs={}\n",
       sum(&Played::lost), sum(&Played::late), sum(&Played::doubled), sum(&Played::broken), mixed.closeouts(),
-      alone.closeouts(), cpu(only_ajp), cpu(only_rpc), execs);
+      alone.closeouts(), mixed.all_closeouts(), reads.closeouts(), cpu(only_ajp), cpu(only_rpc), execs);
   return 0;
 }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -459,7 +459,8 @@
     }
     const double wait = predicted_wait();
     const bool in_quota = within_quota(op);
-    const std::string why = refusal(s, arrival, wait, in_quota);
+    std::string why = refusal(s, arrival, wait, in_quota);
+    if (why == "busy" && in_quota && displaces(s, wait)) why = "";
     // What is stale when read counts as short too: its backend reads too much, whether it nacks for that or
     // not.
     const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
@@ -506,10 +507,46 @@
     // Importance: the less an op is worth against the most important, the shorter the line it may join, so
     // that under shortage room is left for the rest. One measure of line for all, or types with short targets
     // would pay alone.
-    double room = s.useful_by - last_ - own_time(s);
-    const double share = kLeastShare + (1 - kLeastShare) * type.importance / most_important_;
-    if (share < 1) room = share * std::min(room, common_room());
-    return wait > kFinishShare * room ? "busy" : "";
+    return wait > room_for(s) ? "busy" : "";
+  }
+  double room_for(const Slot& s) {
+    const double room = s.useful_by - last_ - own_time(s);
+    const double share = kLeastShare + (1 - kLeastShare) * type_of(s).importance / most_important_;
+    return kFinishShare * (share < 1 ? share * std::min(room, common_room()) : room);
+  }
+  // A newcomer that finds the line too long takes the places of held ops that are worth less, even together:
+  // the least first, of those the last to come. They are given up, and answered, at once. Guards against a
+  // crowd of cheap ops that was there first and leaves what is worth most no room.
+  bool displaces(const Slot& s, double wait) {
+    if (pool_used_ >= budget() || !rows_[static_cast<std::size_t>(s.op.type)].run.learned() || heavy(s.op))
+      return false;
+    std::vector<const Slot*> cheap;
+    for (const auto& line : lines_) {
+      for (const OpId id : line) {
+        const Slot& other = ops_.at(id);
+        if (other.stage == Stage::kHeld && !other.has_run &&
+            type_of(other).importance < type_of(s).importance)
+          cheap.push_back(&other);
+      }
+    }
+    std::sort(cheap.begin(), cheap.end(), [&](const Slot* a, const Slot* b) {
+      const double x = type_of(*a).importance, y = type_of(*b).importance;
+      return x != y ? x < y : a->since != b->since ? a->since > b->since : a->op.id > b->op.id;
+    });
+    const double room = room_for(s);
+    double left = type_of(s).importance, count = held();
+    std::vector<OpId> go;
+    for (const Slot* other : cheap) {
+      if (wait <= room && count < kHeldPerCore * set_.cores) break;
+      left -= type_of(*other).importance;
+      if (left <= 0) return false;
+      wait -= run_of(*other) / (run_limit_ * pace_);
+      count -= 1;
+      go.push_back(other->op.id);
+    }
+    if (wait > room || count >= kHeldPerCore * set_.cores) return false;
+    for (const OpId id : go) nack(id, predicted_wait());
+    return true;
   }
   // The time that the op type with the least of it has for waiting.
   double common_room() const {
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -377,6 +377,57 @@
   for (OpId id = 3; id <= 6; ++id) b.arrives(hinted(id, 0.6));
 }
 
+// Two op types, the second worth more, of which one run each was seen to take so long; then `cheap` ops of
+// the first, then `dear` ones of the second.
+void line_of_two(double importance, double first_takes, double second_takes, int cheap, int dear) {
+  Settings s = plain_settings();
+  s.op_types = {s.op_types[0], s.op_types[0]};
+  s.op_types[0].importance = 1;
+  s.op_types[1].importance = importance;
+  Backend b(s);
+  const auto of = [&](OpId id, int type) {
+    Op op = b.op(id);
+    op.type = type;
+    return op;
+  };
+  for (OpId id = 1; id <= 2; ++id) b.arrives(of(id, static_cast<int>(id) - 1));
+  b.until(first_takes);
+  b.ends(1);
+  b.until(second_takes);
+  b.ends(2);
+  for (OpId id = 3; id < 3 + static_cast<OpId>(cheap); ++id) b.arrives(of(id, 0));
+  for (OpId id = 100; id < 100 + static_cast<OpId>(dear); ++id) b.arrives(of(id, 1));
+}
+
+// Where the line is full, an op that is worth more takes the place of the cheap one that came last; cheap
+// ones displace nobody, nor does anything its like.
+void displaced() { line_of_two(3, 0.1, 0.1, 16, 16); }
+// It takes no place of two that are worth more together, however long its own run.
+void displaced_few() { line_of_two(1.5, 0.05, 0.5, 12, 8); }
+// What has run is not displaced, though it waits again and is worth least: it may not be nacked.
+void displaced_run() {
+  Settings s = plain_settings();
+  s.op_types = {s.op_types[0], s.op_types[0]};
+  s.op_types[0].importance = 1;
+  s.op_types[1].importance = 3;
+  s.op_types[1].target_latency = 0.6;
+  Backend b(s);
+  const auto of = [&](OpId id, int type) {
+    Op op = b.op(id);
+    op.type = type;
+    return op;
+  };
+  for (OpId id = 1; id <= 2; ++id) b.arrives(of(id, static_cast<int>(id) - 1));
+  b.until(0.1);
+  b.ends(2);
+  b.until(0.4);
+  b.ends(1);
+  for (OpId id = 3; id <= 4; ++id) b.arrives(of(id, 0));
+  for (OpId id = 100; id <= 107; ++id) b.arrives(of(id, 1));
+  b.ends(3, Outcome::kCancelled);
+  for (OpId id = 108; id <= 116; ++id) b.arrives(of(id, 1));
+}
+
 // A marked further try has spent part of its target: the same line is too long for it.
 void further_try() {
   Backend b(plain_settings());
@@ -512,6 +563,9 @@
     {"further_try", further_try},
     {"hints", hints},
     {"told_too_little", told_too_little},
+    {"displaced", displaced},
+    {"displaced_few", displaced_few},
+    {"displaced_run", displaced_run},
     {"connections", connections},
     {"prior", prior},
 };
