--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <stdexcept>
 
 #include "app/forwarder.h"
 #include "app/limits.h"
@@ -20,7 +22,8 @@
     0.05;  // commands that the runtime does not read; the rest: the program, open ops
 constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
 constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
-constexpr double kEndMargin = 0.06;     // s before the kill: the end in any case
+constexpr long kClientsTold = 20, kMostClientsTold = 1000;  // to who asks by hand
+constexpr double kEndMargin = 0.06;                         // s before the kill: the end in any case
 
 std::size_t below_links(const Limits& limits) {
   const std::size_t fit = part(limits, kBelowShare) / (peers::Below::kMostInput + peers::Below::kMostOutput);
@@ -39,6 +42,15 @@
 
 }  // namespace
 
+// Where operators have one, all fronts of callers share it.
+void Backend::make_door(int connections, const std::vector<double>& floors) {
+  if (!options_.gate.enabled) return;
+  std::vector<double> importance;
+  for (const OpType& type : config_.site.settings.op_types) importance.push_back(type.importance);
+  door_ = std::make_unique<peers::Door>(reactor_, options_.gate, static_cast<std::size_t>(connections),
+                                        floors, std::move(importance), counters_, log_);
+}
+
 // Where ops come in: callers at a relay, by one protocol or two, forwarders at a planner.
 std::unique_ptr<peers::Front> Backend::make_front(Role role) {
   const StartSettings& site = config_.site;
@@ -57,21 +69,25 @@
   const AjpOptions& ajp = options_.ajp;
   if (ajp.listen.empty()) {
     const int fit = links_that_fit(config_.limits, peers::Callers::kMostInput);
+    make_door(fit, {1});
+    conns::Share* share = door_ ? &door_->share() : nullptr;
     return std::make_unique<peers::Callers>(reactor_, config_.listen, site.type_names, keys,
-                                            peers::Callers::Limits{fit, output, nullptr, 0}, events,
-                                            counters_, log_);
+                                            peers::Callers::Limits{fit, output, share, 0, door_.get()},
+                                            events, counters_, log_);
   }
   const std::size_t input = std::max(peers::Callers::kMostInput, peers::AjpCallers::most_input(ajp));
   const int fit = links_that_fit(config_.limits, input);
-  share_ = std::make_unique<conns::Share>(static_cast<std::size_t>(fit),
-                                          std::vector<double>{std::max(ajp.share, 0.5), ajp.share});
-  auto callers = std::make_unique<peers::Callers>(reactor_, config_.listen, site.type_names, keys,
-                                                  peers::Callers::Limits{fit, output / 2, share_.get(), 0},
-                                                  events, counters_, log_);
+  const std::vector<double> floors{std::max(ajp.share, 0.5), ajp.share};
+  make_door(fit, floors);
+  if (!door_) share_ = std::make_unique<conns::Share>(static_cast<std::size_t>(fit), floors);
+  conns::Share& share = door_ ? door_->share() : *share_;
+  auto callers = std::make_unique<peers::Callers>(
+      reactor_, config_.listen, site.type_names, keys,
+      peers::Callers::Limits{fit, output / 2, &share, 0, door_.get()}, events, counters_, log_);
   peers::AjpCallers::Self self{site.type_names, keys.needed, keys.longest, {}, draw_epoch()};
   for (const OpType& type : site.settings.op_types) self.op_timeouts.push_back(type.op_timeout);
-  auto second = std::make_unique<peers::AjpCallers>(reactor_, std::move(self), ajp, output / 2, *share_, 1,
-                                                    events, counters_, log_);
+  auto second = std::make_unique<peers::AjpCallers>(reactor_, std::move(self), ajp, output / 2, share, 1,
+                                                    events, counters_, log_, door_.get());
   ajp_ = second.get();
   return std::make_unique<peers::Fronts>(std::move(callers), std::move(second));
 }
@@ -101,6 +117,7 @@
         reactor_, options_.ajp, ajp_links(config_.limits, options_.ajp), relay_, counters_, log_);
     ports_.below = ajp_below_.get();
   }
+  listen_for_questions();
   std::signal(SIGPIPE, SIG_IGN);
   reactor_.on_signal(SIGTERM, [this] { leave(); });
   reactor_.on_signal(SIGINT, [this] { leave(); });
@@ -108,11 +125,22 @@
   reactor_.on_signal(SIGUSR1, [this] { report(); });
 }
 
+void Backend::listen_for_questions() {
+  if (options_.control.folder.empty()) return;
+  control_ = std::make_unique<control::Server>(reactor_, options_.control.folder, log_);
+  control_->add("conns", [this](const std::vector<std::string>& words) {
+    if (!door_) throw std::runtime_error("the gate is off: nothing is counted by client");
+    const long most = words.size() > 1 ? std::atol(words[1].c_str()) : kClientsTold;
+    return door_->report(static_cast<std::size_t>(std::clamp(most, 0L, kMostClientsTold)));
+  });
+}
+
 int Backend::run() {
   const std::string host = config_.listen.substr(0, config_.listen.rfind(':'));
   log_.info("backend", "{} listens on {}:{}", config_.name, host, front_->port());
   if (ajp_ != nullptr) log_.info("backend", "takes AJP callers on port {}", ajp_->port());
   learn_.get_ready();
+  if (door_) door_->begin();
   reactor_.run();
   report();
   return 0;
@@ -147,6 +175,7 @@
   roster_.move_to(config_.roster = next.roster);
   recall_.reconfigure(choice.options.results);
   if (ajp_ != nullptr) ajp_->reconfigure(choice.options.ajp);
+  if (door_) door_->reconfigure(choice.options.gate);
 }
 
 void Backend::leave() {
@@ -155,6 +184,7 @@
   log_.info("backend", "notice to leave, {} ops open, {} connections", book_.unanswered(),
             front_->connections());
   learn_.leaving();
+  if (door_) door_->leaving();
   send_.leaving();
   admit_.on_leave(config_.stop_after);
   look_at_leaving();
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -6,10 +6,12 @@
 #include <string>
 
 #include "conns/share.h"
+#include "control/server.h"
 #include "net/reactor.h"
 #include "peers/ajp_below.h"
 #include "peers/ajp_callers.h"
 #include "peers/below.h"
+#include "peers/door.h"
 #include "peers/ports.h"
 #include "peers/roster.h"
 #include "peers/runtime.h"
@@ -44,6 +46,8 @@
   void reload();
   void look_at_leaving();
   std::unique_ptr<peers::Front> make_front(Role role);
+  void make_door(int connections, const std::vector<double>& floors);
+  void listen_for_questions();
   void report();
 
   Config config_;
@@ -61,8 +65,10 @@
   stages::Admit admit_;
   stages::TakeIn take_in_;
   stages::Relay relay_;
-  std::unique_ptr<conns::Share> share_;  // with two fronts
-  peers::AjpCallers* ajp_ = nullptr;     // one of them, where there is one; before who sets it
+  std::unique_ptr<conns::Share> share_;       // with two fronts
+  std::unique_ptr<control::Server> control_;  // where operators have one
+  std::unique_ptr<peers::Door> door_;         // where operators have one; before the fronts
+  peers::AjpCallers* ajp_ = nullptr;          // one of them, where there is one; before who sets it
   std::unique_ptr<peers::Front> front_;
   peers::Runtime runtime_;
   peers::Below below_;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -59,6 +59,12 @@
   options.add_options()("folder", "the folder; without it, the one that the operators' file names",
                         cxxopts::value<std::string>(), "FOLDER");
 }
+void conns_flags(cxxopts::Options& options) {
+  add_operator(options);
+  options.add_options()("folder", "the control folder; without it, the one that the operators' file names",
+                        cxxopts::value<std::string>(), "FOLDER")(
+      "limit", "so many clients at most", cxxopts::value<std::size_t>()->default_value("20"), "N");
+}
 void no_flags(cxxopts::Options&) {}
 
 struct Command {
@@ -76,6 +82,8 @@
      config_command},
     {"knowledge", "show, verify or forget what a backend has learned", knowledge_flags, knowledge_command},
     {"results", "look at, verify or drop remembered results", results_flags, results_command},
+    {"conns", "ask a running backend who holds its connections, and who was turned away", conns_flags,
+     conns_command},
     {"version", "print the version", no_flags, version_command},
 };
 
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -31,6 +31,8 @@
 int check_command(const cxxopts::ParseResult& flags);
 int config_command(const cxxopts::ParseResult& flags);
 int knowledge_command(const cxxopts::ParseResult& flags);
+std::string control_folder(const cxxopts::ParseResult& flags);
+int conns_command(const cxxopts::ParseResult& flags);
 int results_command(const cxxopts::ParseResult& flags);
 
 }  // namespace damsonspoke
--- /dev/null
+++ b/src/conns/gate.h
@@ -0,0 +1,167 @@
+// Who may connect, who has to go for whom, and who has to wait: caps by client, network and operators'
+// groups, rates of new connections, a reserve for known clients, and what connections do for their keep. Pure
+// policy: connections by number, happenings with their time; what is to be done comes back.
+//
+// What is open is counted exactly, since it is bounded; what has passed is kept in sketches of fixed size,
+// since whoever connects chooses the addresses. Nobody is refused for what another address did, but by the
+// caps that are there to be shared (network, group, strangers).
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "conns/known.h"
+#include "conns/prefix.h"
+#include "conns/share.h"
+#include "conns/space_saving.h"
+
+namespace damsonspoke::conns {
+
+using ConnId = std::uint64_t;
+
+struct GateGroup {
+  std::string name;
+  double share = 1;  // of the connections, for all in it together; its members have no smaller cap
+  std::vector<Prefix> prefixes;
+};
+
+struct GateTerms {
+  double address_share = 0.25;  // of the connections, for one client (an IPv4 address, an IPv6 /64)
+  double known_share = 0.5;     // for one that is known: many may stand behind its address
+  double network_share = 0.5;   // for one IPv4 /24 or IPv6 /48
+  double reserve = 0.25;        // of the connections, for known clients alone
+  double address_rate = 20, address_burst = 64;  // new connections a second, at once
+  double network_rate = 100, network_burst = 256;
+  double strangers_rate = 200, strangers_burst = 400;  // all strangers together
+  double known_factor = 4;                             // x the rate of an address, for known clients
+  double wasteful = 8;                                 // points from which a stranger waits outside
+  double waste_half_life = 30;                         // s
+  double keep_idle = 0.3;      // s that a connection keeps its place after it was of use
+  double keep_worth = 0.5;     // s more for each importance that was acked on it
+  double keep_most = 30;       // s at most
+  double silent_grace = 0.1;   // s in which a new connection need not have asked
+  std::size_t clients = 1024;  // in each sketch
+  std::vector<Prefix> listed;  // known by the operators' word
+  std::vector<GateGroup> groups;
+};
+
+enum class Standing { kStranger, kKnown, kListed };
+
+// Why a newcomer is not let in.
+enum class Turned {
+  kNot,
+  kAddressCap,
+  kNetworkCap,
+  kGroupCap,
+  kAddressRate,
+  kNetworkRate,
+  kStrangersRate,
+  kWasteful,
+  kStrangersShare,
+  kFull
+};
+constexpr std::size_t kTurnedKinds = 10;
+const char* text_of(Turned why);
+
+// What a connection was closed for, as far as it counts against its client.
+enum class Waste { kSilent, kHalf, kFaults, kBadFrame, kSlow, kReset };
+
+struct Arrival {
+  bool in = false;
+  Turned why = Turned::kNot;
+  double come_back_in = 0;      // s, where not in
+  std::optional<ConnId> sheds;  // the connection that has to go for it; told with ended() when it has
+};
+
+class Gate {
+ public:
+  // Both outlive this. `share` says how many connections there are and what fronts keep of them.
+  Gate(GateTerms terms, Share& share, Known& known);
+
+  // A newcomer. `scarce`: the system has no descriptor left, whatever the table says: it may come in only
+  // where another goes. `unix_now`: for the standing of clients.
+  Arrival arrive(ConnId id, std::size_t front, const Address& from, double now, double unix_now,
+                 bool scarce = false);
+  void ended(ConnId id);
+
+  void asked(ConnId id, double now);  // a whole message was read
+  void busy(ConnId id, bool busy);    // ops of it are open, or output waits: it can't be shed
+  void acked(ConnId id, double importance, double now, double unix_now);
+  void wasted(ConnId id, Waste how, double now);
+
+  // Terms from now on; what is open beyond them stays until it ends or is shed.
+  void reconfigure(GateTerms terms);
+  // Connections that have to go because fewer are allowed than are open: the least worth keeping, none busy.
+  std::vector<ConnId> beyond(double now) const;
+
+  Standing standing(const Address& from, double unix_now) const;
+  std::size_t open() const { return conns_.size(); }
+  std::size_t strangers() const { return strangers_; }
+  std::size_t strangers_most() const;
+
+  struct ClientView {
+    Prefix client;
+    std::size_t open = 0, busy = 0;
+    Standing standing = Standing::kStranger;
+    double points = 0, earned = 0;
+  };
+  std::vector<ClientView> clients(double now, double unix_now) const;  // those with most open first
+  struct Refused {
+    double at = 0;  // monotonic s
+    Prefix client;
+    Turned why = Turned::kNot;
+  };
+  const std::deque<Refused>& last_refused() const { return refused_; }
+  std::uint64_t refused(Turned why) const { return counts_[static_cast<std::size_t>(why)]; }
+  std::uint64_t shed() const { return shed_; }
+  double rate_error(double now) const { return by_client_.error(now); }
+  const GateTerms& terms() const { return terms_; }
+
+ private:
+  struct Conn {
+    std::size_t front = 0;
+    Prefix client, network;
+    int group = -1;
+    Standing standing = Standing::kStranger;
+    bool asked = false, busy = false;
+    double opened = 0, useful = 0, keep = 0;  // s; keep: beyond its last use
+  };
+  // The first of these goes first: who never asked, then strangers, then known clients; each by when its time
+  // to be kept is over.
+  using Rank = std::tuple<int, double, ConnId>;
+  Rank rank_of(ConnId id, const Conn& conn) const;
+  void enter(ConnId id, const Conn& conn);
+  void leave(ConnId id, const Conn& conn);
+  template <typename F>
+  void change(ConnId id, F&& how);
+
+  int group_of(const Address& from) const;
+  std::size_t of_total(double share) const;
+  Arrival refuse(Turned why, const Prefix& client, double come_back_in, double now);
+  std::optional<ConnId> to_shed(Standing newcomer, std::size_t front, double now) const;
+  std::optional<ConnId> own_to_shed(const Prefix& client, std::size_t front, double now) const;
+  bool frees_for(std::size_t front, std::size_t other) const;
+
+  GateTerms terms_;
+  Share& share_;
+  Known& known_;
+  std::unordered_map<ConnId, Conn> conns_;
+  std::set<Rank> by_rank_;  // those that are not busy
+  std::unordered_map<Prefix, std::set<ConnId>, PrefixHash> of_client_;
+  std::unordered_map<Prefix, std::size_t, PrefixHash> of_network_;
+  std::vector<std::size_t> of_group_;
+  std::size_t strangers_ = 0;
+  RateSketch by_client_, by_network_, known_by_client_, all_strangers_;
+  FadingSketch waste_;
+  std::deque<Refused> refused_;
+  std::array<std::uint64_t, kTurnedKinds> counts_{};
+  std::uint64_t shed_ = 0;
+};
+
+}  // namespace damsonspoke::conns
--- /dev/null
+++ b/src/conns/known.h
@@ -0,0 +1,54 @@
+// Who is known: clients that had ops acked here in the last days, on connections that behaved. The standing
+// is earned by acked ops and lost by misbehaviour, ages, and outlives the process as far as its record does.
+// Pure policy: times are Unix seconds that are handed in.
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "conns/prefix.h"
+
+namespace damsonspoke::conns {
+
+struct KnownTerms {
+  double lasts = 7 * 86400;    // s from the last acked op
+  double needed = 20;          // acked ops until a client is known
+  std::size_t entries = 4096;  // clients that are remembered at all
+};
+
+struct KnownClient {
+  Prefix client;
+  double earned = 0;  // acked ops, at most twice as many as are needed; misbehaviour takes a quarter of those
+  double last = 0;    // Unix s of the last acked op
+  bool known = false;
+};
+
+class Known {
+ public:
+  explicit Known(KnownTerms terms) : terms_(terms) {}
+
+  bool is_known(const Prefix& client, double now) const;
+  void acked(const Prefix& client, double now);
+  void misbehaved(const Prefix& client);
+  std::size_t size() const { return order_.size(); }
+  double earned(const Prefix& client) const;
+  void reconfigure(KnownTerms terms) { terms_ = terms; }
+
+  // For a successor: the newest first.
+  std::vector<KnownClient> all() const { return {order_.begin(), order_.end()}; }
+  // What an earlier life knew. Entries from the future, too old, or that no life could have written are left
+  // out. Returns how many were taken.
+  std::size_t begin_with(const std::vector<KnownClient>& clients, double now);
+
+ private:
+  using Order = std::list<KnownClient>;  // the newest ack first
+  void make_room();
+
+  KnownTerms terms_;
+  Order order_;
+  std::unordered_map<Prefix, Order::iterator, PrefixHash> at_;
+};
+
+}  // namespace damsonspoke::conns
--- a/src/conns/share.cpp
+++ b/src/conns/share.cpp
@@ -5,14 +5,19 @@
 namespace damsonspoke::conns {
 
 Share::Share(std::size_t total, const std::vector<double>& floors, ShareTerms terms)
-    : total_(total), terms_(terms), fronts_(floors.size()) {
+    : terms_(terms), fronts_(floors.size()) {
+  for (std::size_t i = 0; i < floors.size(); ++i) fronts_[i].weight = floors[i];
+  resize(total);
+}
+
+void Share::resize(std::size_t total) {
+  total_ = total;
   std::size_t kept = 0;
-  for (std::size_t i = 0; i < floors.size(); ++i) {
-    Front& front = fronts_[i];
+  for (Front& front : fronts_) {
     // A floor of less than one connection would be none.
-    front.floor = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(total) * floors[i]));
+    front.floor =
+        std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(total) * front.weight));
     front.floor = std::min(front.floor, total - std::min(total, kept));
-    front.weight = floors[i];
     kept += front.floor;
   }
 }
--- a/src/conns/share.h
+++ b/src/conns/share.h
@@ -30,6 +30,8 @@
   std::size_t open(std::size_t front) const { return fronts_[front].open; }
   std::size_t floor(std::size_t front) const { return fronts_[front].floor; }
   std::size_t total() const { return total_; }
+  // So many from now on, the floors' shares as they were; what is open beyond it stays until it ends.
+  void resize(std::size_t total);
 
   // ---- Reading. One message is about to be read; false: not before resume_at().
   bool may_read(std::size_t front, double now);
@@ -44,7 +46,7 @@
   };
   void turn(double now);
 
-  const std::size_t total_;
+  std::size_t total_ = 0;
   const ShareTerms terms_;
   std::vector<Front> fronts_;
   double period_began_ = -1;
--- /dev/null
+++ b/src/conns/space_saving.h
@@ -0,0 +1,77 @@
+// Who is seen most, in fixed memory, though whoever connects chooses the addresses: a table of so many keys
+// in which a new one takes the place of the least. Each entry has two values: `high`, at least what is true,
+// by which places are given away, and `low`, at most what is true, on which alone anybody may be refused. So
+// nobody is refused for what another did, and who does more than the error below is in the table.
+//
+// After the space-saving algorithm (Metwally, Agrawal and El Abbadi, ICDT 2005): with n keys, `high` is wrong
+// by at most the n-th part of all that was added.
+#pragma once
+
+#include <cstddef>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "conns/prefix.h"
+
+namespace damsonspoke::conns {
+
+class SpaceSaving {
+ public:
+  struct Entry {
+    Prefix key;
+    double high = 0, low = 0;
+  };
+  explicit SpaceSaving(std::size_t entries) : most_(entries) { entries_.reserve(entries); }
+
+  const Entry* find(const Prefix& key) const;
+  // A key that is not there is entered with `nothing` for its low value, and for its high one the higher of
+  // that and what the entry had whose place it takes.
+  Entry enter(const Prefix& key, double nothing);
+  void set(const Prefix& key, double high, double low);  // of one that is there
+  std::size_t size() const { return entries_.size(); }
+  std::size_t most() const { return most_; }
+  // No key that is not in the table has more than this.
+  double least() const;
+
+ private:
+  const std::size_t most_;
+  std::vector<Entry> entries_;
+  std::unordered_map<Prefix, std::size_t, PrefixHash> at_;
+  std::set<std::pair<double, std::size_t>> order_;  // by high
+};
+
+// New connections by prefix: at most `rate` a second on the long run and `burst` at once. A leaky bucket kept
+// as the time at which it will be empty (the theoretical arrival time of ITU-T I.371's generic cell rate
+// algorithm): all empty equally fast, so the order of entries does not change as time passes.
+class RateSketch {
+ public:
+  RateSketch(std::size_t entries, double rate, double burst) : seen_(entries), rate_(rate), burst_(burst) {}
+  bool room(const Prefix& key, double now) const;
+  void take(const Prefix& key, double now);
+  double room_in(const Prefix& key, double now) const;  // s until there is room
+  double error(
+      double now) const;  // connections that one outside the table may have had beyond what is reckoned
+  void reset(double rate, double burst) { rate_ = rate, burst_ = burst; }
+
+ private:
+  SpaceSaving seen_;
+  double rate_, burst_;
+};
+
+// What clients have wasted, in points that fade to half in `half_life` seconds. Kept as the time at which one
+// point would be left, in half-lives: its order does not change as time passes either.
+class FadingSketch {
+ public:
+  FadingSketch(std::size_t entries, double half_life) : seen_(entries), half_life_(half_life) {}
+  double points(const Prefix& key, double now) const;
+  void add(const Prefix& key, double points, double now);
+  double falls_to(const Prefix& key, double points, double now) const;  // s until then
+  void reset(double half_life) { half_life_ = half_life; }
+
+ private:
+  SpaceSaving seen_;
+  double half_life_;
+};
+
+}  // namespace damsonspoke::conns
--- /dev/null
+++ b/src/control/server.h
@@ -0,0 +1,55 @@
+// The control socket: operators' questions to a running process, on a socket in a private folder. Subsystems
+// add the words that they answer. One question a connection, a few connections at once, a second for each.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/connection.h"
+#include "watch/logger.h"
+
+namespace damsonspoke::control {
+
+class Server : private net::ConnectionOwner {
+ public:
+  // Gets all words, its own first; what it throws is the error that is told.
+  using Answerer = std::function<std::string(const std::vector<std::string>& words)>;
+
+  // Throws std::runtime_error with one plain line: the folder is not there or not private, or another process
+  // answers there.
+  Server(net::Reactor& reactor, const std::string& folder, Logger& log);
+  ~Server() override;
+  void add(std::string word, Answerer answer) { answerers_[std::move(word)] = std::move(answer); }
+
+ private:
+  struct Asking {
+    std::shared_ptr<net::Connection> connection;
+    net::Reactor::TimerId patience;
+    bool answered = false;
+  };
+  std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
+  void on_end_of_input(net::Connection& connection) override;
+  void on_end(net::Connection& connection, net::End why) override;
+  void on_output_sent(net::Connection& connection) override;
+  void on_accept(const net::Accepted& accepted);
+  std::string answer(const std::vector<std::string>& words) const;
+
+  net::Reactor& reactor_;
+  Logger& log_;
+  const std::string path_;
+  std::map<std::string, Answerer> answerers_;
+  std::map<std::uint64_t, Asking> asking_;
+  std::uint64_t next_tag_ = 1;
+  std::unique_ptr<net::Listener> listener_;
+};
+
+// Where a process with that folder listens.
+std::string socket_in(const std::string& folder);
+// Asks a running process and waits for its answer, at most so long. Throws std::runtime_error with one plain
+// line where nobody listens, or no whole answer comes.
+std::string ask(const std::string& folder, const std::vector<std::string>& words, double seconds);
+
+}  // namespace damsonspoke::control
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Observer.h>
+#include <fcntl.h>
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -123,6 +124,7 @@
     const ssize_t wrote = ::send(fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (wrote >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(wrote));
+      bytes_out_ += static_cast<std::uint64_t>(wrote);
     } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
       return close(End::kBroken);
     }
@@ -132,8 +134,7 @@
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
-  if (limits_.pool != nullptr && limits_.pool->used + bytes.size() > limits_.pool->most)
-    return close(End::kOverflow);
+  if (limits_.pool != nullptr && !limits_.pool->fits(bytes.size())) return close(End::kOverflow);
   out_.append(bytes);
   charge(bytes.size());
   if (state_ == State::kOpen) want_write(true);
@@ -148,6 +149,7 @@
       return;
     }
     out_at_ += static_cast<std::size_t>(wrote);
+    bytes_out_ += static_cast<std::uint64_t>(wrote);
     release(static_cast<std::size_t>(wrote));
   }
   out_.clear();
@@ -165,11 +167,11 @@
 }
 
 void Connection::charge(std::size_t bytes) {
-  if (limits_.pool != nullptr) limits_.pool->used += bytes;
+  if (limits_.pool != nullptr) limits_.pool->charge(bytes);
 }
 
 void Connection::release(std::size_t bytes) {
-  if (limits_.pool != nullptr) limits_.pool->used -= bytes;
+  if (limits_.pool != nullptr) limits_.pool->release(bytes);
 }
 
 void Connection::close(End why) {
@@ -202,6 +204,7 @@
     owner_.on_end_of_input(*this);
     return;
   }
+  bytes_in_ += static_cast<std::uint64_t>(got);
   const std::string_view piece(bytes, static_cast<std::size_t>(got));
   if (!in_.empty()) {
     in_.append(piece);
@@ -269,8 +272,17 @@
   pause(false);
 }
 
+Listener::Listener(Reactor& reactor, int listening_fd, OnAccept on_accept)
+    : reactor_(reactor),
+      on_accept_(std::move(on_accept)),
+      fd_(listening_fd),
+      socket_(new Poco::Net::StreamSocketImpl(listening_fd)) {
+  pause(false);
+}
+
 Listener::~Listener() {
   reactor_.cancel(retry_);
+  if (reserve_ >= 0) ::close(reserve_);
   if (!open_) return;
   pause(true);
   socket_.close();
@@ -283,14 +295,43 @@
   pause ? reactor_.removeEventHandler(socket_, observer) : reactor_.addEventHandler(socket_, observer);
 }
 
+namespace {
+
+Accepted accept_from(int listening) {
+  Accepted out;
+  socklen_t size = sizeof out.from;
+  out.fd = ::accept4(listening, reinterpret_cast<sockaddr*>(&out.from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  return out;
+}
+
+}  // namespace
+
+void Listener::keep_reserve() {
+  keeps_reserve_ = true;
+  if (reserve_ < 0) reserve_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+// The reserve's descriptor for one newcomer. False: nobody came, or it could not be had again: no more of
+// this.
+bool Listener::accept_scarce() {
+  if (reserve_ < 0) return false;
+  ::close(reserve_);
+  Accepted accepted = accept_from(fd_);
+  accepted.scarce = true;
+  if (accepted.fd >= 0) on_accept_(accepted);
+  reserve_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  return accepted.fd >= 0 && reserve_ >= 0;
+}
+
 // False when descriptors have run out.
 bool Listener::accept_some() {
+  if (keeps_reserve_ && reserve_ < 0) keep_reserve();
   for (int i = 0; i < kAcceptAtOnce && !paused_; ++i) {
-    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd >= 0) {
-      on_accept_(fd);
+    const Accepted accepted = accept_from(fd_);
+    if (accepted.fd >= 0) {
+      on_accept_(accepted);
     } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-      return false;
+      if (!accept_scarce()) return false;  // else one came, and the reserve is back: no spin
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       return true;
     }
@@ -318,9 +359,9 @@
   sock_fprog program{1, drop_all};
   ::setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
   for (;;) {
-    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) break;
-    on_accept_(fd);
+    const Accepted accepted = accept_from(fd_);
+    if (accepted.fd < 0) break;
+    on_accept_(accepted);
   }
   reactor_.cancel(retry_);
   pause(true);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/SocketNotification.h>
 #include <Poco/Net/StreamSocket.h>
+#include <sys/socket.h>
 
 #include <cstdint>
 #include <memory>
@@ -41,6 +42,18 @@
 struct OutputPool {
   std::size_t most = 0;
   std::size_t used = 0;
+  OutputPool* above = nullptr;  // of which this is a part; outlives it
+  bool fits(std::size_t bytes) const {
+    return used + bytes <= most && (above == nullptr || above->fits(bytes));
+  }
+  void charge(std::size_t bytes) {
+    used += bytes;
+    if (above != nullptr) above->charge(bytes);
+  }
+  void release(std::size_t bytes) {
+    used -= bytes;
+    if (above != nullptr) above->release(bytes);
+  }
 };
 
 struct BufferLimits {
@@ -68,6 +81,9 @@
   std::size_t waiting() const { return out_.size() - out_at_; }
   // Once closed: bytes that were given to it and not to the system, its refused ones among them.
   std::size_t unwritten() const { return unwritten_; }
+  // Bytes that came from the peer, and that the system took for it, since it was made.
+  std::uint64_t bytes_in() const { return bytes_in_; }
+  std::uint64_t bytes_out() const { return bytes_out_; }
   bool nothing_to_read() const;  // neither bytes nor the peer's end: asks the system, not the reactor
   std::uint64_t tag = 0;         // the owner's name for it
 
@@ -99,15 +115,27 @@
   std::string out_;
   std::size_t out_at_ = 0;
   std::size_t unwritten_ = 0;
+  std::uint64_t bytes_in_ = 0, bytes_out_ = 0;
   bool reading_ = false, writing_ = false, watching_ = false;
   bool paused_ = false, input_over_ = false, delivering_ = false;
 };
 
+struct Accepted {
+  int fd = -1;  // the receiver's
+  sockaddr_storage from{};
+  bool scarce = false;  // it took the last descriptor that there was
+};
+
 // Accepts until nothing waits; out of descriptors it pauses instead of spinning.
 class Listener {
  public:
-  using OnAccept = std::function<void(int fd)>;
+  using OnAccept = std::function<void(const Accepted& accepted)>;
   Listener(Reactor& reactor, const Poco::Net::SocketAddress& address, OnAccept on_accept);
+  // A socket that listens already, of any family.
+  Listener(Reactor& reactor, int listening_fd, OnAccept on_accept);
+  // Keeps one descriptor back. Out of descriptors, it is given for one newcomer at a time, marked as scarce,
+  // so that somebody can be told, or let in for another, before the pause.
+  void keep_reserve();
   ~Listener();
   void pause(bool pause);
   bool paused() const { return paused_; }
@@ -120,10 +148,12 @@
  private:
   void on_readable(Poco::Net::ReadableNotification* notification);
   bool accept_some();
+  bool accept_scarce();
 
   Reactor& reactor_;
   OnAccept on_accept_;
-  int fd_ = -1;
+  int fd_ = -1, reserve_ = -1;
+  bool keeps_reserve_ = false;
   Poco::Net::StreamSocket socket_;
   Reactor::TimerId retry_;
   std::uint16_t port_ = 0;
--- a/src/peers/ajp_callers.cpp
+++ b/src/peers/ajp_callers.cpp
@@ -89,18 +89,32 @@
 
 AjpCallers::AjpCallers(net::Reactor& reactor, Self self, const AjpOptions& options, std::size_t output_bytes,
                        conns::Share& share, std::size_t front, CallerEvents& events, Counters& counters,
-                       Logger& log)
+                       Logger& log, Door* door)
     : reactor_(reactor),
       self_(std::move(self)),
       options_(options),
       share_(share),
       front_(front),
+      door_(door),
       events_(events),
       counters_(counters),
       log_(log),
       output_{output_bytes, 0},
-      listener_(reactor, net::parse_address(options.listen), [this](int fd) { on_accept(fd); }),
+      listener_(reactor, net::parse_address(options.listen),
+                [this](const net::Accepted& one) { on_accept(one); }),
       random_(self_.seed) {
+  if (door_ != nullptr) {
+    listener_.keep_reserve();
+    door_->serve(
+        front_, output_,
+        [this](std::uint64_t tag) {
+          const auto found = open_.find(tag);
+          if (found == open_.end()) return;
+          if (!found->second.has_asked) wasted(found->second, conns::Waste::kSilent);
+          found->second.connection->close();
+        },
+        nullptr);  // AJP has no word for who has not asked
+  }
   look_over();
 }
 
@@ -117,23 +131,37 @@
 }
 
 // ---- Connections.
-void AjpCallers::on_accept(int fd) {
-  if (!share_.room(front_) && !make_room()) {
-    counters_.add(Count::kCallersTurnedAway);
-    ::close(fd);
-    return;
-  }
+bool AjpCallers::take_in(std::uint64_t tag, const net::Accepted& accepted) {
+  if (door_ != nullptr) return door_->lets_in(front_, tag, accepted);
+  if (share_.room(front_) || make_room()) return share_.opened(front_), true;
+  counters_.add(Count::kCallersTurnedAway);
+  ::close(accepted.fd);
+  return false;
+}
+
+void AjpCallers::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
+  if (!take_in(tag, accepted)) return;
+  net::OutputPool* pool = door_ != nullptr ? door_->pool(tag) : &output_;
   Caller& caller = open_[tag];
   caller.connection =
-      net::Connection::accepted(reactor_, *this, fd, {most_input(options_), kOutputBytes, &output_});
+      net::Connection::accepted(reactor_, *this, accepted.fd, {most_input(options_), kOutputBytes, pool});
   caller.connection->tag = tag;
   caller.last_traffic = net::monotonic_now();
   caller.place = by_traffic_.insert(by_traffic_.end(), tag);
-  share_.opened(front_);
   counters_.add(Count::kAjpAccepted);
 }
 
+// ---- What the door hears of a connection.
+void AjpCallers::wasted(Caller& caller, conns::Waste how) {
+  if (door_ != nullptr) door_->wasted(caller.connection->tag, how);
+}
+void AjpCallers::note_busy(Caller& caller) {
+  if (door_ == nullptr || !caller.connection->open()) return;
+  const bool busy = caller.state == State::kOpen || caller.state == State::kClosing;
+  door_->busy(caller.connection->tag, busy || caller.connection->waiting() > 0);
+}
+
 // As at the other front: silent ones first, the oldest of them, then the longest idle one.
 bool AjpCallers::make_room() {
   const double now = net::monotonic_now();
@@ -163,11 +191,15 @@
     if (caller.state == State::kOpen) break;  // its answer first; the rest waits where it is
     const std::string_view rest = bytes.substr(used);
     if (rest.empty()) break;
-    if (caller.began < 0) caller.began = net::monotonic_now();
+    if (caller.began < 0) {
+      caller.began = net::monotonic_now();
+      caller.input_pace.begin(caller.began, connection.bytes_in() - rest.size());
+    }
     const wa::Packet packet = wa::next_packet(rest, wa::From::kGateway, options_.packet);
     if (packet.state == wa::Framing::kNeedMore) break;
     if (packet.state == wa::Framing::kBroken) {
       counters_.add(Count::kBadFrames);
+      wasted(caller, conns::Waste::kBadFrame);
       log_.debug("ajp", "connection {}: a packet that can't be trusted, closed",
                  connection.tag & ~kAjpTickets);
       connection.close(net::End::kBroken);
@@ -181,8 +213,11 @@
     }
     used += packet.length;
     traffic(caller);
-    if (!take(caller, packet.payload)) {
+    const bool sound = take(caller, packet.payload);
+    note_busy(caller);
+    if (!sound) {
       counters_.add(Count::kBadFrames);
+      wasted(caller, conns::Waste::kBadFrame);
       connection.close(net::End::kBroken);
       return bytes.size();
     }
@@ -201,6 +236,9 @@
     return true;
   }
   caller.has_asked = true;
+  // A ping keeps a connection, but it is of no use by itself: its time to be kept counts from requests.
+  if (door_ != nullptr && std::holds_alternative<wa::ForwardRequest>(*message))
+    door_->asked(caller.connection->tag);
   if (std::holds_alternative<wa::CPing>(*message)) {
     counters_.add(Count::kAjpPings);
     caller.began = -1;
@@ -347,6 +385,7 @@
     return events_.on_check(ticket, false);
   }
   IncomingOp op = std::move(caller.op);
+  caller.type = op.type;
   do op.id = random_();
   while (op.id == 0 || events_.in_use(op.id));
   op.ticket = ticket;
@@ -410,12 +449,14 @@
                           std::string_view body) {
   caller.op = {};
   respond(caller, status, std::move(headers), body, !no_more_ && !caller.input_over);
+  note_busy(caller);
   if (caller.state == State::kIdle && caller.connection->open()) caller.connection->pause_reading(false);
 }
 
 void AjpCallers::answer_acked(Ticket ticket, std::string_view result) {
-  if (Caller* caller = waiting_for(ticket))
-    answered(*caller, 200, {{"content-type", "application/octet-stream"}}, result);
+  Caller* caller = waiting_for(ticket);
+  if (caller != nullptr && door_ != nullptr) door_->acked(ticket.connection, caller->type);
+  if (caller != nullptr) answered(*caller, 200, {{"content-type", "application/octet-stream"}}, result);
 }
 void AjpCallers::answer_nacked(Ticket ticket, double come_back_in, bool no_retry) {
   Caller* caller = waiting_for(ticket);
@@ -446,6 +487,8 @@
 void AjpCallers::on_output_sent(net::Connection& connection) {
   const auto found = open_.find(connection.tag);
   if (found == open_.end()) return;
+  found->second.output_pace.end();
+  note_busy(found->second);
   if (found->second.state == State::kClosing) connection.close();
 }
 
@@ -463,7 +506,12 @@
   const Caller caller = std::move(found->second);
   by_traffic_.erase(caller.place);
   open_.erase(found);
-  if (!caller.evicted) share_.closed(front_);
+  if (door_ != nullptr) {
+    if (!caller.has_asked && why == net::End::kBroken) door_->wasted(connection.tag, conns::Waste::kReset);
+    door_->ended(connection.tag);
+  } else if (!caller.evicted) {
+    share_.closed(front_);
+  }
   counters_.add(why == net::End::kInOrder    ? Count::kCallersClosed
                 : why == net::End::kOverflow ? Count::kSlowPeers
                                              : Count::kCallersReset);
@@ -475,6 +523,15 @@
   by_traffic_.splice(by_traffic_.end(), by_traffic_, caller.place);
 }
 
+// With a door, answers have to be taken by the second.
+bool AjpCallers::too_slow(Caller& caller, double now) {
+  if (door_ == nullptr) return false;
+  const net::Connection& connection = *caller.connection;
+  if (connection.waiting() > 0 && !caller.output_pace.running())
+    caller.output_pace.begin(now, connection.bytes_out());
+  return caller.output_pace.too_slow(now, connection.bytes_out(), door_->output_terms());
+}
+
 // Each has to ask, to finish what it began within its time whatever it sends meanwhile, and to take its
 // answer. Guards against callers that say nothing, drip a request byte by byte, leave a piece of a body
 // unsent, or never read.
@@ -486,14 +543,23 @@
     if (connection.waiting() == 0) caller.waiting_since = -1;
     if (connection.waiting() > 0 && caller.waiting_since < 0) caller.waiting_since = now;
     if (caller.waiting_since >= 0 && now - caller.waiting_since > kTakeOutput) {
+      wasted(caller, conns::Waste::kSlow);
+      connection.close(net::End::kOverflow);
+    } else if (too_slow(caller, now)) {
+      wasted(caller, conns::Waste::kSlow);
       connection.close(net::End::kOverflow);
     } else if (caller.state == State::kClosing || caller.state == State::kOpen) {
       continue;
-    } else if (caller.began >= 0 && now - caller.began > kWholeRequest) {
+    } else if (caller.began >= 0 &&
+               (now - caller.began > kWholeRequest ||
+                (door_ != nullptr &&
+                 caller.input_pace.too_slow(now, connection.bytes_in(), door_->input_terms())))) {
       counters_.add(Count::kHalfClosed);
+      wasted(caller, conns::Waste::kHalf);
       refuse(caller, 408, true);
     } else if (caller.began < 0 && !caller.has_asked && now - caller.last_traffic > kFirstRequest) {
       counters_.add(Count::kSilentClosed);
+      wasted(caller, conns::Waste::kSilent);
       connection.close();
     } else if (caller.began < 0 && now - caller.last_traffic > options_.idle) {
       connection.close();
--- a/src/peers/ajp_callers.h
+++ b/src/peers/ajp_callers.h
@@ -16,6 +16,7 @@
 
 #include "conns/share.h"
 #include "net/connection.h"
+#include "peers/door.h"
 #include "peers/ports.h"
 #include "settings/operator_file.h"
 #include "watch/counters.h"
@@ -39,9 +40,11 @@
   // Bytes that a connection may take until its request is whole.
   static std::size_t most_input(const AjpOptions& options) { return 2 * options.packet + options.body; }
 
-  // Throws std::runtime_error where the address can't be used. `share`, `front`: its part of the connections.
+  // Throws std::runtime_error where the address can't be used. `share`, `front`: its part of the connections;
+  // `door`: where operators have one.
   AjpCallers(net::Reactor& reactor, Self self, const AjpOptions& options, std::size_t output_bytes,
-             conns::Share& share, std::size_t front, CallerEvents& events, Counters& counters, Logger& log);
+             conns::Share& share, std::size_t front, CallerEvents& events, Counters& counters, Logger& log,
+             Door* door = nullptr);
   ~AjpCallers() override;
 
   // Another table, secret or list of attributes for requests that come from now on; those that have begun
@@ -75,6 +78,8 @@
     double last_traffic = 0, began = -1, waiting_since = -1;  // s; < 0: no request has begun, no output waits
     bool has_asked = false;
     bool evicted = false;  // its place was given away already
+    int type = -1;         // of its op
+    conns::BytePace input_pace, output_pace;
     bool input_over = false;
   };
 
@@ -83,7 +88,11 @@
   void on_end(net::Connection& connection, net::End why) override;
   void on_output_sent(net::Connection& connection) override;
 
-  void on_accept(int fd);
+  void on_accept(const net::Accepted& accepted);
+  bool take_in(std::uint64_t tag, const net::Accepted& accepted);
+  void wasted(Caller& caller, conns::Waste how);
+  void note_busy(Caller& caller);
+  bool too_slow(Caller& caller, double now);
   bool make_room();
   bool take(Caller& caller, std::string_view payload);
   void take_request(Caller& caller, const wire::ajp::ForwardRequest& request);
@@ -109,6 +118,7 @@
   AjpOptions options_;
   conns::Share& share_;
   const std::size_t front_;
+  Door* const door_;
   CallerEvents& events_;
   Counters& counters_;
   Logger& log_;
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -37,7 +37,19 @@
       counters_(counters),
       log_(log),
       output_{limits.output_bytes, 0},
-      listener_(reactor, net::parse_address(listen), [this](int fd) { on_accept(fd); }) {
+      listener_(reactor, net::parse_address(listen), [this](const net::Accepted& one) { on_accept(one); }) {
+  if (limits_.door != nullptr) {
+    listener_.keep_reserve();
+    limits_.door->serve(
+        limits_.front, output_,
+        [this](std::uint64_t tag) {
+          const auto found = open_.find(tag);
+          if (found == open_.end()) return;
+          if (!found->second.has_asked) wasted(found->second, conns::Waste::kSilent);
+          found->second.connection->close();
+        },
+        [](double come_back_in) { return wire::encode_nack(0, come_back_in / kSecondsPerMs, false); });
+  }
   look_over();
   for (std::size_t i = 0; i < type_names.size(); ++i) types_[type_names[i]] = static_cast<int>(i);
 }
@@ -47,25 +59,42 @@
   reactor_.cancel(look_timer_);
 }
 
-void Callers::on_accept(int fd) {
-  // A newcomer that finds neither room nor anybody idle is closed, with nothing run, not left to wait.
-  if (!room() && !make_room()) {
-    counters_.add(Count::kCallersTurnedAway);
-    ::close(fd);
-    return;
+// A newcomer that finds neither room nor anybody idle is closed, with nothing run, not left to wait.
+bool Callers::take_in(std::uint64_t tag, const net::Accepted& accepted) {
+  if (limits_.door != nullptr) return limits_.door->lets_in(limits_.front, tag, accepted);
+  if (room() || make_room()) {
+    if (limits_.share != nullptr) limits_.share->opened(limits_.front);
+    return true;
   }
+  counters_.add(Count::kCallersTurnedAway);
+  ::close(accepted.fd);
+  return false;
+}
+
+void Callers::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
+  if (!take_in(tag, accepted)) return;
+  net::OutputPool* pool = limits_.door != nullptr ? limits_.door->pool(tag) : &output_;
   Caller& caller = open_[tag];
-  caller.connection = net::Connection::accepted(reactor_, *this, fd, {kMostInput, kOutputBytes, &output_});
+  caller.connection =
+      net::Connection::accepted(reactor_, *this, accepted.fd, {kMostInput, kOutputBytes, pool});
   caller.connection->tag = tag;
   caller.last_traffic = net::monotonic_now();
   caller.place = by_traffic_.insert(by_traffic_.end(), tag);
-  if (limits_.share != nullptr) limits_.share->opened(limits_.front);
   counters_.add(Count::kCallersAccepted);
   counters_.most(Count::kCallersMost, open_.size());
   if (no_more_) ask_no_more(caller);
 }
 
+// ---- What the door hears of a connection.
+void Callers::wasted(Caller& caller, conns::Waste how) {
+  if (limits_.door != nullptr) limits_.door->wasted(caller.connection->tag, how);
+}
+void Callers::note_busy(Caller& caller) {
+  if (limits_.door == nullptr || !caller.connection->open()) return;
+  limits_.door->busy(caller.connection->tag, !caller.requests.empty() || caller.connection->waiting() > 0);
+}
+
 bool Callers::room() const {
   if (limits_.share != nullptr) return limits_.share->room(limits_.front);
   return static_cast<int>(open_.size()) < limits_.connections;
@@ -113,15 +142,19 @@
     if (frame.state == wire::Framing::kBroken) {
       counters_.add(Count::kBadFrames);
       log_.debug("callers", "connection {}: a frame that can't be trusted, closed", tag);
+      wasted(caller, conns::Waste::kBadFrame);
       refuse(caller, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
       return bytes.size();
     }
     if (hold_reading(caller)) break;
     used += frame.length;
     caller.half_since = -1;
+    caller.input_pace.end();
     traffic(caller);
     take(caller, tag, frame.body);
+    note_busy(caller);
     if (caller.faults >= kMostFaults) {
+      wasted(caller, conns::Waste::kFaults);
       counters_.add(Count::kFaultsClosed);
       refuse(caller, wire::encode_error(0, wire::RpcError::kRequest, "too many of no use"));
       return bytes.size();
@@ -131,7 +164,10 @@
       return counters_.add(Count::kBytesIn, used), used;
     }
   }
-  if (used < bytes.size() && caller.half_since < 0) caller.half_since = net::monotonic_now();
+  if (used < bytes.size() && caller.half_since < 0) {
+    caller.half_since = net::monotonic_now();
+    caller.input_pace.begin(caller.half_since, connection.bytes_in() - (bytes.size() - used));
+  }
   counters_.add(Count::kBytesIn, used);
   return used;
 }
@@ -177,7 +213,8 @@
     counters_.add(Count::kChecksRead);
     --caller.faults;
     caller.has_asked = true;
-    caller.requests[request.id] = 0;
+    if (limits_.door != nullptr) limits_.door->asked(tag);
+    caller.requests[request.id] = {};
     return events_.on_check({tag, request.id}, request.probe);
   }
   if (problem == wire::RpcProblem::kBadParams || !request.has_txn || request.txn == 0 ||
@@ -219,7 +256,8 @@
   op.ticket = {tag, request.id};
   --caller.faults;
   caller.has_asked = true;
-  caller.requests[request.id] = op.id;
+  if (limits_.door != nullptr) limits_.door->asked(tag);
+  caller.requests[request.id] = {op.id, op.type};
   events_.on_op_read(std::move(op));
 }
 
@@ -229,13 +267,16 @@
   if (caller.connection->open()) counters_.add(Count::kBytesOut, text.size());
 }
 
-void Callers::answer(Ticket ticket, const std::string& text) {
+void Callers::answer(Ticket ticket, const std::string& text, bool acked) {
   const auto found = open_.find(ticket.connection);
   if (found == open_.end()) return;
   Caller& caller = found->second;
-  if (caller.requests.erase(ticket.number) == 0) return;
+  const auto request = caller.requests.extract(ticket.number);
+  if (request.empty()) return;
   traffic(caller);
   put(caller, text);
+  if (acked && limits_.door != nullptr) limits_.door->acked(ticket.connection, request.mapped().type);
+  note_busy(caller);
   after_answer(caller);
 }
 
@@ -246,7 +287,7 @@
 }
 
 void Callers::answer_acked(Ticket ticket, std::string_view result) {
-  answer(ticket, wire::encode_result(ticket.number, result));
+  answer(ticket, wire::encode_result(ticket.number, result), true);
 }
 void Callers::answer_nacked(Ticket ticket, double come_back_in, bool no_retry) {
   answer(ticket, wire::encode_nack(ticket.number, come_back_in / kSecondsPerMs, no_retry));
@@ -273,6 +314,8 @@
   const auto found = open_.find(connection.tag);
   if (found == open_.end()) return;
   connection.pause_reading(false);
+  found->second.output_pace.end();
+  note_busy(found->second);
   after_answer(found->second);
 }
 
@@ -289,13 +332,19 @@
   const Caller caller = std::move(found->second);
   by_traffic_.erase(caller.place);
   open_.erase(found);
-  if (limits_.share != nullptr && !caller.evicted) limits_.share->closed(limits_.front);
+  if (limits_.door != nullptr) {
+    if (!caller.has_asked && why == net::End::kBroken)
+      limits_.door->wasted(connection.tag, conns::Waste::kReset);
+    limits_.door->ended(connection.tag);
+  } else if (limits_.share != nullptr && !caller.evicted) {
+    limits_.share->closed(limits_.front);
+  }
   counters_.add(why == net::End::kInOrder    ? Count::kCallersClosed
                 : why == net::End::kOverflow ? Count::kSlowPeers
                                              : Count::kCallersReset);
   std::vector<OpId> gone;
-  for (const auto& [number, id] : caller.requests) {
-    if (id != 0) gone.push_back(id);
+  for (const auto& [number, request] : caller.requests) {
+    if (request.id != 0) gone.push_back(request.id);
   }
   std::sort(gone.begin(), gone.end());
   for (const OpId id : gone) events_.on_caller_gone(id);
@@ -308,15 +357,20 @@
   for (auto& [tag, caller] : open_) {
     net::Connection& connection = *caller.connection;
     if (!connection.open()) continue;
+    look_at(caller, now);
+    if (!connection.open()) continue;
     if (connection.waiting() == 0) caller.waiting_since = -1;
     if (connection.waiting() > 0 && caller.waiting_since < 0) caller.waiting_since = now;
     if (caller.waiting_since >= 0 && now - caller.waiting_since > kTakeOutput) {
+      wasted(caller, conns::Waste::kSlow);
       connection.close(net::End::kOverflow);
     } else if (!caller.has_asked && now - caller.last_traffic > kFirstRequest && caller.requests.empty()) {
       counters_.add(Count::kSilentClosed);
+      wasted(caller, conns::Waste::kSilent);
       connection.close();
     } else if (caller.half_since >= 0 && now - caller.half_since > kWholeRequest) {
       counters_.add(Count::kHalfClosed);
+      wasted(caller, conns::Waste::kHalf);
       caller.half_since = -1;
       refuse(caller, wire::encode_error(0, wire::RpcError::kParse, "not whole in time"));
     } else if (caller.requests.empty() && now - caller.last_traffic > kLongestIdle) {
@@ -327,6 +381,27 @@
   look_timer_ = reactor_.after(kLookOver, [this] { look_over(); });
 }
 
+// With a door, bytes are owed by the second, both ways. Guards against who drips a request in, or takes his
+// answers a byte at a time, and is never silent.
+void Callers::look_at(Caller& caller, double now) {
+  if (limits_.door == nullptr) return;
+  net::Connection& connection = *caller.connection;
+  if (connection.waiting() > 0 && !caller.output_pace.running())
+    caller.output_pace.begin(now, connection.bytes_out());
+  if (caller.output_pace.too_slow(now, connection.bytes_out(), limits_.door->output_terms())) {
+    wasted(caller, conns::Waste::kSlow);
+    return connection.close(net::End::kOverflow);
+  }
+  if (caller.half_since < 0 ||
+      !caller.input_pace.too_slow(now, connection.bytes_in(), limits_.door->input_terms()))
+    return;
+  counters_.add(Count::kHalfClosed);
+  wasted(caller, conns::Waste::kHalf);
+  caller.half_since = -1;
+  caller.input_pace.end();
+  refuse(caller, wire::encode_error(0, wire::RpcError::kParse, "too slow"));
+}
+
 // ---- Idle connections and the end.
 void Callers::traffic(Caller& caller) {
   caller.last_traffic = net::monotonic_now();
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -10,6 +10,7 @@
 
 #include "conns/share.h"
 #include "net/connection.h"
+#include "peers/door.h"
 #include "peers/ports.h"
 #include "watch/counters.h"
 #include "watch/logger.h"
@@ -26,6 +27,7 @@
     std::size_t output_bytes = 0;   // of all connections together
     conns::Share* share = nullptr;  // with another front; none: this one has them all
     std::size_t front = 0;          // its number there
+    Door* door = nullptr;           // where operators have one; with it a share
   };
   // The member of a request's params that tells a repeat, for op types that need it.
   struct Marks {
@@ -51,8 +53,12 @@
  private:
   struct Caller {
     std::shared_ptr<net::Connection> connection;
-    std::unordered_map<std::uint64_t, OpId> requests;  // by number; 0 for a check
-    std::list<std::uint64_t>::iterator place;          // in by_traffic_
+    struct Request {
+      OpId id = 0;    // 0: a check
+      int type = -1;  // of the op
+    };
+    std::unordered_map<std::uint64_t, Request> requests;  // by number
+    std::list<std::uint64_t>::iterator place;             // in by_traffic_
     double last_traffic = 0;
     double half_since = -1;     // when the request began that is not whole yet; < 0: none
     double waiting_since = -1;  // since when output waits; < 0: none does
@@ -61,6 +67,7 @@
     bool has_asked = false;  // a whole request
     bool input_over = false;
     bool evicted = false;  // its place was given away already
+    conns::BytePace input_pace, output_pace;
   };
 
   std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
@@ -68,10 +75,14 @@
   void on_end(net::Connection& connection, net::End why) override;
   void on_output_sent(net::Connection& connection) override;
 
-  void on_accept(int fd);
+  void on_accept(const net::Accepted& accepted);
+  bool take_in(std::uint64_t tag, const net::Accepted& accepted);
+  void wasted(Caller& caller, conns::Waste how);
+  void note_busy(Caller& caller);
+  void look_at(Caller& caller, double now);
   void take(Caller& caller, std::uint64_t tag, std::string_view text);
   void take_op(Caller& caller, std::uint64_t tag, wire::RpcRequest& request);
-  void answer(Ticket ticket, const std::string& text);
+  void answer(Ticket ticket, const std::string& text, bool acked = false);
   void put(Caller& caller, const std::string& text);
   void traffic(Caller& caller);
   void ask_no_more(Caller& caller);
--- a/src/peers/forwarders.cpp
+++ b/src/peers/forwarders.cpp
@@ -40,14 +40,15 @@
       counters_(counters),
       log_(log),
       output_{limits.output_bytes, 0},
-      listener_(reactor, net::parse_address(listen), [this](int fd) { on_accept(fd); }),
+      listener_(reactor, net::parse_address(listen), [this](const net::Accepted& one) { on_accept(one); }),
       holdings_(terms_of(limits)) {
   look();
 }
 
 Forwarders::~Forwarders() { reactor_.cancel(look_timer_); }
 
-void Forwarders::on_accept(int fd) {
+void Forwarders::on_accept(const net::Accepted& accepted) {
+  const int fd = accepted.fd;
   if (static_cast<int>(links_.size()) >= limits_.links) {
     counters_.add(Count::kCallersTurnedAway);
     ::close(fd);
--- a/src/peers/forwarders.h
+++ b/src/peers/forwarders.h
@@ -65,7 +65,7 @@
   void on_end_of_input(net::Connection& connection) override;
   void on_end(net::Connection& connection, net::End why) override;
 
-  void on_accept(int fd);
+  void on_accept(const net::Accepted& accepted);
   bool take(std::uint64_t tag, wire::tier::Message& message);
   bool take_hello(std::uint64_t tag, const wire::tier::Hello& hello);
   bool take_submit(Link& link, wire::tier::Submit& submit);
--- a/src/settings/operator_file.cpp
+++ b/src/settings/operator_file.cpp
@@ -15,6 +15,8 @@
 using Values = std::map<std::pair<std::string, std::string>, OperatorFile::Value>;
 
 constexpr std::size_t kMostBytes = 1 << 20;  // a longer file is none of ours
+constexpr double kInputGrace = 0.5;          // s that a request may begin slowly: one lost packet sent again
+constexpr double kOutputGrace = 1;           // s that answers may wait: some lost packets, or a short pause
 constexpr std::size_t kMostErrors = 50;      // told of one file
 
 std::vector<std::string> split(std::string_view text) {
@@ -54,6 +56,23 @@
   }
 }
 
+struct GateGroupError {
+  std::size_t word = 0;
+  std::string text;
+};
+std::variant<conns::GateGroup, GateGroupError> read_gate_group(const std::vector<std::string>& words) {
+  conns::GateGroup out;
+  out.name = words[0];
+  if (!read_percentage(words[1], out.share) || out.share < 0.01 || out.share > 1)
+    return GateGroupError{1, fmt::format("'{}' is no percentage from 1% to 100%", words[1])};
+  for (std::size_t i = 2; i < words.size(); ++i) {
+    const std::optional<conns::Prefix> prefix = conns::parse_prefix(words[i]);
+    if (!prefix) return GateGroupError{i, fmt::format("'{}' is no address or network", words[i])};
+    out.prefixes.push_back(*prefix);
+  }
+  return out;
+}
+
 class Checker {
  public:
   explicit Checker(OperatorFile& out) : out_(out) {}
@@ -78,6 +97,12 @@
       return error(line, at, fmt::format("'{}' expects {}", d->name, expected(*d)));
     }
     if (d->type == Type::kLines) return take_one_of_many(line, first.text, std::move(words));
+    if (section_ == "gate" && first.text == "known") {
+      for (std::size_t i = 0; i < words.size(); ++i) {
+        if (conns::parse_prefix(words[i])) continue;
+        return error(line, line.words[i + 1], fmt::format("'{}' is no address or network", words[i]));
+      }
+    }
     auto [place, fresh] = out_.given.try_emplace({section_, first.text});
     if (!fresh) {
       return error(line, first,
@@ -89,9 +114,15 @@
  private:
   // A line of a table: each has to be sound by itself.
   void take_one_of_many(const OperatorLine& line, const std::string& name, std::vector<std::string> words) {
-    const auto read = read_ajp_route(words);
-    if (const auto* wrong = std::get_if<AjpRouteError>(&read))
-      return error(line, line.words[wrong->word + 1], wrong->text);
+    if (section_ == "gate") {
+      const auto read = read_gate_group(words);
+      if (const auto* wrong = std::get_if<GateGroupError>(&read))
+        return error(line, line.words[wrong->word + 1], wrong->text);
+    } else {
+      const auto read = read_ajp_route(words);
+      if (const auto* wrong = std::get_if<AjpRouteError>(&read))
+        return error(line, line.words[wrong->word + 1], wrong->text);
+    }
     OperatorFile::Value& value = out_.given[{section_, name}];
     if (value.lines.empty()) value.line = line.line;
     value.lines.push_back(std::move(words));
@@ -200,6 +231,37 @@
     const auto route = read_ajp_route(line);  // refused lines are not among them
     if (const auto* good = std::get_if<AjpRoute>(&route)) a.routes.push_back(*good);
   }
+  GateOptions& g = o.gate;
+  g.enabled = read.flag("gate", "enabled");
+  g.connections = read.whole("gate", "connections");
+  g.terms.reserve = read.number("gate", "reserve");
+  g.terms.address_share = read.number("gate", "client-share");
+  g.terms.known_share = read.number("gate", "known-share");
+  g.terms.network_share = read.number("gate", "network-share");
+  g.terms.address_rate = read.number("gate", "client-rate");
+  g.terms.address_burst = read.number("gate", "client-burst");
+  g.terms.network_rate = read.number("gate", "network-rate");
+  g.terms.network_burst = read.number("gate", "network-burst");
+  g.terms.strangers_rate = read.number("gate", "strangers-rate");
+  g.terms.strangers_burst = read.number("gate", "strangers-burst");
+  g.terms.wasteful = read.number("gate", "wasteful");
+  g.terms.waste_half_life = read.number("gate", "waste-half-life");
+  g.terms.keep_idle = read.number("gate", "keep-idle");
+  g.client_output = read.number("gate", "client-output");
+  g.input = {kInputGrace, read.number("gate", "input-rate")};
+  g.output = {kOutputGrace, read.number("gate", "output-rate")};
+  g.known.lasts = read.number("gate", "known-for");
+  g.known.needed = read.number("gate", "known-after");
+  g.known_folder = read.text("gate", "known-folder");
+  g.known_interval = read.number("gate", "known-interval");
+  for (const std::string& word : read.words("gate", "known")) {
+    if (const auto prefix = conns::parse_prefix(word)) g.terms.listed.push_back(*prefix);
+  }
+  for (const std::vector<std::string>& line : read.lines("gate", "group")) {
+    const auto group = read_gate_group(line);
+    if (const auto* good = std::get_if<conns::GateGroup>(&group)) g.terms.groups.push_back(*good);
+  }
+  o.control.folder = read.text("control", "folder");
   return o;
 }
 
--- a/src/settings/operator_file.h
+++ b/src/settings/operator_file.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "conns/byte_pace.h"
+#include "conns/gate.h"
 #include "settings/ajp_routes.h"
 #include "settings/operator_lines.h"
 #include "settings/operator_schema.h"
@@ -67,7 +69,25 @@
   bool below_refuses = false;  // its 503 proves that nothing ran
 };
 
+// Admission of connections; see src/conns/gate.h and src/peers/door.h.
+struct GateOptions {
+  bool enabled = false;
+  std::size_t connections = 0;  // 0: as the limits allow
+  conns::GateTerms terms;
+  conns::KnownTerms known;
+  std::string known_folder;   // empty: not kept
+  double known_interval = 0;  // s
+  double client_output = 0;   // of the memory for answers
+  conns::ByteTerms input, output;
+};
+
+struct ControlOptions {
+  std::string folder;  // empty: off
+};
+
 struct OperatorOptions {
+  GateOptions gate;
+  ControlOptions control;
   ResultsOptions results;
   KnowledgeOptions knowledge;
   ForwardOptions forward;
--- a/src/settings/operator_schema.cpp
+++ b/src/settings/operator_schema.cpp
@@ -88,6 +88,57 @@
     {"ajp", "map", Type::kLines, "", 3, 8, "",
      "Method, pattern of paths, op type (or health), then key=, caller=, subject=, wait= (each header:NAME, "
      "query:NAME or path:N) and held= (kB); any number of lines, the first that fits counts."},
+    {"gate", "enabled", Type::kFlag, "off", 0, 0, "",
+     "Admits connections by client, network and group, and keeps places for known clients."},
+    {"gate", "connections", Type::kCount, "0", 0, 1e6, "",
+     "Connections of callers in all; 0: as many as descriptors and memory allow. More than those is never "
+     "had."},
+    {"gate", "reserve", Type::kPercentage, "25%", 0, 0.9, "",
+     "Of the connections, kept for known clients; strangers never have them."},
+    {"gate", "client-share", Type::kPercentage, "25%", 0.01, 1, "",
+     "Of the connections, the most that one client has: an IPv4 address or an IPv6 /64."},
+    {"gate", "known-share", Type::kPercentage, "50%", 0.01, 1, "", "The same for a client that is known."},
+    {"gate", "network-share", Type::kPercentage, "50%", 0.01, 1, "",
+     "Of the connections, the most that an IPv4 /24 or an IPv6 /48 has."},
+    {"gate", "client-rate", Type::kCount, "20", 1, 100000, "",
+     "New connections a second of one client on the long run; four times that where it is known."},
+    {"gate", "client-burst", Type::kCount, "64", 1, 100000, "", "And at once."},
+    {"gate", "network-rate", Type::kCount, "100", 1, 100000, "",
+     "New connections a second of strangers of one IPv4 /24 or IPv6 /48."},
+    {"gate", "network-burst", Type::kCount, "256", 1, 100000, "", "And at once."},
+    {"gate", "strangers-rate", Type::kCount, "200", 1, 100000, "",
+     "New connections a second of all strangers together."},
+    {"gate", "strangers-burst", Type::kCount, "400", 1, 100000, "", "And at once."},
+    {"gate", "wasteful", Type::kCount, "8", 1, 1000, "",
+     "Points from which a stranger waits outside: 1 for a silent or reset connection, 2 for half a request, "
+     "4 for "
+     "what is no request, a broken frame or a reader too slow."},
+    {"gate", "waste-half-life", Type::kDuration, "30s", 1, 3600, "", "Time in which points fade to half."},
+    {"gate", "keep-idle", Type::kDuration, "300ms", 0.05, 60, "",
+     "How long a connection keeps its place in a full table after it was of use; each importance that was "
+     "acked on "
+     "it adds half a second, up to half a minute."},
+    {"gate", "client-output", Type::kPercentage, "50%", 0.01, 1, "",
+     "Of the memory for answers that callers do not take, the most that one client has."},
+    {"gate", "input-rate", Type::kSize, "4K", 16, 1 << 20, "",
+     "Bytes a second that a request has to come with, from half a second after its first byte on."},
+    {"gate", "output-rate", Type::kSize, "16K", 16, 1 << 24, "",
+     "Bytes a second that answers have to be taken with, from a second after they wait on."},
+    {"gate", "known-for", Type::kDuration, "7d", 1, 30 * 86400.0, "",
+     "How long a client is known after its last acked op."},
+    {"gate", "known-after", Type::kCount, "20", 1, 100000, "", "Acked ops until a client is known."},
+    {"gate", "known-folder", Type::kText, "", 0, 4096, "",
+     "The folder in which who is known survives a restart, one a backend; none: it does not."},
+    {"gate", "known-interval", Type::kDuration, "30s", 0.2, 3600, "", "Time between two records of it."},
+    {"gate", "known", Type::kWords, "", 0, 64, "",
+     "Addresses, or networks as address/bits, that are known by your word."},
+    {"gate", "group", Type::kLines, "", 3, 34, "",
+     "A name, a percentage and addresses or networks: the most connections that they have together; the caps "
+     "of "
+     "client and network do not hold for them. Any number of lines."},
+    {"control", "folder", Type::kText, "", 0, 90, "",
+     "A private folder (mode 700, our own) in which a socket named control answers damsonspoke conns; none: "
+     "off."},
 });
 
 std::string shown(Type type, double value) {
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -148,7 +148,7 @@
   }
   if (!own && best >= 0 && count >= options_.connections) return best;
   const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
-  const int fd = port == 0 ? -1 : connected_socket(port);
+  const int fd = port == 0 ? -1 : connected_socket(port, options_.from);
   if (fd < 0) return -1;
   links_[fd].server = server;
   loop_.watch(fd, [this, fd] { read(fd); });
--- a/standins/callers.h
+++ b/standins/callers.h
@@ -35,7 +35,8 @@
     std::vector<Flow> flows;
     int connections = 8;  // to each server
     std::uint64_t seed = 1;
-    unsigned hotels = 1;  // whose ops they pass on, as callers' numbers from 1
+    std::string from = "127.0.0.1";  // where they connect from
+    unsigned hotels = 1;             // whose ops they pass on, as callers' numbers from 1
   };
   Callers(Loop& loop, Journal& journal, Options options);
   ~Callers();
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -129,7 +129,7 @@
   process->on_line = [this](const std::string& line) {
     if (life().heard_at < 0 && line.find("notice to leave") != std::string::npos) life().heard_at = now();
   };
-  const std::uint16_t port = process->port();
+  const std::uint16_t port = listens_ = process->port();
   if (port == 0) return false;
   if (spec_.command != "plan") callers_.reach(port, number_, life_);
   return true;
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -59,8 +59,9 @@
   void kill();
   // The notice to leave, then the end; true when it ended by itself in time.
   bool leave();
-  void notice();  // to leave; the list says so at once
-  bool ended();   // after the notice; waits up to its stop
+  void notice();                                   // to leave; the list says so at once
+  std::uint16_t port() const { return listens_; }  // of its present life
+  bool ended();                                    // after the notice; waits up to its stop
   void write_operators(const std::string& text);
   std::string folder() const { return folder_.path("."); }
   std::string store_path() const { return folder_.path("results"); }
@@ -85,6 +86,7 @@
   const int number_;
   int life_ = -1;
   std::uint16_t port_ = 0;  // 0: the system picks one each time
+  std::uint16_t listens_ = 0;
   Folder folder_;
 };
 
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -85,6 +85,16 @@
   return true;
 }
 
+double Process::processor_time() const {
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+  std::string field;
+  double ticks = 0;
+  for (int i = 1; i <= 15 && stat >> field; ++i) {
+    if (i >= 14) ticks += std::atof(field.c_str());
+  }
+  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 long Process::resident_kb() const {
   std::ifstream file(fmt::format("/proc/{}/status", pid_));
   for (std::string line; std::getline(file, line);) {
--- a/standins/process.h
+++ b/standins/process.h
@@ -26,6 +26,7 @@
   int status() const { return status_; }  // exit status, or minus the signal
   pid_t pid() const { return pid_; }
   long resident_kb() const;
+  double processor_time() const;  // s so far
   // Asks for the counters and reads them.
   std::map<std::string, std::uint64_t> counters();
   std::function<void(const std::string&)> on_line;  // each line of its log
--- /dev/null
+++ b/tests/conns.cpp
@@ -0,0 +1,571 @@
+// Admission of connections without sockets: sketches against exact counts, who is known, the gate told step
+// by step, and thousands of seeded floods. CTest compares with tests/traces/conns_NAME.txt. usage: conns
+// SCENARIO [SEED]
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "conns/byte_pace.h"
+#include "conns/gate.h"
+#include "conns/known_record.h"
+
+using namespace damsonspoke::conns;
+
+namespace {
+
+constexpr double kUnix = 1.7e9;  // s; the Unix time at which these plays begin
+
+Address v4(unsigned a, unsigned b, unsigned c, unsigned d) {
+  Address out;
+  out.bytes[10] = out.bytes[11] = 0xff;
+  const unsigned parts[] = {a, b, c, d};
+  for (std::size_t i = 0; i < 4; ++i) out.bytes[12 + i] = static_cast<std::uint8_t>(parts[i]);
+  return out;
+}
+
+void prefixes() {
+  for (const char* text :
+       {"10.1.2.3", "10.1.2.3/24", "10.1.2.3/0", "10.1.2.3/33", "10.1.2.3/", "10.1.2/8", "10.1.2.3/2x",
+        "2001:db8:1:2:3::4", "2001:db8:1:2:3::4/48", "2001:db8::/129", "::ffff:10.1.2.3", "", "host"}) {
+    const auto prefix = parse_prefix(text);
+    std::printf("%-22s %s", text, prefix ? text_of(*prefix).c_str() : "none");
+    if (prefix)
+      std::printf(", client %s, network %s", text_of(client_of(prefix->base)).c_str(),
+                  text_of(network_of(prefix->base)).c_str());
+    std::printf("\n");
+  }
+  const Prefix net = *parse_prefix("10.1.0.0/16");
+  std::printf("10.1.9.9 in 10.1.0.0/16: %d, 10.2.0.0: %d, ::1: %d\n", net.holds(v4(10, 1, 9, 9)),
+              net.holds(v4(10, 2, 0, 0)), net.holds(*parse_address("::1")));
+}
+
+// ---- Sketches against exact counts of the same arrivals.
+void sketches() {
+  int refused_wrongly = 0, over_error = 0, heavy_missed = 0, points_over = 0, plays = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    pcg64 random(seed);
+    const auto chance = [&] { return std::ldexp(static_cast<double>(random() >> 11), -53); };
+    const std::size_t entries = 16 + random() % 64;
+    const double rate = 5, burst = 8;
+    // As the gate has it: all together are held to less than the table drains.
+    RateSketch sketch(entries, rate, burst),
+        all(1, rate * static_cast<double>(entries) / 2, static_cast<double>(entries));
+    FadingSketch fading(entries, 10);
+    std::map<Prefix, double> exact;                           // by client: when its bucket is empty
+    std::map<Prefix, std::pair<double, double>> exact_waste;  // points, at
+    const unsigned clients = 8 + random() % 2000;
+    const double per_s = 50 + chance() * 4000;
+    const Prefix heavy = client_of(v4(9, 9, 9, 9));
+    double now = 100, heavy_admitted = 0, admitted = 0;
+    for (int i = 0; i < 4000; ++i) {
+      now += -std::log(1 - chance()) / per_s;
+      const bool is_heavy = chance() < 0.3;
+      const auto n = static_cast<unsigned>(random() % clients);
+      const Prefix key = is_heavy ? heavy : client_of(v4(10, n / 65536, n / 256 % 256, n % 256));
+      double& empty = exact.try_emplace(key, now).first->second;
+      empty = std::max(empty, now);
+      const bool exact_room = empty - now + 1 / rate <= burst / rate + 1e-9;
+      const bool room = sketch.room(key, now);
+      if (!room && exact_room) ++refused_wrongly;
+      if (room && all.room({}, now)) {
+        sketch.take(key, now), all.take({}, now);
+        ++admitted;
+        empty += 1 / rate;
+        if (is_heavy) ++heavy_admitted;
+      }
+      auto& [points, at] = exact_waste[key];
+      points = points * std::exp2((at - now) / 10) + 1, at = now;
+      fading.add(key, 1, now);
+      if (fading.points(key, now) > points + 1e-6) ++points_over;
+      // With n entries the least has no more than the n-th part of all that was let in.
+      if (sketch.error(now) > admitted / static_cast<double>(entries) + 1e-6) ++over_error;
+    }
+    // Who has a third of all arrivals is held to the rate, however many others there are.
+    if (heavy_admitted > burst + rate * (now - 100) + 1) ++heavy_missed;
+    ++plays;
+  }
+  std::printf(
+      "%d plays: refused for what others did %d, error beyond its bound %d, a third of all not held to its "
+      "rate %d, points beyond the true ones %d\n",
+      plays, refused_wrongly, over_error, heavy_missed, points_over);
+}
+
+void known() {
+  KnownTerms terms;
+  terms.needed = 4, terms.lasts = 100, terms.entries = 3;
+  Known known(terms);
+  const auto client = [](unsigned n) { return client_of(v4(10, 0, 0, n)); };
+  double now = kUnix;
+  const auto tell = [&](const char* what) {
+    std::printf("%-46s", what);
+    for (unsigned n = 1; n <= 5; ++n)
+      std::printf(" %u:%s%.0f", n, known.is_known(client(n), now) ? "known " : "", known.earned(client(n)));
+    std::printf("\n");
+  };
+  for (int i = 0; i < 3; ++i) known.acked(client(1), now);
+  tell("three acked");
+  known.acked(client(1), now);
+  tell("four");
+  for (int i = 0; i < 20; ++i) known.acked(client(1), now);
+  tell("no more than twice that is earned");
+  for (int i = 0; i < 4; ++i) known.misbehaved(client(1));
+  tell("misbehaved four times");
+  for (int i = 0; i < 3; ++i) known.misbehaved(client(1));
+  tell("seven times: lost");
+  for (int i = 0; i < 4; ++i) known.acked(client(1), now), known.acked(client(2), now);
+  known.acked(client(3), now += 1);
+  tell("two known, one seen");
+  known.acked(client(4), now += 1);
+  tell("a fourth takes the place of who is not known");
+  for (int i = 0; i < 4; ++i) known.acked(client(4), now);
+  known.acked(client(5), now += 1);
+  tell("among known ones the oldest goes");
+  now += 99;
+  tell("nearly too old");
+  now += 2;
+  tell("too old");
+  known.acked(client(4), now);
+  tell("who comes after that is a stranger");
+
+  std::vector<KnownClient> all = known.all();
+  all.push_back({client(7), 4, now + 1000, true});         // from the future
+  all.push_back({client(8), 4, now - 101, true});          // too old
+  all.push_back({client(9), -1, now, true});               // senseless
+  all.push_back({{v4(10, 0, 0, 10), 100}, 4, now, true});  // no such prefix
+  all.push_back({client(11), 1, now, true});               // says that it is known, and has earned nothing
+  Known next(terms);
+  std::printf("an heir takes %zu of %zu\n", next.begin_with(all, now), all.size());
+  const std::string bytes = encode(known.all());
+  const auto read = decode_known(bytes);
+  std::printf("round trip: %s\n",
+              read && read->size() == known.size() && encode(*read) == bytes ? "the same" : "another");
+  int torn = 0;
+  for (std::size_t n = 0; n < bytes.size(); ++n) torn += decode_known(bytes.substr(0, n)).has_value();
+  std::printf("cut anywhere: %d of %s taken\n", torn, "all prefixes");
+  pcg32 random(3);
+  int spoilt_known = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string spoilt = bytes;
+    for (unsigned n = 1 + random() % 3; n > 0; --n)
+      spoilt[random() % spoilt.size()] = static_cast<char>(random());
+    const auto clients = decode_known(spoilt);
+    if (!clients) continue;
+    Known heir(terms);
+    heir.begin_with(*clients, now);
+    for (const KnownClient& one : heir.all())
+      spoilt_known += !std::isfinite(one.earned) || one.earned > 8 || one.last > now || now - one.last > 100;
+  }
+  std::printf("spoilt bytes: %d entries that no life could have written\n", spoilt_known);
+}
+
+void pace() {
+  const ByteTerms terms{0.5, 1000};
+  BytePace pace;
+  std::printf("not begun: %d\n", pace.too_slow(9, 0, terms));
+  pace.begin(1, 100);
+  std::printf("in the grace: %d, after it with nothing: %d, with enough: %d, one short: %d\n",
+              pace.too_slow(1.4, 100, terms), pace.too_slow(1.6, 100, terms), pace.too_slow(2.5, 1100, terms),
+              pace.too_slow(2.5, 1099, terms));
+  pace.end();
+  std::printf("over: %d\n", pace.too_slow(9, 0, terms));
+}
+
+// ---- The gate, told step by step.
+struct Told {
+  explicit Told(GateTerms terms, std::size_t total, std::vector<double> floors = {1})
+      : share(total, floors), known({7 * 86400, 2, 64}), gate(std::move(terms), share, known) {}
+  // One connection; who is shed goes at once.
+  ConnId comes(const Address& from, std::size_t front = 0, bool scarce = false) {
+    const ConnId id = ++last;
+    const Arrival a = gate.arrive(id, front, from, now, kUnix + now, scarce);
+    std::printf("  %-12s %s", text_of(client_of(from)).c_str(),
+                a.in ? ("in as " + std::to_string(id)).c_str() : text_of(a.why));
+    if (!a.in) std::printf(", back in %.2f", a.come_back_in);
+    if (a.sheds) std::printf(", sheds %d", static_cast<int>(*a.sheds)), gate.ended(*a.sheds);
+    std::printf("\n");
+    return a.in ? id : 0;
+  }
+  void many(const Address& from, int n) {
+    int in = 0;
+    std::map<std::string, int> why;
+    for (int i = 0; i < n; ++i) {
+      const Arrival a = gate.arrive(++last, 0, from, now, kUnix + now);
+      in += a.in;
+      if (!a.in) ++why[text_of(a.why)];
+      if (a.sheds) gate.ended(*a.sheds);
+    }
+    std::printf("  %d from %s: %d in", n, text_of(client_of(from)).c_str(), in);
+    for (const auto& [text, count] : why) std::printf(", %s %d", text.c_str(), count);
+    std::printf("\n");
+  }
+  void makes_known(const Address& from) {
+    for (int i = 0; i < 2; ++i) known.acked(client_of(from), kUnix + now);
+  }
+  void is_of_use(ConnId id, double importance) {
+    gate.asked(id, now), gate.acked(id, importance, now, kUnix + now);
+  }
+  Share share;
+  Known known;
+  Gate gate;
+  double now = 10;
+  ConnId last = 0;
+};
+
+void steps() {
+  GateTerms terms;
+  terms.address_burst = 100, terms.network_burst = 1000, terms.strangers_burst = 1000;
+  {
+    std::printf("caps: 20 places, a quarter a client, half a network, a quarter for known clients\n");
+    Told t(terms, 20);
+    t.many(v4(10, 0, 0, 1), 6), t.many(v4(10, 0, 0, 2), 6), t.many(v4(10, 0, 0, 3), 6);
+    t.many(v4(10, 0, 1, 1), 6), t.many(v4(10, 0, 2, 1), 6);
+    const Address friendly = v4(10, 9, 9, 9);
+    t.makes_known(friendly);
+    std::printf("a known client finds its reserve, then moves silent strangers, up to its own share\n");
+    t.many(friendly, 12);
+    std::printf("open %zu, strangers %zu of %zu\n", t.gate.open(), t.gate.strangers(),
+                t.gate.strangers_most());
+  }
+  {
+    std::printf("who is kept: silent, then idle strangers by what they did, never who is busy\n");
+    terms.reserve = 0, terms.address_share = 1, terms.network_share = 1;
+    Told t(terms, 4);
+    const ConnId silent = t.comes(v4(10, 0, 0, 1)), useful = t.comes(v4(10, 0, 0, 2)),
+                 idle = t.comes(v4(10, 0, 0, 3)), busy = t.comes(v4(10, 0, 0, 4));
+    static_cast<void>(silent);
+    t.is_of_use(useful, 3), t.gate.asked(idle, t.now), t.gate.asked(busy, t.now), t.gate.busy(busy, true);
+    t.comes(v4(10, 0, 1, 1));
+    t.now += 0.11;
+    const ConnId next = t.comes(v4(10, 0, 1, 2));
+    t.is_of_use(next, 1);
+    t.now += 0.25;
+    t.comes(v4(10, 0, 1, 3));
+    t.comes(v4(10, 0, 1, 4));
+    t.now += 0.5;
+    t.comes(v4(10, 0, 1, 5));
+    t.now += 3;
+    t.comes(v4(10, 0, 1, 6));
+    t.comes(v4(10, 0, 1, 7));
+    std::printf("a stranger never moves a known client; another known one does, past its time\n");
+    for (const Address& one : {v4(10, 5, 0, 1), v4(10, 5, 0, 2), v4(10, 5, 0, 3), v4(10, 5, 0, 4)}) {
+      t.makes_known(one);
+      t.comes(one);
+    }
+    t.now += 1;
+    t.comes(v4(10, 0, 1, 8));
+    t.makes_known(v4(10, 5, 0, 5));
+    t.comes(v4(10, 5, 0, 5));
+  }
+  {
+    std::printf("rates: 2 a second and 3 at once a client; all strangers 10 at once\n");
+    GateTerms slow;
+    slow.address_rate = 2, slow.address_burst = 3, slow.strangers_rate = 5, slow.strangers_burst = 10;
+    Told t(slow, 1000);
+    t.many(v4(10, 0, 0, 1), 5);
+    t.now += 0.5;
+    t.many(v4(10, 0, 0, 1), 2);
+    for (unsigned n = 2; n < 5; ++n) t.many(v4(10, 0, n, 1), 3);
+    t.makes_known(v4(10, 7, 0, 1));
+    std::printf("a known client has four times the rate, and no part in the strangers'\n");
+    t.many(v4(10, 7, 0, 1), 14);
+  }
+  {
+    std::printf("points: half a request four times, then it waits outside until they fade\n");
+    GateTerms wasteful;
+    Told t(wasteful, 100);
+    for (int i = 0; i < 4; ++i) {
+      const ConnId id = t.comes(v4(10, 0, 0, 1));
+      t.gate.wasted(id, Waste::kHalf, t.now), t.gate.ended(id);
+    }
+    t.comes(v4(10, 0, 0, 1));
+    t.comes(v4(10, 0, 0, 2));
+    t.now += 10;
+    t.comes(v4(10, 0, 0, 1));
+    t.now += 25;
+    t.comes(v4(10, 0, 0, 1));
+    std::printf("a known client that turns bad loses its standing, then its patience with us\n");
+    t.makes_known(v4(10, 0, 0, 9));
+    for (int i = 0; i < 4; ++i) {
+      const ConnId id = t.comes(v4(10, 0, 0, 9));
+      if (id == 0) break;
+      t.gate.wasted(id, Waste::kFaults, t.now), t.gate.ended(id);
+    }
+  }
+  {
+    std::printf("groups: 30%% for two networks together, whose members have no smaller cap\n");
+    GateTerms grouped;
+    grouped.address_share = 0.1, grouped.address_burst = 100;
+    grouped.groups.push_back({"edge", 0.3, {*parse_prefix("10.1.0.0/16"), *parse_prefix("10.2.0.0/16")}});
+    grouped.listed.push_back(*parse_prefix("10.2.0.0/24"));
+    Told t(grouped, 20);
+    t.many(v4(10, 1, 0, 1), 4), t.many(v4(10, 2, 0, 1), 4), t.many(v4(10, 3, 0, 1), 4);
+    std::printf("who reconnects takes the place of its own dead connection\n");
+    t.now += 1;
+    t.many(v4(10, 2, 0, 1), 1), t.many(v4(10, 3, 0, 1), 3);
+  }
+  {
+    std::printf("no descriptor left: in only where another goes\n");
+    GateTerms plain;
+    Told t(plain, 100);
+    t.comes(v4(10, 0, 0, 1));
+    t.comes(v4(10, 0, 0, 2), 0, true);
+    t.makes_known(v4(10, 0, 0, 3));
+    t.comes(v4(10, 0, 0, 3), 0, true);
+    t.comes(v4(10, 0, 0, 3), 0, true);
+  }
+  {
+    std::printf("two fronts of four places each: a place must be one that the front may take\n");
+    GateTerms plain;
+    plain.reserve = 0, plain.address_share = 1, plain.network_share = 1;
+    Told t(plain, 8, {0.5, 0.5});
+    for (int i = 0; i < 4; ++i) t.comes(v4(10, 0, 1, 1), 0);
+    t.now += 1;
+    for (int i = 0; i < 4; ++i) t.comes(v4(10, 0, 2, 1), 1);
+    t.makes_known(v4(10, 0, 3, 1));
+    t.comes(v4(10, 0, 3, 1), 1);
+    t.comes(v4(10, 0, 3, 1), 0);
+    t.now += 1;
+    t.comes(v4(10, 0, 4, 1), 1);
+  }
+  {
+    std::printf("fewer places than are open: who has outstayed its time goes, busy ones stay\n");
+    GateTerms plain;
+    plain.address_share = 1, plain.network_share = 1, plain.reserve = 0;
+    Told t(plain, 8);
+    for (int i = 0; i < 6; ++i) t.comes(v4(10, 0, 0, 1));
+    t.gate.busy(2, true);
+    t.share.resize(2);
+    t.gate.reconfigure(plain);
+    std::printf("  at once: %zu\n", t.gate.beyond(t.now).size());
+    t.now += 1;
+    for (const ConnId id : t.gate.beyond(t.now))
+      std::printf("  %d goes\n", static_cast<int>(id)), t.gate.ended(id);
+    t.comes(v4(10, 0, 0, 2));
+  }
+}
+
+// ---- Seeded floods: known clients that come and go, honest strangers, and a flood of one of many shapes.
+class Flood {
+ public:
+  Flood(std::uint64_t seed, bool tell) : random_(seed), tell_(tell) {
+    total_ = 40 + random_() % 200;
+    GateTerms terms;
+    terms.clients = 64 + random_() % 128;  // far fewer than addresses
+    terms.reserve = 0.15 + chance() * 0.35;
+    share_ = std::make_unique<Share>(total_, std::vector<double>{1});
+    known_ = std::make_unique<Known>(KnownTerms{7 * 86400, 5, 256});
+    gate_ = std::make_unique<Gate>(terms, *share_, *known_);
+    reserve_ = total_ - gate_->strangers_most();
+    friends_ = 1 + random_() % 12;
+    for (unsigned n = 0; n < friends_; ++n)
+      for (int i = 0; i < 10; ++i) known_->acked(client_of(friend_at(n)), kUnix);
+    addresses_ = random_() % 3 == 0 ? 1 : 1 + static_cast<unsigned>(random_() % 20000);
+    spread_ = random_() % 2 == 0;
+    per_s_ = 20 + chance() * 3000;
+    manner_ = static_cast<int>(random_() % 5);
+  }
+
+  // Empty: nothing broke.
+  std::string play() {
+    double next_flood = 0, next_known = 0.05, next_honest = 0.1, next_look = 0.25;
+    while (now_ < 7 && broken_.empty()) {
+      const double next = std::min(
+          {next_flood, next_known, next_honest, next_look, ends_.empty() ? 99 : ends_.begin()->first});
+      now_ = next;
+      if (!ends_.empty() && ends_.begin()->first <= next) {
+        const auto [at, what] = *ends_.begin();
+        ends_.erase(ends_.begin());
+        what();
+      } else if (next == next_flood) {
+        attack();
+        next_flood += -std::log(1 - chance()) / per_s_;
+        if (next_flood > kFloodEnds) next_flood = 99;
+      } else if (next == next_known) {
+        friend_comes();
+        next_known += 0.02 + chance() * 0.05;
+      } else if (next == next_honest) {
+        honest();
+        next_honest += 0.05 + chance() * 0.1;
+      } else {
+        next_look += 0.25;
+      }
+      check();
+    }
+    if (!broken_.empty()) return broken_;
+    // Who is nobody fares no worse than the flood does, and once it has ended he gets in.
+    const double share = static_cast<double>(flood_in_) / flood_asked_, expected = share * honest_asked_;
+    if (expected > 20 && honest_in_ < expected / 2) fail("strangers fare worse than the flood");
+    if (later_in_ < later_asked_) fail("strangers stay locked out after the flood");
+    return broken_;
+  }
+  int known_in_ = 0, known_asked_ = 0, honest_in_ = 0, honest_asked_ = 0, flood_in_ = 0, flood_asked_ = 0;
+  int later_in_ = 0, later_asked_ = 0;
+
+ private:
+  static constexpr double kFloodEnds = 4;  // s
+  double chance() { return std::ldexp(static_cast<double>(random_() >> 11), -53); }
+  Address friend_at(unsigned n) { return v4(172, 16, 0, n + 1); }
+  void fail(const std::string& text) {
+    if (broken_.empty()) broken_ = text;
+  }
+  void at(double time, std::function<void()> what) { ends_.emplace(time, std::move(what)); }
+  void end(ConnId id) {
+    gate_->ended(id);
+    open_.erase(id);
+  }
+  ConnId arrive(const Address& from, bool is_known, bool& in) {
+    const ConnId id = ++last_;
+    const std::size_t before = gate_->open();
+    const Arrival a = gate_->arrive(id, 0, from, now_, kUnix + now_);
+    if (tell_)
+      std::printf("%.4f %s %s%s\n", now_, text_of(client_of(from)).c_str(), a.in ? "in" : text_of(a.why),
+                  a.sheds ? ", sheds" : "");
+    in = a.in;
+    if (a.sheds) {
+      const auto shed = open_.find(*a.sheds);
+      if (shed == open_.end()) return fail("shed what is not open"), 0;
+      if (shed->second.busy) fail("shed a connection that is busy");
+      if (shed->second.is_known && !is_known) fail("a stranger moved a known client");
+      end(*a.sheds);
+    }
+    if (a.in) open_[id] = {is_known, false};
+    if (!a.in && before != gate_->open()) fail("a refusal changed what is open");
+    return a.in ? id : 0;
+  }
+  void attack() {
+    const auto n = static_cast<unsigned>(random_() % addresses_);
+    const Address from = spread_ ? v4(10, n % 256, n / 256, 1) : v4(10, 0, n / 256, n % 256);
+    bool in = false;
+    ++flood_asked_;
+    const ConnId id = arrive(from, false, in);
+    if (!in) return;
+    ++flood_in_;
+    switch (manner_) {
+      case 0: break;  // silent, for good
+      case 1:         // connects and resets
+        at(now_ + 0.001, [this, id] {
+          if (open_.contains(id)) gate_->wasted(id, Waste::kReset, now_), end(id);
+        });
+        break;
+      case 2:  // half a request, dripped
+        at(now_ + 0.75, [this, id] {
+          if (open_.contains(id)) gate_->wasted(id, Waste::kHalf, now_), end(id);
+        });
+        break;
+      case 3:  // asks something now and then, and stays
+        gate_->asked(id, now_);
+        break;
+      default:  // holds ops open: it can't be shed
+        gate_->asked(id, now_);
+        gate_->busy(id, true);
+        open_[id].busy = true;
+        at(now_ + 0.5 + chance(), [this, id] {
+          if (open_.contains(id)) gate_->busy(id, false), open_[id].busy = false;
+        });
+    }
+  }
+  void friend_comes() {
+    const unsigned n = static_cast<unsigned>(random_() % friends_);
+    // As many as the reserve has room for, and as its own share allows.
+    if (known_open_ >= std::min<std::size_t>(reserve_, total_ / 2) ||
+        known_open_of_[n] >= std::max<std::size_t>(1, total_ / 2 - 1))
+      return;
+    bool in = false;
+    ++known_asked_;
+    const ConnId id = arrive(friend_at(n), true, in);
+    if (!in) return fail("a known client was refused though its reserve is not used up");
+    ++known_in_, ++known_open_, ++known_open_of_[n];
+    gate_->asked(id, now_);
+    gate_->busy(id, true);
+    open_[id].busy = true;
+    at(now_ + 0.02 + chance() * 0.3, [this, id, n] {
+      --known_open_, --known_open_of_[n];
+      if (!open_.contains(id)) return fail("a known client's busy connection went");
+      gate_->acked(id, 1, now_, kUnix + now_);
+      end(id);
+    });
+  }
+  void honest() {
+    bool in = false;
+    const bool later = now_ > kFloodEnds + 2;  // all that it held open is over by then
+    ++(later ? later_asked_ : honest_asked_);
+    const ConnId id =
+        arrive(v4(192, 168, static_cast<unsigned>(random_() % 4), static_cast<unsigned>(random_() % 200)),
+               false, in);
+    if (!in) return;
+    ++(later ? later_in_ : honest_in_);
+    gate_->asked(id, now_);
+    at(now_ + 0.1, [this, id] {
+      if (open_.contains(id)) end(id);
+    });
+  }
+  void check() {
+    if (gate_->open() != open_.size()) fail("what the gate holds is not what is open");
+    if (gate_->open() > total_) fail("more open than there are places");
+    if (gate_->strangers() > gate_->strangers_most()) fail("strangers beyond their share");
+    if (share_->open(0) != gate_->open()) fail("share and gate differ");
+  }
+  struct Open {
+    bool is_known = false, busy = false;
+  };
+  pcg64 random_;
+  const bool tell_;
+  std::size_t total_ = 0, reserve_ = 0, known_open_ = 0;
+  unsigned friends_ = 1, addresses_ = 1;
+  bool spread_ = false;
+  double per_s_ = 0, now_ = 0;
+  int manner_ = 0;
+  std::unique_ptr<Share> share_;
+  std::unique_ptr<Known> known_;
+  std::unique_ptr<Gate> gate_;
+  std::map<ConnId, Open> open_;
+  std::map<unsigned, std::size_t> known_open_of_;
+  std::multimap<double, std::function<void()>> ends_;
+  ConnId last_ = 0;
+  std::string broken_;
+};
+
+void floods() {
+  long known_in = 0, known_asked = 0, honest_in = 0, honest_asked = 0, flood_in = 0, flood_asked = 0;
+  constexpr std::uint64_t kFloods = 1000;
+  for (std::uint64_t seed = 1; seed <= kFloods; ++seed) {
+    Flood flood(seed, false);
+    const std::string broken = flood.play();
+    if (!broken.empty()) {
+      std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), broken.c_str());
+      return;
+    }
+    known_in += flood.known_in_, known_asked += flood.known_asked_;
+    honest_in += flood.honest_in_, honest_asked += flood.honest_asked_;
+    flood_in += flood.flood_in_, flood_asked += flood.flood_asked_;
+  }
+  std::printf("1000 floods: nothing broke; known clients %s, honest strangers %s, of the flood %s\n",
+              known_in == known_asked && known_in > 10000 ? "all in" : "NOT all in",
+              honest_in * 2 > honest_asked ? "more than half in" : "fewer than half in",
+              flood_in * 3 < flood_asked ? "less than a third in" : "more than a third in");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::pair<const char*, void (*)()> kScenarios[] = {{"prefixes", prefixes}, {"sketches", sketches},
+                                                           {"known", known},       {"pace", pace},
+                                                           {"steps", steps},       {"floods", floods}};
+  if (argc == 3 && std::strcmp(argv[1], "floods") == 0) {
+    std::printf("%s\n", Flood(std::strtoull(argv[2], nullptr, 10), true).play().c_str());
+    return 0;
+  }
+  for (const auto& [name, play] : kScenarios) {
+    if (argc == 2 && std::strcmp(argv[1], name) == 0) return play(), 0;
+  }
+  std::fprintf(stderr, "usage: conns SCENARIO, or conns floods SEED\n");
+  return 2;
+}
--- /dev/null
+++ b/tests/control.cpp
@@ -0,0 +1,144 @@
+// The control socket: its lines, byte by byte and spoilt; then a server in a private folder, asked soundly,
+// wrongly, slowly and by too many. CTest compares with tests/traces/control_NAME.txt. usage: control SCENARIO
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include "control/lines.h"
+#include "control/server.h"
+#include "scenarios.h"
+
+using namespace damsonspoke;
+using namespace damsonspoke::control;
+
+namespace {
+
+const char* text_of(Reading state) {
+  return state == Reading::kWhole ? "whole" : state == Reading::kBroken ? "broken" : "more";
+}
+
+void lines() {
+  const std::string long_one(300, 'x'), words9 = "1 2 3 4 5 6 7 8 9\n";
+  for (const std::string& input :
+       {std::string("conns 20\n"), std::string("  conns   20  \nmore"), std::string("conns"),
+        std::string("\n"), std::string("   \n"), std::string("a\tb\n"), std::string("a\x80\n"), words9,
+        long_one, long_one.substr(0, 255) + "\n", long_one.substr(0, 256) + "\n"}) {
+    const Request request = read_request(input);
+    std::printf("request of %3zu: %s, %zu words\n", input.size(), text_of(request.state),
+                request.words.size());
+  }
+  for (const std::string& input :
+       {std::string("ok 5\nhello"), std::string("ok 5\nhell"), std::string("ok 0\n"), std::string("ok \n"),
+        std::string("ok -1\n"), std::string("ok 5x\nhello"), std::string("ok 262144\n"),
+        std::string("ok 262145\n"), std::string("error no such\n"), std::string("error no such"),
+        std::string("hello\n"), long_one}) {
+    const Answer answer = read_answer(input);
+    std::printf("answer %-14.14s: %s, %s, %zu bytes\n", input.substr(0, input.find('\n')).c_str(),
+                text_of(answer.state), answer.good ? "good" : "not good", answer.text.size());
+  }
+  const std::string large(kMostAnswer, 'a');
+  std::printf("an answer over the bound is cut at a line's end: %zu\n",
+              read_answer(encode_answer("line\n" + large)).text.size());
+  std::printf("an error is one line: %s", encode_error("two\nlines").c_str());
+}
+
+std::string said(const std::string& folder, const std::vector<std::string>& words) {
+  try {
+    return "answer '" + ask(folder, words, 2) + "'";
+  } catch (const std::exception& error) {
+    std::string text = error.what();
+    if (const std::size_t at = text.find(folder); at != std::string::npos)
+      text.replace(at, folder.size(), "FOLDER");
+    return "error: " + text;
+  }
+}
+
+int raw_connection(const std::string& folder) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  std::strncpy(address.sun_path, socket_in(folder).c_str(), sizeof address.sun_path - 1);
+  const int fd = ::socket(AF_UNIX, SOCK_STREAM, 0);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    std::printf("no connection\n");
+  return fd;
+}
+
+std::string rest_of(int fd) {
+  std::string out;
+  char bytes[256];
+  for (ssize_t got = 0; (got = ::recv(fd, bytes, sizeof bytes, 0)) > 0;)
+    out.append(bytes, static_cast<std::size_t>(got));
+  ::close(fd);
+  return out;
+}
+
+void server() {
+  char made[] = "/tmp/control-XXXXXX";
+  const std::string folder = ::mkdtemp(made);
+  Logger log(Level::kError);
+  const auto refused = [&](const char* what) {
+    net::Reactor reactor;
+    try {
+      Server one(reactor, folder, log);
+      std::printf("%s: starts\n", what);
+    } catch (const std::exception& error) {
+      std::string text = error.what();
+      if (const std::size_t at = text.find(folder); at != std::string::npos)
+        text.replace(at, folder.size(), "FOLDER");
+      std::printf("%s: %s\n", what, text.c_str());
+    }
+  };
+  ::chmod(folder.c_str(), 0750);
+  refused("a folder that the group may enter");
+  ::chmod(folder.c_str(), 0700);
+  std::ofstream(socket_in(folder)) << "mine";
+  refused("a file of that name");
+  ::unlink(socket_in(folder).c_str());
+  refused("a private one");
+  std::printf("nobody there: %s\n", said(folder, {"hello"}).c_str());
+  {
+    net::Reactor reactor;
+    Server one(reactor, folder, log);
+    one.add("hello", [](const std::vector<std::string>& words) { return "to " + words.back() + "\n"; });
+    one.add("bad",
+            [](const std::vector<std::string>&) -> std::string { throw std::runtime_error("it is off"); });
+    std::thread asker([&] {
+      std::printf("%s\n", said(folder, {"hello", "you"}).c_str());
+      std::printf("%s\n", said(folder, {"bad"}).c_str());
+      std::printf("%s\n", said(folder, {"other"}).c_str());
+      int fd = raw_connection(folder);
+      static_cast<void>(::send(fd, "\x01\n", 2, MSG_NOSIGNAL));
+      std::printf("what is no question: %s", rest_of(fd).c_str());
+      int waiting[4];
+      for (int& one_fd : waiting) one_fd = raw_connection(folder);
+      ::usleep(50000);
+      std::printf("a fifth while four wait: '%s'\n", rest_of(raw_connection(folder)).c_str());
+      for (const int one_fd : waiting)
+        std::printf("who asks nothing for a second: '%s'\n", rest_of(one_fd).c_str());
+      std::printf("and then: %s\n", said(folder, {"hello", "again"}).c_str());
+      reactor.post_from_elsewhere([&] { refused("a second process in the same folder"); });
+      reactor.post_from_elsewhere([&] { reactor.stop(); });
+    });
+    reactor.run();
+    asker.join();
+  }
+  std::printf("the socket is gone with it: %s\n",
+              ::access(socket_in(folder).c_str(), F_OK) != 0 ? "yes" : "no");
+  ::rmdir(folder.c_str());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc == 2 && std::strcmp(argv[1], "lines") == 0) return lines(), 0;
+  if (argc == 2 && std::strcmp(argv[1], "server") == 0) return server(), 0;
+  return 2;
+}
