--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -150,6 +150,7 @@
   const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
   const int fd = port == 0 ? -1 : connected_socket(port, options_.from);
   if (fd < 0) return -1;
+  ++dialled_;
   links_[fd].server = server;
   loop_.watch(fd, [this, fd] { read(fd); });
   return fd;
