Raised limits count at once in the gate; the flood player stands with the checkers

Cause: sketches keep times reckoned by their rate or half-life; other terms by SIGHUP left them as they were, so a client waited on as long as before a limit was raised (63 s at 1 a second and a burst of 64), and a shorter half-life made points of nothing. Change: buckets and points are kept, times are reckoned anew; a case of conns_steps fails without either.

--- a/src/conns/gate.cpp
+++ b/src/conns/gate.cpp
@@ -265,14 +265,14 @@
 }
 
 // ---- Other terms.
-void Gate::reconfigure(GateTerms terms) {
+void Gate::reconfigure(GateTerms terms, double now) {
   terms_ = std::move(terms);
-  by_client_.reset(terms_.address_rate, terms_.address_burst);
-  by_network_.reset(terms_.network_rate, terms_.network_burst);
+  by_client_.reset(terms_.address_rate, terms_.address_burst, now);
+  by_network_.reset(terms_.network_rate, terms_.network_burst, now);
   known_by_client_.reset(terms_.address_rate * terms_.known_factor,
-                         terms_.address_burst * terms_.known_factor);
-  all_strangers_.reset(terms_.strangers_rate, terms_.strangers_burst);
-  waste_.reset(terms_.waste_half_life);
+                         terms_.address_burst * terms_.known_factor, now);
+  all_strangers_.reset(terms_.strangers_rate, terms_.strangers_burst, now);
+  waste_.reset(terms_.waste_half_life, now);
   of_group_.assign(terms_.groups.size(), 0);
   by_rank_.clear();
   strangers_ = 0;
--- a/src/conns/gate.h
+++ b/src/conns/gate.h
@@ -96,7 +96,7 @@
   void wasted(ConnId id, Waste how, double now);
 
   // Terms from now on; what is open beyond them stays until it ends or is shed.
-  void reconfigure(GateTerms terms);
+  void reconfigure(GateTerms terms, double now);
   // Connections that have to go because fewer are allowed than are open: the least worth keeping, none busy.
   std::vector<ConnId> beyond(double now) const;
 
--- a/src/conns/space_saving.cpp
+++ b/src/conns/space_saving.cpp
@@ -60,6 +60,11 @@
 
 double RateSketch::error(double now) const { return std::max(0.0, (seen_.least() - now) * rate_); }
 
+void RateSketch::reset(double rate, double burst, double now) {
+  seen_.remap([&](double value) { return now + (value - now) * rate_ / rate; });
+  rate_ = rate, burst_ = burst;
+}
+
 // ---- Points: a value is now + half_life * log2(points).
 double FadingSketch::points(const Prefix& key, double now) const {
   const SpaceSaving::Entry* seen = seen_.find(key);
@@ -74,6 +79,11 @@
   seen_.set(key, more(seen.high), more(seen.low));
 }
 
+void FadingSketch::reset(double half_life, double now) {
+  seen_.remap([&](double value) { return now + (value - now) * half_life / half_life_; });
+  half_life_ = half_life;
+}
+
 double FadingSketch::falls_to(const Prefix& key, double points, double now) const {
   const SpaceSaving::Entry* seen = seen_.find(key);
   if (seen == nullptr) return 0;
--- a/src/conns/space_saving.h
+++ b/src/conns/space_saving.h
@@ -29,6 +29,16 @@
   // that and what the entry had whose place it takes.
   Entry enter(const Prefix& key, double nothing);
   void set(const Prefix& key, double high, double low);  // of one that is there
+  // All values at once, by a function that keeps their order.
+  template <typename F>
+  void remap(F&& to) {
+    order_.clear();
+    for (std::size_t at = 0; at < entries_.size(); ++at) {
+      Entry& entry = entries_[at];
+      entry.high = to(entry.high), entry.low = to(entry.low);
+      order_.insert({entry.high, at});
+    }
+  }
   std::size_t size() const { return entries_.size(); }
   std::size_t most() const { return most_; }
   // No key that is not in the table has more than this.
@@ -52,7 +62,9 @@
   double room_in(const Prefix& key, double now) const;  // s until there is room
   double error(
       double now) const;  // connections that one outside the table may have had beyond what is reckoned
-  void reset(double rate, double burst) { rate_ = rate, burst_ = burst; }
+  // Other terms from now on; what is in the buckets stays. Guards against times reckoned at the old rate, by
+  // which a client would wait as long as before a limit was raised.
+  void reset(double rate, double burst, double now);
 
  private:
   SpaceSaving seen_;
@@ -67,7 +79,7 @@
   double points(const Prefix& key, double now) const;
   void add(const Prefix& key, double points, double now);
   double falls_to(const Prefix& key, double points, double now) const;  // s until then
-  void reset(double half_life) { half_life_ = half_life; }
+  void reset(double half_life, double now);                             // points stay what they are
 
  private:
   SpaceSaving seen_;
--- a/src/peers/door.cpp
+++ b/src/peers/door.cpp
@@ -116,7 +116,7 @@
   options_.enabled = true;
   share_.resize(allowed(options, most_connections_));
   known_.reconfigure(options.known);
-  gate_.reconfigure(options.terms);
+  gate_.reconfigure(options.terms, net::monotonic_now());
 }
 
 // ---- Newcomers.
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -85,8 +85,8 @@
   return true;
 }
 
-double Process::processor_time() const {
-  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+double processor_time(pid_t pid) {
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
   std::string field;
   double ticks = 0;
   for (int i = 1; i <= 15 && stat >> field; ++i) {
--- a/standins/process.h
+++ b/standins/process.h
@@ -13,6 +13,8 @@
 
 namespace damsonspoke::standins {
 
+double processor_time(pid_t pid);  // s so far
+
 class Process {
  public:
   Process(Loop& loop, const std::vector<std::string>& command);
@@ -26,7 +28,7 @@
   int status() const { return status_; }  // exit status, or minus the signal
   pid_t pid() const { return pid_; }
   long resident_kb() const;
-  double processor_time() const;  // s so far
+  double processor_time() const { return standins::processor_time(pid_); }
   // Asks for the counters and reads them.
   std::map<std::string, std::uint64_t> counters();
   std::function<void(const std::string&)> on_line;  // each line of its log
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -26,6 +26,8 @@
 #include <utility>
 #include <vector>
 
+#include "process.h"
+
 namespace damsonspoke::standins::scripted {
 
 using Clock = std::chrono::steady_clock;
@@ -335,15 +337,7 @@
                                               ? ("status " + std::to_string(WEXITSTATUS(status))).c_str()
                                               : "killed");
   }
-  double processor_time() const {  // s so far, of the program
-    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
-    std::string field;
-    double ticks = 0;
-    for (int i = 1; i <= 15 && stat >> field; ++i) {
-      if (i >= 14) ticks += std::atof(field.c_str());
-    }
-    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-  }
+  double processor_time() const { return standins::processor_time(pid_); }  // s so far, of the program
   void pause(double seconds) {
     const auto until = Clock::now() + std::chrono::duration<double>(seconds);
     pump([&] { return Clock::now() >= until; });
--- a/tests/conns.cpp
+++ b/tests/conns.cpp
@@ -16,20 +16,15 @@
 #include "conns/byte_pace.h"
 #include "conns/gate.h"
 #include "conns/known_record.h"
+#include "gate_flood.h"
 
 using namespace damsonspoke::conns;
+using damsonspoke::standins::GateFlood;
+using damsonspoke::standins::v4;
 
 namespace {
 
-constexpr double kUnix = 1.7e9;  // s; the Unix time at which these plays begin
-
-Address v4(unsigned a, unsigned b, unsigned c, unsigned d) {
-  Address out;
-  out.bytes[10] = out.bytes[11] = 0xff;
-  const unsigned parts[] = {a, b, c, d};
-  for (std::size_t i = 0; i < 4; ++i) out.bytes[12 + i] = static_cast<std::uint8_t>(parts[i]);
-  return out;
-}
+using damsonspoke::standins::kUnix;
 
 void prefixes() {
   for (const char* text :
@@ -307,6 +302,20 @@
     std::printf("a known client has four times the rate, and no part in the strangers'\n");
     t.many(v4(10, 7, 0, 1), 14);
   }
+  {
+    std::printf("a rate that is raised counts at once, and a shorter half-life makes no points\n");
+    GateTerms slow;
+    slow.address_rate = 1, slow.address_burst = 10;
+    Told t(slow, 1000);
+    t.many(v4(10, 0, 0, 1), 12);
+    const ConnId half = t.comes(v4(10, 0, 0, 2));
+    t.gate.wasted(half, Waste::kHalf, t.now);
+    slow.address_rate = 100, slow.waste_half_life = 1;
+    t.gate.reconfigure(slow, t.now);
+    t.now += 0.05;
+    t.many(v4(10, 0, 0, 1), 8);
+    t.comes(v4(10, 0, 0, 2));
+  }
   {
     std::printf("points: half a request four times, then it waits outside until they fade\n");
     GateTerms wasteful;
@@ -415,7 +424,7 @@
     for (int i = 0; i < 6; ++i) t.comes(v4(10, 0, 0, 1));
     t.gate.busy(2, true);
     t.share.resize(2);
-    t.gate.reconfigure(plain);
+    t.gate.reconfigure(plain, t.now);
     std::printf("  at once: %zu\n", t.gate.beyond(t.now).size());
     t.now += 1;
     for (const ConnId id : t.gate.beyond(t.now))
@@ -424,200 +433,19 @@
   }
 }
 
-// ---- Seeded floods: known clients that come and go, honest strangers, and a flood of one of many shapes.
-class Flood {
- public:
-  Flood(std::uint64_t seed, bool tell) : random_(seed), tell_(tell) {
-    total_ = 40 + random_() % 200;
-    GateTerms terms;
-    terms.clients = 64 + random_() % 128;  // far fewer than addresses
-    terms.reserve = 0.15 + chance() * 0.35;
-    share_ = std::make_unique<Share>(total_, std::vector<double>{1});
-    known_ = std::make_unique<Known>(KnownTerms{7 * 86400, 5, 256});
-    gate_ = std::make_unique<Gate>(terms, *share_, *known_);
-    reserve_ = total_ - gate_->strangers_most();
-    friends_ = 1 + random_() % 12;
-    for (unsigned n = 0; n < friends_; ++n)
-      for (int i = 0; i < 10; ++i) known_->acked(client_of(friend_at(n)), kUnix);
-    addresses_ = random_() % 3 == 0 ? 1 : 1 + static_cast<unsigned>(random_() % 20000);
-    spread_ = random_() % 2 == 0;
-    per_s_ = 20 + chance() * 3000;
-    manner_ = static_cast<int>(random_() % 5);
-  }
-
-  // Empty: nothing broke.
-  std::string play() {
-    double next_flood = 0, next_known = 0.05, next_honest = 0.1, next_look = 0.25;
-    while (now_ < 7 && broken_.empty()) {
-      const double next = std::min(
-          {next_flood, next_known, next_honest, next_look, ends_.empty() ? 99 : ends_.begin()->first});
-      now_ = next;
-      if (!ends_.empty() && ends_.begin()->first <= next) {
-        const auto [at, what] = *ends_.begin();
-        ends_.erase(ends_.begin());
-        what();
-      } else if (next == next_flood) {
-        attack();
-        next_flood += -std::log(1 - chance()) / per_s_;
-        if (next_flood > kFloodEnds) next_flood = 99;
-      } else if (next == next_known) {
-        friend_comes();
-        next_known += 0.02 + chance() * 0.05;
-      } else if (next == next_honest) {
-        honest();
-        next_honest += 0.05 + chance() * 0.1;
-      } else {
-        next_look += 0.25;
-      }
-      check();
-    }
-    if (!broken_.empty()) return broken_;
-    // Who is nobody fares no worse than the flood does, and once it has ended he gets in.
-    const double share = static_cast<double>(flood_in_) / flood_asked_, expected = share * honest_asked_;
-    if (expected > 20 && honest_in_ < expected / 2) fail("strangers fare worse than the flood");
-    if (later_in_ < later_asked_) fail("strangers stay locked out after the flood");
-    return broken_;
-  }
-  int known_in_ = 0, known_asked_ = 0, honest_in_ = 0, honest_asked_ = 0, flood_in_ = 0, flood_asked_ = 0;
-  int later_in_ = 0, later_asked_ = 0;
-
- private:
-  static constexpr double kFloodEnds = 4;  // s
-  double chance() { return std::ldexp(static_cast<double>(random_() >> 11), -53); }
-  Address friend_at(unsigned n) { return v4(172, 16, 0, n + 1); }
-  void fail(const std::string& text) {
-    if (broken_.empty()) broken_ = text;
-  }
-  void at(double time, std::function<void()> what) { ends_.emplace(time, std::move(what)); }
-  void end(ConnId id) {
-    gate_->ended(id);
-    open_.erase(id);
-  }
-  ConnId arrive(const Address& from, bool is_known, bool& in) {
-    const ConnId id = ++last_;
-    const std::size_t before = gate_->open();
-    const Arrival a = gate_->arrive(id, 0, from, now_, kUnix + now_);
-    if (tell_)
-      std::printf("%.4f %s %s%s\n", now_, text_of(client_of(from)).c_str(), a.in ? "in" : text_of(a.why),
-                  a.sheds ? ", sheds" : "");
-    in = a.in;
-    if (a.sheds) {
-      const auto shed = open_.find(*a.sheds);
-      if (shed == open_.end()) return fail("shed what is not open"), 0;
-      if (shed->second.busy) fail("shed a connection that is busy");
-      if (shed->second.is_known && !is_known) fail("a stranger moved a known client");
-      end(*a.sheds);
-    }
-    if (a.in) open_[id] = {is_known, false};
-    if (!a.in && before != gate_->open()) fail("a refusal changed what is open");
-    return a.in ? id : 0;
-  }
-  void attack() {
-    const auto n = static_cast<unsigned>(random_() % addresses_);
-    const Address from = spread_ ? v4(10, n % 256, n / 256, 1) : v4(10, 0, n / 256, n % 256);
-    bool in = false;
-    ++flood_asked_;
-    const ConnId id = arrive(from, false, in);
-    if (!in) return;
-    ++flood_in_;
-    switch (manner_) {
-      case 0: break;  // silent, for good
-      case 1:         // connects and resets
-        at(now_ + 0.001, [this, id] {
-          if (open_.contains(id)) gate_->wasted(id, Waste::kReset, now_), end(id);
-        });
-        break;
-      case 2:  // half a request, dripped
-        at(now_ + 0.75, [this, id] {
-          if (open_.contains(id)) gate_->wasted(id, Waste::kHalf, now_), end(id);
-        });
-        break;
-      case 3:  // asks something now and then, and stays
-        gate_->asked(id, now_);
-        break;
-      default:  // holds ops open: it can't be shed
-        gate_->asked(id, now_);
-        gate_->busy(id, true);
-        open_[id].busy = true;
-        at(now_ + 0.5 + chance(), [this, id] {
-          if (open_.contains(id)) gate_->busy(id, false), open_[id].busy = false;
-        });
-    }
-  }
-  void friend_comes() {
-    const unsigned n = static_cast<unsigned>(random_() % friends_);
-    // As many as the reserve has room for, and as its own share allows.
-    if (known_open_ >= std::min<std::size_t>(reserve_, total_ / 2) ||
-        known_open_of_[n] >= std::max<std::size_t>(1, total_ / 2 - 1))
-      return;
-    bool in = false;
-    ++known_asked_;
-    const ConnId id = arrive(friend_at(n), true, in);
-    if (!in) return fail("a known client was refused though its reserve is not used up");
-    ++known_in_, ++known_open_, ++known_open_of_[n];
-    gate_->asked(id, now_);
-    gate_->busy(id, true);
-    open_[id].busy = true;
-    at(now_ + 0.02 + chance() * 0.3, [this, id, n] {
-      --known_open_, --known_open_of_[n];
-      if (!open_.contains(id)) return fail("a known client's busy connection went");
-      gate_->acked(id, 1, now_, kUnix + now_);
-      end(id);
-    });
-  }
-  void honest() {
-    bool in = false;
-    const bool later = now_ > kFloodEnds + 2;  // all that it held open is over by then
-    ++(later ? later_asked_ : honest_asked_);
-    const ConnId id =
-        arrive(v4(192, 168, static_cast<unsigned>(random_() % 4), static_cast<unsigned>(random_() % 200)),
-               false, in);
-    if (!in) return;
-    ++(later ? later_in_ : honest_in_);
-    gate_->asked(id, now_);
-    at(now_ + 0.1, [this, id] {
-      if (open_.contains(id)) end(id);
-    });
-  }
-  void check() {
-    if (gate_->open() != open_.size()) fail("what the gate holds is not what is open");
-    if (gate_->open() > total_) fail("more open than there are places");
-    if (gate_->strangers() > gate_->strangers_most()) fail("strangers beyond their share");
-    if (share_->open(0) != gate_->open()) fail("share and gate differ");
-  }
-  struct Open {
-    bool is_known = false, busy = false;
-  };
-  pcg64 random_;
-  const bool tell_;
-  std::size_t total_ = 0, reserve_ = 0, known_open_ = 0;
-  unsigned friends_ = 1, addresses_ = 1;
-  bool spread_ = false;
-  double per_s_ = 0, now_ = 0;
-  int manner_ = 0;
-  std::unique_ptr<Share> share_;
-  std::unique_ptr<Known> known_;
-  std::unique_ptr<Gate> gate_;
-  std::map<ConnId, Open> open_;
-  std::map<unsigned, std::size_t> known_open_of_;
-  std::multimap<double, std::function<void()>> ends_;
-  ConnId last_ = 0;
-  std::string broken_;
-};
-
 void floods() {
   long known_in = 0, known_asked = 0, honest_in = 0, honest_asked = 0, flood_in = 0, flood_asked = 0;
   constexpr std::uint64_t kFloods = 1000;
   for (std::uint64_t seed = 1; seed <= kFloods; ++seed) {
-    Flood flood(seed, false);
+    GateFlood flood(seed, false);
     const std::string broken = flood.play();
     if (!broken.empty()) {
       std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), broken.c_str());
       return;
     }
-    known_in += flood.known_in_, known_asked += flood.known_asked_;
-    honest_in += flood.honest_in_, honest_asked += flood.honest_asked_;
-    flood_in += flood.flood_in_, flood_asked += flood.flood_asked_;
+    known_in += flood.known_in, known_asked += flood.known_asked;
+    honest_in += flood.honest_in, honest_asked += flood.honest_asked;
+    flood_in += flood.flood_in, flood_asked += flood.flood_asked;
   }
   std::printf("1000 floods: nothing broke; known clients %s, honest strangers %s, of the flood %s\n",
               known_in == known_asked && known_in > 10000 ? "all in" : "NOT all in",
@@ -632,7 +460,7 @@
       {"prefixes", prefixes}, {"sketches", sketches}, {"space", space},  {"known", known},
       {"pace", pace},         {"steps", steps},       {"floods", floods}};
   if (argc == 3 && std::strcmp(argv[1], "floods") == 0) {
-    std::printf("%s\n", Flood(std::strtoull(argv[2], nullptr, 10), true).play().c_str());
+    std::printf("%s\n", GateFlood(std::strtoull(argv[2], nullptr, 10), true).play().c_str());
     return 0;
   }
   for (const auto& [name, play] : kScenarios) {
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -9,6 +9,17 @@
 
 namespace {
 
+Op hinted(Backend& b, OpId id, double work) {
+  Op op = b.op(id);
+  op.work_hint = work;
+  return op;
+}
+Op of_type(Backend& b, OpId id, int type) {
+  Op op = b.op(id);
+  op.type = type;
+  return op;
+}
+
 // Every way in which an op can end gives its bytes back, once.
 void pool() {
   Backend b(plain_settings());
@@ -345,17 +356,12 @@
 // untold one wait, though the three are of one op type.
 void hints() {
   Backend b(plain_settings());
-  const auto hinted = [&](OpId id, double work) {
-    Op op = b.op(id);
-    op.work_hint = work;
-    return op;
-  };
-  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(id, 0.1));
+  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(b, id, 0.1));
   b.until(0.6);
   for (OpId id = 1; id <= 2; ++id) b.ends(id);
-  for (OpId id = 3; id <= 4; ++id) b.arrives(hinted(id, 0.1));
-  b.arrives(hinted(5, 0.3));
-  b.arrives(hinted(6, 0.02));
+  for (OpId id = 3; id <= 4; ++id) b.arrives(hinted(b, id, 0.1));
+  b.arrives(hinted(b, 5, 0.3));
+  b.arrives(hinted(b, 6, 0.02));
   b.arrives(b.op(7));
 }
 
@@ -366,15 +372,10 @@
   s.op_types[0].target_latency = 10;
   s.op_types[0].op_timeout = 20;
   Backend b(s);
-  const auto hinted = [&](OpId id, double work) {
-    Op op = b.op(id);
-    op.work_hint = work;
-    return op;
-  };
-  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(id, 0.0006));
+  for (OpId id = 1; id <= 2; ++id) b.arrives(hinted(b, id, 0.0006));
   b.until(0.6);
   for (OpId id = 1; id <= 2; ++id) b.ends(id);
-  for (OpId id = 3; id <= 6; ++id) b.arrives(hinted(id, 0.6));
+  for (OpId id = 3; id <= 6; ++id) b.arrives(hinted(b, id, 0.6));
 }
 
 // Two op types, the second worth more, of which one run each was seen to take so long; then `cheap` ops of
@@ -385,18 +386,13 @@
   s.op_types[0].importance = 1;
   s.op_types[1].importance = importance;
   Backend b(s);
-  const auto of = [&](OpId id, int type) {
-    Op op = b.op(id);
-    op.type = type;
-    return op;
-  };
-  for (OpId id = 1; id <= 2; ++id) b.arrives(of(id, static_cast<int>(id) - 1));
+  for (OpId id = 1; id <= 2; ++id) b.arrives(of_type(b, id, static_cast<int>(id) - 1));
   b.until(first_takes);
   b.ends(1);
   b.until(second_takes);
   b.ends(2);
-  for (OpId id = 3; id < 3 + static_cast<OpId>(cheap); ++id) b.arrives(of(id, 0));
-  for (OpId id = 100; id < 100 + static_cast<OpId>(dear); ++id) b.arrives(of(id, 1));
+  for (OpId id = 3; id < 3 + static_cast<OpId>(cheap); ++id) b.arrives(of_type(b, id, 0));
+  for (OpId id = 100; id < 100 + static_cast<OpId>(dear); ++id) b.arrives(of_type(b, id, 1));
 }
 
 // Where the line is full, an op that is worth more takes the place of the cheap one that came last; cheap
@@ -412,20 +408,15 @@
   s.op_types[1].importance = 3;
   s.op_types[1].target_latency = 0.6;
   Backend b(s);
-  const auto of = [&](OpId id, int type) {
-    Op op = b.op(id);
-    op.type = type;
-    return op;
-  };
-  for (OpId id = 1; id <= 2; ++id) b.arrives(of(id, static_cast<int>(id) - 1));
+  for (OpId id = 1; id <= 2; ++id) b.arrives(of_type(b, id, static_cast<int>(id) - 1));
   b.until(0.1);
   b.ends(2);
   b.until(0.4);
   b.ends(1);
-  for (OpId id = 3; id <= 4; ++id) b.arrives(of(id, 0));
-  for (OpId id = 100; id <= 107; ++id) b.arrives(of(id, 1));
+  for (OpId id = 3; id <= 4; ++id) b.arrives(of_type(b, id, 0));
+  for (OpId id = 100; id <= 107; ++id) b.arrives(of_type(b, id, 1));
   b.ends(3, Outcome::kCancelled);
-  for (OpId id = 108; id <= 116; ++id) b.arrives(of(id, 1));
+  for (OpId id = 108; id <= 116; ++id) b.arrives(of_type(b, id, 1));
 }
 
 // A marked further try has spent part of its target: the same line is too long for it.
