The held op with the least time left, counted by its importance, starts first

Lines to blame: the pick of two heads in start_held. Now one line; the op with the least time left to start by, divided by its importance, goes first.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -27,6 +27,7 @@
 constexpr double kFinishShare =
     0.85;                             // of the time to the target: predictions are means, answers must not be
 constexpr double kLeastShare = 0.5;   // of that for the least important: with plenty of room they still pass
+constexpr double kLeastWorth = 1e-3;  // importance counted at least in the order: a free op waits, finitely
 constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
 constexpr double kAgainSpent = 0.4;   // of the target, gone before a marked further try comes
 constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
@@ -288,9 +289,7 @@
 
   double predicted_wait() const {
     double ahead = 0;
-    for (const auto& line : lines_) {
-      for (const OpId id : line) ahead += run_of(ops_.at(id));
-    }
+    for (const OpId id : line_) ahead += run_of(ops_.at(id));
     for (const auto& [id, s] : ops_) {
       if (s.stage == Stage::kRunning) ahead += run_of(s) / 2;
     }
@@ -306,9 +305,7 @@
     }
     return run_of(s) / pace_ + away;
   }
-  bool work_waits() const {
-    return !lines_[0].empty() || !lines_[1].empty() || !call_line_.empty() || running_ >= limit();
-  }
+  bool work_waits() const { return !line_.empty() || !call_line_.empty() || running_ >= limit(); }
   int limit() const { return static_cast<int>(std::min(run_limit_, survivable() * kCrowdShare)); }
 
   bool fits(const Op& op) const { return op.held_kb * set_.run_factor <= set_.memory_kb * kMemoryShare; }
@@ -345,8 +342,7 @@
     if (at == ops_.end()) return;
     charge(at->second, 0);
     due_.erase({at->second.due, id});
-    std::erase(lines_[0], id);
-    std::erase(lines_[1], id);
+    std::erase(line_, id);
     std::erase(call_line_, id);
     ops_.erase(at);
     if (ops_.empty()) pool_used_ = 0;  // no drift of sums
@@ -415,16 +411,14 @@
   bool heavy(const Op& op) const {
     double of_caller = 0, of_key = 0, all = 0;
     bool others = false;
-    for (const auto& line : lines_) {
-      for (const OpId id : line) {
-        const Op& other = ops_.at(id).op;
-        all += other.held_kb;
-        if (other.caller == op.caller) of_caller += other.held_kb;
-        if (other.caller != op.caller) others = true;
-        if (op.key != 0 && other.key == op.key) of_key += other.held_kb;
-      }
+    for (const OpId id : line_) {
+      const Op& other = ops_.at(id).op;
+      all += other.held_kb;
+      if (other.caller == op.caller) of_caller += other.held_kb;
+      if (other.caller != op.caller) others = true;
+      if (op.key != 0 && other.key == op.key) of_key += other.held_kb;
     }
-    if (lines_[0].size() + lines_[1].size() < static_cast<std::size_t>(set_.cores)) return false;
+    if (line_.size() < static_cast<std::size_t>(set_.cores)) return false;
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
@@ -475,10 +469,7 @@
     // Reads may share an answer where the site allows it: a hot key then costs one run, not many.
     const bool shares = set_.fresh > 0 && type.effect == Effect::kRetryable && !op.write && op.key != 0;
     if (shares && key_room()) keep_key(op.id, kept, set_.fresh + own_time(kept));
-    const double usual = mean_run(op.type);
-    double mean = 0;
-    for (std::size_t i = 0; i < rows_.size(); ++i) mean += mean_run(static_cast<int>(i)) / rows_.size();
-    lines_[usual < mean ? 0 : 1].push_back(op.id);
+    line_.push_back(op.id);
     start_more();
   }
   Slot& admit(const Slot& s) {
@@ -521,13 +512,10 @@
     if (pool_used_ >= budget() || !rows_[static_cast<std::size_t>(s.op.type)].run.learned() || heavy(s.op))
       return false;
     std::vector<const Slot*> cheap;
-    for (const auto& line : lines_) {
-      for (const OpId id : line) {
-        const Slot& other = ops_.at(id);
-        if (other.stage == Stage::kHeld && !other.has_run &&
-            type_of(other).importance < type_of(s).importance)
-          cheap.push_back(&other);
-      }
+    for (const OpId id : line_) {
+      const Slot& other = ops_.at(id);
+      if (other.stage == Stage::kHeld && !other.has_run && type_of(other).importance < type_of(s).importance)
+        cheap.push_back(&other);
     }
     std::sort(cheap.begin(), cheap.end(), [&](const Slot* a, const Slot* b) {
       const double x = type_of(*a).importance, y = type_of(*b).importance;
@@ -560,10 +548,13 @@
     }
     return least;
   }
-  double held() const { return static_cast<double>(lines_[0].size() + lines_[1].size()); }
+  double held() const { return static_cast<double>(line_.size()); }
   int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
 
-  // ---- Starts.
+  // ---- Starts. Of the held ops the one goes first that has the least time left to start by, counted by its
+  // importance: ten times the importance has ten times the haste. Guards against a line of cheap ops, each in
+  // time, behind which the few that matter are late by a little. It hurts the cheap ones when the line is
+  // long.
   void start_more() {
     start_held();
     if (running_ < limit() || held() == 0) full_since_ = last_;
@@ -571,17 +562,17 @@
   void start_held() {
     while (running_ < limit() && running_ + at_calls() < survivable() * kCrowdShare) {
       const bool calls_full = at_calls() >= kAtCallsPerCore * set_.cores;
-      int pick = -1;
-      double least_slack = 0;
-      for (int i = 0; i < 2; ++i) {
-        if (lines_[i].empty()) continue;
-        const Slot& s = ops_.at(lines_[i].front());
+      auto pick = line_.end();
+      double least = 0;
+      for (auto it = line_.begin(); it != line_.end(); ++it) {
+        const Slot& s = ops_.at(*it);
         if (calls_full && type_of(s).calls) continue;
-        const double slack = s.useful_by - run_of(s);
-        if (pick < 0 || slack < least_slack) pick = i, least_slack = slack;
+        const double urgency =
+            (s.useful_by - last_ - run_of(s)) / std::max(type_of(s).importance, kLeastWorth);
+        if (pick == line_.end() || urgency < least) pick = it, least = urgency;
       }
-      if (pick < 0) return;
-      const OpId id = lines_[pick].front();
+      if (pick == line_.end()) return;
+      const OpId id = *pick;
       Slot& s = ops_.at(id);
       if (s.stage == Stage::kHeld && !s.has_run && last_ + own_time(s) > s.useful_by && running_ > 0) {
         shortage_ += (1 - shortage_) / kShortageMemory;
@@ -590,7 +581,7 @@
       }
       const double running_kb = s.op.held_kb * set_.run_factor;
       if (pool_used_ + running_kb - s.charge > budget() && running_ + at_calls() > 0) return;
-      lines_[pick].pop_front();
+      line_.erase(pick);
       charge(s, running_kb);
       s.stage = Stage::kRunning;
       s.has_run = true;
@@ -618,7 +609,7 @@
       s.stage = set_.halt == Halt::kPause ? Stage::kPaused : Stage::kHeld;
       if (s.stage == Stage::kHeld && type_of(s).effect != Effect::kRetryable) return fail(id);
       if (s.stage == Stage::kHeld) charge(s, s.op.held_kb);
-      lines_[1].push_front(id);
+      line_.push_back(id);
       return start_more();
     }
     if (outcome == Outcome::kOk) {
@@ -965,7 +956,7 @@
   std::vector<Row> rows_;
   std::vector<Bucket> buckets_;
   std::map<OpId, Slot> ops_;
-  std::array<std::deque<OpId>, 2> lines_;  // short work, long work
+  std::deque<OpId> line_;  // held ops, in the order in which they came
   std::deque<OpId> call_line_;
   std::set<std::pair<double, OpId>> due_;
   std::set<std::pair<double, OpId>> key_ends_;
