A further try has spent no more than its client's patience less the wait that it tells

A tap of one host shows marked tries that still wait 4.42 of 4.5 s (they found no connection elsewhere, nothing was spent) nacked with two held ops ahead: each was taken to have lost 0.4 of its target.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -440,7 +440,10 @@
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
     // The target counts from the first try; a further try has spent an unknown part of it.
-    const double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    // Where it tells its wait, not more than its client's whole patience less that: a try that came fresh
+    // from a full table or a nack has lost next to nothing, and was refused as if it had.
+    double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    if (op.remaining_wait > 0) spent = std::clamp(type.op_timeout - op.remaining_wait - op.age, 0.0, spent);
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
 
     if (op.original != 0 && type.effect != Effect::kNonRetryable) {
@@ -609,7 +612,7 @@
       s.stage = set_.halt == Halt::kPause ? Stage::kPaused : Stage::kHeld;
       if (s.stage == Stage::kHeld && type_of(s).effect != Effect::kRetryable) return fail(id);
       if (s.stage == Stage::kHeld) charge(s, s.op.held_kb);
-      line_.push_back(id);
+      line_.push_front(id);
       return start_more();
     }
     if (outcome == Outcome::kOk) {
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -428,6 +428,25 @@
   again.again = true;
   b.arrives(again);
   b.arrives(b.op(6, 1));
+  again.id = 7;
+  again.remaining_wait = 3.9;  // its client's whole patience is 4 s: nothing but 0.1 s can be spent
+  b.arrives(again);
+}
+
+// Of the held ops the important one goes first, though the cheap ones came before it.
+void important_first() {
+  Settings s = plain_settings();
+  s.op_types[1].importance = 10;
+  Backend b(s);
+  b.learn(0, 0.3);
+  b.learn(1, 0.3);
+  for (OpId id = 1; id <= 5; ++id) b.arrives(b.op(id, 0));
+  b.arrives(b.op(6, 1));
+  double now = 0.6;
+  for (OpId id : {1, 2, 6}) {
+    b.until(now += 0.3);
+    b.ends(id);
+  }
 }
 
 // Under shortage a customer over its quota, or one caller that holds most of the bytes, loses room first.
@@ -552,6 +571,7 @@
     {"silence", silence},
     {"storm", storm},
     {"further_try", further_try},
+    {"important_first", important_first},
     {"hints", hints},
     {"told_too_little", told_too_little},
     {"displaced", displaced},
