A layer below that turns slow gets no more calls in hand than it is known to bear

A tap read by the second: well, the layer answers 1,000 calls a second with 22 in hand of all hosts; slow, 1,000 are asked for, 300 to 400 sent at once (138 in hand, 0.6 to 1 of what all parts together allow), and 50 to 80 a second come back: what is over its slots crowds it, the rest is given up at 0.25 s, and what is given up stays in its hands. The part told is for survival, far over what the layer does well with. Lines to blame: let_calls_out, which fills the part at once when calls do not come back; the patience, which looked at old calls only; own_time, which counted a call as it was a minute ago. Now the load in hand is measured while calls take their usual time, and while they are slow no more goes than that on the mean: a call that has taken its time is followed by a rest. Patience follows the recent calls, given up ones included. An op that needs calls is refused on arrival when the calls of its equals and betters leave it no turn; types without calls are taken as before. The budget for survival stays as it was. May hurt where the usual load was far under what the layer bears even when slow, and one backend with few calls holds back longer than it had to. Test: paced_calls (the old text sends all at once and takes every op). small_part: the next call waits for what the last took.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,6 +61,11 @@
 constexpr double kPatience = 4;          // x the 95th percentile of calls: past it they hardly ever return
 constexpr double kLeastPatience = 0.25;  // s; a crowded layer below must not be crowded more by early repeats
 constexpr double kMostTurned = 0.9;      // share of calls turned away that is reckoned with: some get through
+constexpr double kCallFall = 4;          // calls; a layer that is well again shows it in a few
+constexpr double kInHandMemory = 20;     // s; the usual load below, beyond a burst or a lull
+constexpr double kInHandLeast = 1;       // s of usual calls before their load is believed
+constexpr double kLeastInHand = 0.01;    // calls; a load so small still gives a finite wait
+constexpr double kCreditDepth = 0.5;     // call s owed at most, and s of the usual load that may be saved up
 constexpr int kCallTries = 3;            // calls for one need; more only add to a trouble below
 constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
 constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
@@ -163,6 +168,7 @@
   double since = 0;      // start of the present stage
   double on_cores = 0;   // s of finished spells on the cores
   double away = 0;       // s of finished spells at calls
+  int calls = 0;         // needed so far
   int call_tries = 0;
   double call_after = 0;  // no call before this
   double reserved = 0;    // call seconds set aside for the call in hand
@@ -173,6 +179,7 @@
 struct Row {
   Histogram run;            // s on the cores
   Histogram away;           // s at calls
+  double calls = 1;         // a run, of late
   Histogram hinted, hints;  // s on the cores of runs whose op told its work, and the work told
   // While a prior is held against the first warm runs: what it said, and what they say.
   double remembered = 0;
@@ -300,6 +307,7 @@
   double own_time(const Slot& s) {
     double away = row_of(s).away.mean();
     if (away > 0 && calls_.learned() && type_of(s).worth_without <= 0) {
+      if (calls_slow()) return run_of(s) / pace_ + slow_calls(s);
       away *= std::max(1.0, recent_call_ / calls_.mean());
       away += static_cast<double>(call_line_.size()) * recent_call_ / call_bound_;
     }
@@ -323,6 +331,14 @@
       key_ends_.erase(key_ends_.begin());
     }
     call_budget_ = std::min(call_depth_, call_budget_ + set_.dep_share * kCallShare * dt);
+    if (calls_.learned() && !calls_slow()) {
+      const double fade = std::exp(-dt / kInHandMemory);
+      in_hand_ = in_hand_ * fade + calling_ * dt;
+      in_hand_over_ = in_hand_over_ * fade + dt;
+    }
+    const double flows = usual_in_hand();
+    const double most = std::max(recent_call_, kCreditDepth * flows);  // one call is always ready
+    call_credit_ = std::clamp(call_credit_ + (flows - calling_) * dt, -kCreditDepth, most);
     pace_ = pace();
   }
   // One pending timer: the earliest of the next tick, due time or call. Older wakes are told by their token.
@@ -618,6 +634,7 @@
     if (outcome == Outcome::kOk) {
       row_of(s).run.add(s.on_cores);
       row_of(s).away.add(s.away);
+      if (type_of(s).calls) row_of(s).calls += (s.calls - row_of(s).calls) / kErrorMemory;
       judge_prior(s);
       done_work_ += run_of(s);
       if (s.op.work_hint > 0) row_of(s).hinted.add(s.on_cores), row_of(s).hints.add(s.op.work_hint);
@@ -666,6 +683,7 @@
     if (s.stage == Stage::kRunning) leave_cores(s);
     s.stage = Stage::kWantsCall;
     s.call_tries = 0;
+    ++s.calls;
     if (s.answered) return host_.fail(id);
     if (set_.below == Below::kShared && set_.dep_share <= 0) {  // no part below: nothing may be called
       return type_of(s).worth_without > 0 ? skip(id, s) : fail(id);
@@ -675,6 +693,31 @@
     start_more();
   }
   bool calls_slow() const { return calls_.learned() && recent_call_ > kCallsSlow * calls_.quantile(0.5); }
+  // Calls in hand, on the mean, while calls took their usual time: so many the layer below is known to bear.
+  // While it is slow it gets no more: a call that has taken its time is followed by a rest, or by credit from
+  // before. Guards against a shared layer that turns slow, for whatever cause: all that the part allows sent
+  // at once crowds it, hardly any call comes back before it is given up, and what is given up stays in its
+  // hands. It may hurt where the usual load below was far under what the layer bears even when slow.
+  double usual_in_hand() const {
+    const double part = set_.below == Below::kShared ? set_.dep_share * kCallShare : call_ceiling_;
+    return in_hand_over_ > kInHandLeast ? std::min(part, in_hand_ / in_hand_over_) : part;
+  }
+  double call_rest() const { return std::max(0.0, -call_credit_) / std::max(usual_in_hand(), kLeastInHand); }
+  // How long the calls of an op take while calls are slow: those of its equals and betters go first.
+  double slow_calls(const Slot& s) const {
+    double ahead = 0;
+    for (const auto& [id, other] : ops_) {
+      if (id == s.op.id || other.answered || other.stage == Stage::kJoining || !type_of(other).calls)
+        continue;
+      if (type_of(other).importance < type_of(s).importance) continue;
+      if (other.stage == Stage::kHeld && s.stage == Stage::kHeld && other.since > s.since) continue;
+      ahead += other.stage == Stage::kWantsCall ? 1 : 0;
+      ahead += std::max(0.0, rows_[static_cast<std::size_t>(other.op.type)].calls - other.calls);
+    }
+    const double own = rows_[static_cast<std::size_t>(s.op.type)].calls;
+    return own * recent_call_ + call_rest() +
+           (ahead + own - 1) * recent_call_ / std::max(usual_in_hand(), kLeastInHand);
+  }
   // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the
   // more important go first. A call that could only return too late is left out where its answer is still
   // worth something.
@@ -682,12 +725,18 @@
     const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
     const bool shared = set_.below == Below::kShared;
     while (calling_ < static_cast<int>(call_bound_)) {
+      if (calls_slow() && call_credit_ <= 0) {
+        if (!call_line_.empty()) wake(last_ + std::max(set_.resolution, call_rest()));
+        break;
+      }
       auto pick = call_line_.end();
       for (auto it = call_line_.begin(); it != call_line_.end(); ++it) {
         if (ops_.at(*it).call_after > last_) continue;
         if (pick == call_line_.end()) pick = it;
-        const double gain = type_of(ops_.at(*it)).importance - type_of(ops_.at(*pick)).importance;
-        if (by_importance && gain > 0) pick = it;
+        // Of equals the one that has already had calls: they are spent in vain without this one.
+        const Slot &one = ops_.at(*it), &other = ops_.at(*pick);
+        const double gain = type_of(one).importance - type_of(other).importance;
+        if (by_importance && (gain > 0 || (gain == 0 && one.calls > other.calls))) pick = it;
       }
       if (pick == call_line_.end()) break;
       const OpId id = *pick;
@@ -695,7 +744,9 @@
       double patience = s.due - last_;
       if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(s.op.type) / pace_ - last_;
       if (calls_.learned())
-        patience = std::min(patience, std::max(kLeastPatience, kPatience * calls_.quantile(0.95)));
+        patience =
+            std::min(patience,
+                     std::max({kLeastPatience, kPatience * calls_.quantile(0.95), kPatience * recent_call_}));
       patience = std::max(set_.resolution, patience);
       if (shared) {
         const double need = std::min(patience + set_.linger, call_depth_);
@@ -767,9 +818,10 @@
     const double spent = last_ - s.since;
     end_call(s, outcome == Outcome::kTimeout);
     turned_away_ += ((outcome == Outcome::kRefused ? kMostTurned : 0) - turned_away_) / kErrorMemory;
+    if (outcome == Outcome::kTimeout) recent_call_ += std::max(0.0, spent - recent_call_) / kCallFall;
     if (outcome == Outcome::kOk) {
       calls_.add(spent);
-      recent_call_ += (spent - recent_call_) / kErrorMemory;
+      recent_call_ += (spent - recent_call_) / (spent < recent_call_ ? kCallFall : kErrorMemory);
       if (!calls_slow() && call_bound_ < call_ceiling_) {
         call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
         if (call_bound_ >= call_ceiling_) host_.log("calls: bound back at its usual");
@@ -972,6 +1024,8 @@
   double turned_away_ = 0;  // share of the recent calls
   double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0;
   double call_depth_ = 0, call_budget_ = 0;  // call seconds below
+  double in_hand_ = 0, in_hand_over_ = 0;    // call seconds while calls took their usual time, and s
+  double call_credit_ = 0;                   // call seconds; what the pace of slow calls has left
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -218,6 +218,52 @@
   b.until(now + 0.4);
 }
 
+// A layer below that turns slow gets no more calls in hand than it had when it was well: after the first long
+// one the others go one by one with a rest between, and an op whose call would come too late is nacked on
+// arrival, before any work is spent on it. A type that calls nothing is taken as before.
+void paced_calls() {
+  Settings s = plain_settings();
+  s.below = Below::kShared;
+  s.dep_share = 4;
+  for (OpType& type : s.op_types) type.calls = true;
+  s.op_types.push_back(s.op_types[0]);
+  s.op_types[2].calls = false;
+  Backend b(s);
+  b.quiet(true);
+  double now = 0;
+  for (OpId id = 1; id <= 20; ++id) {  // one call of 20 ms in each 0.1 s: 0.2 in hand
+    b.arrives(b.op(id, id % 2 == 0 ? 1 : 0));
+    b.until(now += 0.05);
+    b.needs_call(id);
+    b.until(now += 0.02);
+    b.call_ends(id, Outcome::kOk);
+    b.until(now += 0.03);
+    b.ends(id);
+  }
+  for (OpId id = 21; id <= 23; ++id) {  // given up
+    b.arrives(b.op(id, 0));
+    b.needs_call(id);
+    b.until(now += 0.25);
+    b.call_ends(id, Outcome::kTimeout);
+    b.gone(id);
+    b.ends(id, Outcome::kCancelled);
+  }
+  b.until(now += 1);
+  b.quiet(false);
+  for (OpId id = 31; id <= 33; ++id) b.arrives(b.op(id, id == 33 ? 1 : 0));
+  b.needs_call(31);
+  b.until(now += 0.1);
+  b.needs_call(32);
+  b.needs_call(33);
+  for (OpId id = 34; id <= 38; ++id) b.arrives(b.op(id, 0));
+  b.arrives(b.op(40, 2));
+  b.until(now += 0.1);
+  b.call_ends(31, Outcome::kOk);
+  b.until(now += 0.2);
+  b.call_ends(32, Outcome::kOk);
+  b.until(now + 1.5);
+}
+
 // Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
 void leaving() {
   Backend b(plain_settings());
@@ -559,6 +605,7 @@
     {"keyed", keyed},
     {"calls", calls},
     {"slow_calls", slow_calls},
+    {"paced_calls", paced_calls},
     {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
