A nack asks not to be tried elsewhere once further tries are read, not for being a nack

The assumption that fell: that what one backend nacks tells how the others are. Past 0.05 of those, with the old share of nacks, or past 0.35 nacked in any case, nacks ask not to be tried elsewhere. Such a try also counts as having spent its time. May hurt where walks can't be told. Test: elsewhere (the old text asks at once).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -73,8 +73,15 @@
 constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
-constexpr double kStorm = 0.5;     // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kWalkTier = 25;   // backends; a larger tier has callers walk on over more of its backends
+constexpr double kStorm = 0.5;        // share of newcomers nacked; over it most of what is read are repeats
+constexpr double kStormAlone = 0.35;  // that share in a large tier where no further tries are seen
+constexpr double kRepeats = 0.05;     // share of further tries; with room elsewhere hardly any come here
+constexpr double kWaitFade = 0.98;    // an op of the type; a habit is told by some fifty
+constexpr double kWaitWidth = 0.015;  // of the wait; what clocks and the way add to a habitual one
+constexpr double kWaitsSeen = 10;     // ops; before, none is unusual
+constexpr double kUsualWait =
+    0.1;                          // share of ops that tell about the same; a habit of fewer is taken for none
+constexpr double kWalkTier = 25;  // backends; a larger tier has callers walk on over more of its backends
 constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
 constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
@@ -177,9 +184,10 @@
 
 // What differs by op type.
 struct Row {
-  Histogram run;            // s on the cores
-  Histogram away;           // s at calls
-  double calls = 1;         // a run, of late
+  Histogram run;                                     // s on the cores
+  Histogram away;                                    // s at calls
+  double calls = 1;                                  // a run, of late
+  std::array<std::pair<double, double>, 6> waits{};  // told usually, and how often of late
   Histogram hinted, hints;  // s on the cores of runs whose op told its work, and the work told
   // While a prior is held against the first warm runs: what it said, and what they say.
   double remembered = 0;
@@ -244,10 +252,17 @@
   }
   double bucket_size(std::size_t i) const { return kQuotaSpread + quota_here(i) * kQuotaBurst; }
   bool leaving() const { return leave_at_ >= 0; }
-  // A nack that walks on costs a reading at each backend it reaches, and the walk grows with the tier, where
-  // the others are as short as this one. Guards against a retry storm of a large tier that reads more than
-  // it runs.
-  double storm_at() const { return kStorm * std::min(1.0, kWalkTier / std::max(1, set_.servers)); }
+  // Whether a nack asks not to be tried elsewhere. One that walks on costs a reading at each backend it
+  // reaches, and the walk grows with the tier, where the others may be as short as this one; whether they are
+  // shows in how many of the ops that come here have been elsewhere before. Guards against a retry storm of a
+  // large tier that reads more than it runs, while the nacks of a few slow or cold backends still find room
+  // elsewhere. It hurts where further tries are neither marked nor told by their wait: they show only in what
+  // is nacked.
+  bool storming() const {
+    const double large = std::min(1.0, kWalkTier / std::max(1, set_.servers));
+    const bool repeats = shortage_ > kStorm * large && repeats_ > kRepeats;
+    return repeats || shortage_ > std::max(kStorm * large, kStormAlone);
+  }
   bool cold(double now) const { return set_.cold && now < created_ + set_.cold_time; }
 
   // The share of full speed that a cold backend has at least; its true speed is not told.
@@ -376,7 +391,7 @@
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
     // Ailing is this backend's own trouble: others may well have room.
-    host_.nack(id, advice(wait), !ailing_ && (no_retry || shortage_ > storm_at()));
+    host_.nack(id, advice(wait), !ailing_ && (no_retry || storming()));
     erase(id);
   }
   void fail(OpId id) {
@@ -438,6 +453,25 @@
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
+  // First tries tell one of the few waits that callers have as a habit; where further ones are not marked,
+  // they show by telling what is left of their client's patience, which is any wait.
+  bool unusual_wait(const Op& op) {
+    auto& waits = rows_[static_cast<std::size_t>(op.type)].waits;
+    const double told = op.remaining_wait + op.age;
+    auto at = waits.end();
+    double all = 1;
+    for (auto it = waits.begin(); it != waits.end(); ++it) {
+      all += it->second *= kWaitFade;
+      if (std::abs(it->first - told) < kWaitWidth * told) at = it;
+    }
+    if (at == waits.end()) {
+      at = std::min_element(waits.begin(), waits.end(),
+                            [](const auto& a, const auto& b) { return a.second < b.second; });
+      *at = {told, 0};
+    }
+    at->second += 1;
+    return all > kWaitsSeen && at->second < kUsualWait * all;
+  }
   void on_op(const Op& op) {
     const double now = last_;
     const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
@@ -447,6 +481,8 @@
     if (fits(op)) largest_kb_ = std::max(largest_kb_, op.held_kb);
     if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
     note_caller(op.caller);
+    const bool again = op.again || (op.remaining_wait > 0 && unusual_wait(op));
+    repeats_ += ((again ? 1 : 0) - repeats_) / kShortageMemory;
     last_read_ = now;
     Slot s;
     s.op = op;
@@ -458,7 +494,7 @@
     // The target counts from the first try; a further try has spent an unknown part of it.
     // Where it tells its wait, not more than its client's whole patience less that: a try that came fresh
     // from a full table or a nack has lost next to nothing, and was refused as if it had.
-    double spent = op.again ? kAgainSpent * type.target_latency : 0;
+    double spent = again ? kAgainSpent * type.target_latency : 0;
     if (op.remaining_wait > 0) spent = std::clamp(type.op_timeout - op.remaining_wait - op.age, 0.0, spent);
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
 
@@ -1033,6 +1069,7 @@
   double idle_ = 0, said_idle_ = 0, returns_ = 1;
   std::vector<std::pair<std::uint32_t, double>> callers_;
   double ailing_since_ = 0, last_read_ = 0;
+  double repeats_ = 0;  // share of the ops read that are further tries
   double stay_away_ = 1, level_ = 0, said_ = -1, shortage_ = 0;
   int nacked_since_tick_ = 0;
   double last_, created_;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -398,6 +398,30 @@
   for (OpId id = 29; id <= 31; ++id) b.arrives(b.op(id));
 }
 
+// One of 300 backends: some nacks alone leave callers free to try elsewhere. Once further tries are read,
+// marked or told by a wait that is nobody's habit, there is no room elsewhere either, and nacks ask not to.
+void elsewhere() {
+  Settings s = plain_settings();
+  s.servers = 300;
+  for (const bool marked : {true, false}) {
+    Backend b(s);
+    b.learn(0, 1.0);
+    b.quiet(true);
+    OpId id = 0;
+    const auto arrives = [&](double wait, bool again) {
+      Op op = b.op(++id);
+      op.remaining_wait = wait;
+      op.again = again;
+      b.arrives(op);
+    };
+    for (int i = 0; i < 14; ++i) arrives(2.4, false);
+    b.quiet(false);
+    arrives(2.4, false);
+    for (int i = 0; i < 2; ++i) arrives(marked ? 2.4 : 3.1 + 0.3 * i, marked);
+    arrives(2.4, false);
+  }
+}
+
 // An op that tells its work is judged by it: the long one misses and is nacked at once, the short one and the
 // untold one wait, though the three are of one op type.
 void hints() {
@@ -617,6 +641,7 @@
     {"announce", announce},
     {"silence", silence},
     {"storm", storm},
+    {"elsewhere", elsewhere},
     {"further_try", further_try},
     {"important_first", important_first},
     {"hints", hints},
