A customer is over its share only if its part of what is read here is over its part too

Per host (tap): eight hosts read 250 to 290 ops and nack 27 to 40% at 0.8 to 0.94 busy, seven read 90 to 100 and idle; counted by reason, 500 of 1,000 nacks are of customers taken to be over their quota. The assumption that fell: that a customer's traffic spreads evenly over the servers, so that 1.1 x quota / servers is its share here. Line to blame: within_quota. Now a customer counts as over its share only if, besides, its part of the last 60 ops read here is over 1.1 x its part of all quotas. May hurt where one customer alone comes to a backend: it is over its part there, as before. Test: skewed (the old text refuses the even one).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,6 +70,8 @@
 constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
 constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
 constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
+constexpr double kMixMemory = 60;        // ops read; a customer's burst shows within seconds
+constexpr double kMixRoom = 1.1;         // x its part of the quotas: small numbers are uneven by chance
 constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
@@ -198,6 +200,7 @@
 struct Bucket {
   double tokens = 0;
   double filled = 0;
+  double mix = 0;  // its part of the ops read
 };
 
 }  // namespace
@@ -213,7 +216,9 @@
         callers_(kCallersKept, {0, -1e9}),
         last_(now),
         created_(now) {
-    for (std::size_t i = 0; i < buckets_.size(); ++i) buckets_[i] = {bucket_size(i), now};
+    for (const Customer& customer : set_.customers) quotas_ += customer.quota_per_s;
+    for (std::size_t i = 0; i < buckets_.size(); ++i)
+      buckets_[i] = {bucket_size(i), now, set_.customers[i].quota_per_s / quotas_};
     for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
     for (std::size_t i = 0; i < rows_.size() && i < prior.types.size(); ++i) {
       rows_[i].run.begin_with(prior.types[i].run);
@@ -435,7 +440,11 @@
     Bucket& b = buckets_[i];
     b.tokens = std::min(b.tokens + (last_ - b.filled) * quota_here(i), bucket_size(i));
     b.filled = last_;
-    return b.tokens >= 1;
+    // Traffic that is spread unevenly over the fleet brings more of every customer to some backends: only one
+    // whose part of what is read here is over its part of all quotas can be over its share. Guards against a
+    // zone that carries most of the load and refused half of it as beyond the shares.
+    for (Bucket& other : buckets_) other.mix += ((&other == &b ? 1 : 0) - other.mix) / kMixMemory;
+    return b.tokens >= 1 || b.mix <= kMixRoom * set_.customers[i].quota_per_s / quotas_;
   }
   // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or
   // subject that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
@@ -518,7 +527,10 @@
       if (why == "busy") nacked_since_tick_ += 1;
       return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
     }
-    if (!buckets_.empty() && in_quota) buckets_[static_cast<std::size_t>(op.customer)].tokens -= 1;
+    if (!buckets_.empty() && in_quota) {
+      double& tokens = buckets_[static_cast<std::size_t>(op.customer)].tokens;
+      tokens = std::max(0.0, tokens - 1);
+    }
     Slot& kept = admit(s);
     if (type.effect == Effect::kKeyed) keep_key(op.id, kept, std::max(set_.resolution, type.window - op.age));
     // Reads may share an answer where the site allows it: a hot key then costs one run, not many.
@@ -1046,6 +1058,7 @@
   Pcg chance_;
   std::vector<Row> rows_;
   std::vector<Bucket> buckets_;
+  double quotas_ = 1e-9;  // ops a second of all customers; never a divisor of 0
   std::map<OpId, Slot> ops_;
   std::deque<OpId> line_;  // held ops, in the order in which they came
   std::deque<OpId> call_line_;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -383,6 +383,30 @@
   b.until(5);
 }
 
+// A backend that much of the fleet's traffic comes to: customers who keep to their parts of it are within
+// their shares though each sends more than an even part; one that sends most of it is not.
+void skewed() {
+  Settings s = plain_settings();
+  s.customers = {{20}, {20}};
+  s.servers = 20;
+  for (OpType& type : s.op_types) type.target_latency = type.op_timeout = 20;
+  for (const bool even : {true, false}) {
+    Backend b(s);
+    b.learn(0, 0.1);
+    b.quiet(true);
+    for (OpId id = 1; id <= 40; ++id) {
+      Op op = b.op(id);
+      op.customer = even || id > 30 ? static_cast<int>(id % 2) : 1;
+      b.arrives(op);
+      if (id > 2 && id < 35) b.ends(id - 2);
+    }
+    b.quiet(false);
+    Op op = b.op(41);
+    op.customer = 1;
+    b.arrives(op);
+  }
+}
+
 // Most newcomers nacked: callers are asked to stay away longer and not to try elsewhere, but for less long
 // while cores idle all the same.
 void storm() {
@@ -640,6 +664,7 @@
     {"shares", shares},
     {"announce", announce},
     {"silence", silence},
+    {"skewed", skewed},
     {"storm", storm},
     {"elsewhere", elsewhere},
     {"further_try", further_try},
