--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -265,6 +265,30 @@
   site.counters({"calls.made", "calls.refused", "calls.broken", "calls.unreachable", "below.broken"});
 }
 
+// Ops that must never take effect twice, at a site without load reports: a call is repeated only when the
+// last one is proven not run, and what has run is failed when it is due, never nacked.
+void unsafe() {
+  Site site("", "",
+            {R"([{"name":"push","semantics":"fragile","target":900,"give-up":3000},)"
+             R"({"name":"pull","semantics":"fragile","target":400,"give-up":800}])",
+             ""},
+            R"("stats":{"how":"off","columns":[]},)");
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "pull");
+  site.runtime_hears(2);
+  site.runtime_says("wants 1 " + kId1 + " 4\r\ncall");
+  site.below_hears(2);
+  site.below_says(kId1 + " overload");
+  site.below_hears(2);
+  site.below_breaks();
+  site.caller_hears(caller);
+  site.send_op(caller, 2, "push", R"("ram":10,"limit":300)");
+  site.runtime_hears(3);
+  site.caller_hears(caller);
+  site.counters({"calls.made", "calls.refused", "calls.broken", "ops.nacked", "ops.failed"});
+}
+
 // An op that is due is answered though its run goes on; a run that ends later gives no second answer.
 void due() {
   Site site;
@@ -500,6 +524,7 @@
                                                            {"missing_notice", missing_notice},
                                                            {"spoilt_replies", spoilt_replies},
                                                            {"calls", calls},
+                                                           {"unsafe", unsafe},
                                                            {"due", due},
                                                            {"leaving", leaving},
                                                            {"flood", flood},
