Turns at a slow layer are reckoned by its pace; a layer that is well again is noticed sooner

Now the turn is reckoned by the pace while calls are slow, and a quick call after slow ones halves the recent call time (a twelfth, then a quarter before).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,7 +61,8 @@
 constexpr double kPatience = 4;          // x the 95th percentile of calls: past it they hardly ever return
 constexpr double kLeastPatience = 0.25;  // s; a crowded layer below must not be crowded more by early repeats
 constexpr double kMostTurned = 0.9;      // share of calls turned away that is reckoned with: some get through
-constexpr double kCallFall = 4;          // calls; a layer that is well again shows it in a few
+constexpr double kCallFall = 4;          // calls; one that is given up tells more than one that is late
+constexpr double kQuickCall = 2;         // calls; a layer that is well again shows it in two or three
 constexpr double kInHandMemory = 20;     // s; the usual load below, beyond a burst or a lull
 constexpr double kInHandLeast = 1;       // s of usual calls before their load is believed
 constexpr double kLeastInHand = 0.01;    // calls; a load so small still gives a finite wait
@@ -819,7 +820,11 @@
       Slot& s = ops_.at(id);
       // The mean of dozens of calls lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
-      if (by_importance) left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
+      if (calls_slow()) {
+        left -= calls_before(i) * recent_call_ / std::max(usual_in_hand(), kLeastInHand) + call_rest();
+      } else if (by_importance) {
+        left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
+      }
       if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
         call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
         skip(id, s);
@@ -869,7 +874,7 @@
     if (outcome == Outcome::kTimeout) recent_call_ += std::max(0.0, spent - recent_call_) / kCallFall;
     if (outcome == Outcome::kOk) {
       calls_.add(spent);
-      recent_call_ += (spent - recent_call_) / (spent < recent_call_ ? kCallFall : kErrorMemory);
+      recent_call_ += (spent - recent_call_) / (spent < recent_call_ ? kQuickCall : kErrorMemory);
       if (!calls_slow() && call_bound_ < call_ceiling_) {
         call_bound_ = std::min(call_ceiling_, call_bound_ + 1 / call_bound_);
         if (call_bound_ >= call_ceiling_) host_.log("calls: bound back at its usual");
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -221,11 +221,11 @@
 // A layer below that turns slow gets no more calls in hand than it had when it was well: after the first long
 // one the others go one by one with a rest between, and an op whose call would come too late is nacked on
 // arrival, before any work is spent on it. A type that calls nothing is taken as before.
-void paced_calls() {
+void paced(double worth_without) {
   Settings s = plain_settings();
   s.below = Below::kShared;
   s.dep_share = 4;
-  for (OpType& type : s.op_types) type.calls = true;
+  for (OpType& type : s.op_types) type.calls = true, type.worth_without = worth_without;
   s.op_types.push_back(s.op_types[0]);
   s.op_types[2].calls = false;
   Backend b(s);
@@ -263,6 +263,11 @@
   b.call_ends(32, Outcome::kOk);
   b.until(now + 1.5);
 }
+void paced_calls() { paced(0); }
+
+// The same where answers without the call are worth something: whose turn the pace brings too late goes on
+// without at once, and stands in nobody's way.
+void paced_without() { paced(0.5); }
 
 // Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
 void leaving() {
@@ -654,6 +659,7 @@
     {"calls", calls},
     {"slow_calls", slow_calls},
     {"paced_calls", paced_calls},
+    {"paced_without", paced_without},
     {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
