While calls are slow one goes at least every 5 s, so that no backend stays off for good

The rest between calls ends after 5 s, in the reckoning of turns too. Test: paced_rarely (the old text rests longer and then sends both at once).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,22 +66,23 @@
 constexpr double kInHandMemory = 20;     // s; the usual load below, beyond a burst or a lull
 constexpr double kInHandLeast = 1;       // s of usual calls before their load is believed
 constexpr double kLeastInHand = 0.01;    // calls; a load so small still gives a finite wait
-constexpr double kCreditDepth = 0.5;     // call s owed at most, and s of the usual load that may be saved up
-constexpr int kCallTries = 3;            // calls for one need; more only add to a trouble below
-constexpr double kCallBackoff = 0.05;    // s; doubled a try, by chance up to twice as long
-constexpr double kQuotaRoom = 1.1;       // x the even part of a quota: callers do not spread evenly
-constexpr double kQuotaBurst = 1.5;      // s of quota that a customer may send at once
-constexpr double kMixMemory = 60;        // ops read; a customer's burst shows within seconds
-constexpr double kMixRoom = 1.1;         // x its part of the quotas: small numbers are uneven by chance
-constexpr double kQuotaSpread = 6;       // ops on top: a small quota split over many backends comes in clumps
-constexpr double kHeavyPart = 0.5;       // of the pool in use by one caller or subject: it loses room first
-constexpr double kShortageMemory = 30;   // ops read; long enough to tell a storm from a cluster
-constexpr double kStorm = 0.5;        // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kStormAlone = 0.35;  // that share in a large tier where no further tries are seen
-constexpr double kRepeats = 0.05;     // share of further tries; with room elsewhere hardly any come here
-constexpr double kWaitFade = 0.98;    // an op of the type; a habit is told by some fifty
-constexpr double kWaitWidth = 0.015;  // of the wait; what clocks and the way add to a habitual one
-constexpr double kWaitsSeen = 10;     // ops; before, none is unusual
+constexpr double kCallProbe = 5;  // s; the longest rest between calls: they still tell when the layer is well
+constexpr double kCreditDepth = 0.5;    // call s owed at most, and s of the usual load that may be saved up
+constexpr int kCallTries = 3;           // calls for one need; more only add to a trouble below
+constexpr double kCallBackoff = 0.05;   // s; doubled a try, by chance up to twice as long
+constexpr double kQuotaRoom = 1.1;      // x the even part of a quota: callers do not spread evenly
+constexpr double kQuotaBurst = 1.5;     // s of quota that a customer may send at once
+constexpr double kMixMemory = 60;       // ops read; a customer's burst shows within seconds
+constexpr double kMixRoom = 1.1;        // x its part of the quotas: small numbers are uneven by chance
+constexpr double kQuotaSpread = 6;      // ops on top: a small quota split over many backends comes in clumps
+constexpr double kHeavyPart = 0.5;      // of the pool in use by one caller or subject: it loses room first
+constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
+constexpr double kStorm = 0.5;          // share of newcomers nacked; over it most of what is read are repeats
+constexpr double kStormAlone = 0.35;    // that share in a large tier where no further tries are seen
+constexpr double kRepeats = 0.05;       // share of further tries; with room elsewhere hardly any come here
+constexpr double kWaitFade = 0.98;      // an op of the type; a habit is told by some fifty
+constexpr double kWaitWidth = 0.015;    // of the wait; what clocks and the way add to a habitual one
+constexpr double kWaitsSeen = 10;       // ops; before, none is unusual
 constexpr double kUsualWait =
     0.1;                          // share of ops that tell about the same; a habit of fewer is taken for none
 constexpr double kWalkTier = 25;  // backends; a larger tier has callers walk on over more of its backends
@@ -749,9 +750,15 @@
   // hands. It may hurt where the usual load below was far under what the layer bears even when slow.
   double usual_in_hand() const {
     const double part = set_.below == Below::kShared ? set_.dep_share * kCallShare : call_ceiling_;
-    return in_hand_over_ > kInHandLeast ? std::min(part, in_hand_ / in_hand_over_) : part;
+    return std::max(kLeastInHand,
+                    in_hand_over_ > kInHandLeast ? std::min(part, in_hand_ / in_hand_over_) : part);
+  }
+  // A backend that used to call little would never hear that the layer is well again: hence the longest rest.
+  double call_gap() const { return std::min(recent_call_ / usual_in_hand(), kCallProbe); }
+  double call_rest() const {
+    const double owed = std::max(0.0, -call_credit_) / usual_in_hand();
+    return std::min(owed, std::max(0.0, call_at_ + kCallProbe - last_));
   }
-  double call_rest() const { return std::max(0.0, -call_credit_) / std::max(usual_in_hand(), kLeastInHand); }
   // How long the calls of an op take while calls are slow: those of its equals and betters go first.
   double slow_calls(const Slot& s) const {
     double ahead = 0;
@@ -764,8 +771,7 @@
       ahead += std::max(0.0, rows_[static_cast<std::size_t>(other.op.type)].calls - other.calls);
     }
     const double own = rows_[static_cast<std::size_t>(s.op.type)].calls;
-    return own * recent_call_ + call_rest() +
-           (ahead + own - 1) * recent_call_ / std::max(usual_in_hand(), kLeastInHand);
+    return own * recent_call_ + call_rest() + (ahead + own - 1) * call_gap();
   }
   // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the
   // more important go first. A call that could only return too late is left out where its answer is still
@@ -774,7 +780,7 @@
     const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
     const bool shared = set_.below == Below::kShared;
     while (calling_ < static_cast<int>(call_bound_)) {
-      if (calls_slow() && call_credit_ <= 0) {
+      if (calls_slow() && call_rest() > 0) {
         if (!call_line_.empty()) wake(last_ + std::max(set_.resolution, call_rest()));
         break;
       }
@@ -813,6 +819,7 @@
       s.since = last_;
       ++s.call_tries;
       ++calling_;
+      call_at_ = last_;
       host_.call(id, patience);
     }
     for (std::size_t i = 0; i < call_line_.size();) {
@@ -821,7 +828,7 @@
       // The mean of dozens of calls lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
       if (calls_slow()) {
-        left -= calls_before(i) * recent_call_ / std::max(usual_in_hand(), kLeastInHand) + call_rest();
+        left -= calls_before(i) * call_gap() + call_rest();
       } else if (by_importance) {
         left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
       }
@@ -1079,7 +1086,7 @@
   double recent_call_ = 0, call_ceiling_ = 1, call_bound_ = 1, call_drop_at_ = 0;
   double call_depth_ = 0, call_budget_ = 0;  // call seconds below
   double in_hand_ = 0, in_hand_over_ = 0;    // call seconds while calls took their usual time, and s
-  double call_credit_ = 0;                   // call seconds; what the pace of slow calls has left
+  double call_at_ = 0, call_credit_ = 0;     // call seconds; what the pace of slow calls has left
   double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -269,6 +269,33 @@
 // without at once, and stands in nobody's way.
 void paced_without() { paced(0.5); }
 
+// A backend that hardly called while the layer was well has next to no pace: all the same it calls after a
+// few seconds, and a quick answer ends the spell.
+void paced_rarely() {
+  Settings s = plain_settings();
+  s.below = Below::kShared;
+  s.dep_share = 4;
+  for (OpType& type : s.op_types) type.calls = true, type.target_latency = type.op_timeout = 60;
+  Backend b(s);
+  b.quiet(true);
+  double now = 0;
+  for (OpId id = 1; id <= 8; ++id) {
+    const bool well = id <= 3;
+    b.until(now += well ? 8 : 1);
+    b.arrives(b.op(id));
+    b.needs_call(id);
+    b.until(now += well ? 0.02 : 0.25);
+    b.call_ends(id, well ? Outcome::kOk : Outcome::kTimeout);
+    if (!well) b.gone(id);
+    b.ends(id, well ? Outcome::kOk : Outcome::kCancelled);
+  }
+  b.quiet(false);
+  for (OpId id = 11; id <= 12; ++id) b.arrives(b.op(id)), b.needs_call(id);
+  b.until(now += 8);
+  b.call_ends(11, Outcome::kOk);
+  b.until(now + 8);
+}
+
 // Leaving: bad health at once, late newcomers never run, everything is answered before the stop.
 void leaving() {
   Backend b(plain_settings());
@@ -660,6 +687,7 @@
     {"slow_calls", slow_calls},
     {"paced_calls", paced_calls},
     {"paced_without", paced_without},
+    {"paced_rarely", paced_rarely},
     {"small_part", small_part},
     {"leaving", leaving},
     {"cold", cold},
