Keyed ops, shared answers and customers are served by the settings alone

Logs: "op type 'hold' is keyed; this program keeps keys only with 'results' enabled in an operators' file" and "'customers' is not empty; ops on sockets do not name theirs yet".

Cause: unserved() in src/settings/config.cpp refused the start where settings have keyed op types, 'fresh' or customers; 'run' has no operators' file. Ruled out by a trial on a scratch copy that the requests lack what is needed: keyed ones carry "unique", further tries "second", customers "team", the platform's own names.

Change: without an operators' file, keys are kept in memory (a fifth of the limit, 8 MB at most), told by "unique"; customers are known by name, one that is missing or unknown is a bad parameter; "second" reaches the module as a further try. The refusal goes for relays; two levels and AJP still refuse customers, in words. A reload with another deployment's file no longer sets the bounds of keys to nothing (Recall::reconfigure): its settings have no keyed types, ours stay; and a line says that new settings are taken at the next start.

Tests: settings_keyed, _window, _customers, _shapes (one op type, twenty, none that calls below), _reload; each seen to fail without its defence. tests/settings_shape gains the shapes of customers.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -67,12 +67,13 @@
         peers::Forwarders::Limits{fit, output, part(config_.limits, kKeptShare)}, events, counters_, log_);
   }
   const peers::Callers::Marks keys = marks(config_, options_.results);
+  const peers::Callers::Names names{site.type_names, site.customer_names};
   const AjpOptions& ajp = options_.ajp;
   if (ajp.listen.empty()) {
     const int fit = links_that_fit(config_.limits, peers::Callers::kMostInput);
     make_door(fit, {1});
     conns::Share* share = door_ ? &door_->share() : nullptr;
-    return std::make_unique<peers::Callers>(reactor_, config_.listen, site.type_names, keys,
+    return std::make_unique<peers::Callers>(reactor_, config_.listen, names, keys,
                                             peers::Callers::Limits{fit, output, share, 0, door_.get()},
                                             events, counters_, log_);
   }
@@ -83,8 +84,8 @@
   if (!door_) share_ = std::make_unique<conns::Share>(static_cast<std::size_t>(fit), floors);
   conns::Share& share = door_ ? door_->share() : *share_;
   auto callers = std::make_unique<peers::Callers>(
-      reactor_, config_.listen, site.type_names, keys,
-      peers::Callers::Limits{fit, output / 2, &share, 0, door_.get()}, events, counters_, log_);
+      reactor_, config_.listen, names, keys, peers::Callers::Limits{fit, output / 2, &share, 0, door_.get()},
+      events, counters_, log_);
   peers::AjpCallers::Self self{site.type_names, keys.needed, keys.longest, {}, draw_epoch()};
   for (const OpType& type : site.settings.op_types) self.op_timeouts.push_back(type.op_timeout);
   auto second = std::make_unique<peers::AjpCallers>(reactor_, std::move(self), ajp, output / 2, share, 1,
@@ -177,6 +178,9 @@
             next.roster);
   if (next.listen != config_.listen || next.name != config_.name)
     log_.warn("backend", "a new name or listening address is taken at the next start only");
+  if (next.site.type_names != config_.site.type_names ||
+      next.site.customer_names != config_.site.customer_names)
+    log_.warn("backend", "new settings are taken at the next start only");
   runtime_.move_to(config_.runtime = next.runtime);
   config_.below = next.below;
   if (ajp_below_ == nullptr) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -23,6 +23,7 @@
   std::optional<OperatorFile> operators;  // none: everything in it is off
 };
 std::string operator_path(const cxxopts::ParseResult& flags);  // empty: none
+OperatorOptions options_of(const Chosen& chosen);  // in force, those that the settings ask for too
 Chosen usable_choice(const cxxopts::ParseResult& flags);
 
 int serve_command(const cxxopts::ParseResult& flags);
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -39,7 +39,7 @@
       log_(log),
       forward_(reactor_, ports_, config_.site, options_.forward, options_.results,
                part(config_.limits, kBodyShare), draw_epoch(), counters_, log_),
-      callers_(reactor_, config_.listen, config_.site.type_names, marks(config_, options_.results),
+      callers_(reactor_, config_.listen, {config_.site.type_names, {}}, marks(config_, options_.results),
                {connections_that_fit(config_.limits, kMostPlanners, peers::Callers::kMostInput),
                 part(config_.limits, kOutputShare)},
                forward_, counters_, log_),
--- a/src/app/serve_command.cpp
+++ b/src/app/serve_command.cpp
@@ -37,11 +37,17 @@
   return from_flag_or(flags, "operator", kOperatorVariable);
 }
 
+OperatorOptions options_of(const Chosen& chosen) {
+  OperatorOptions options = chosen.operators ? chosen.operators->options : OperatorOptions{};
+  serve_settings(chosen.config, std::string(wire::kMarkParam), options);
+  return options;
+}
+
 Chosen usable_choice(const cxxopts::ParseResult& flags) {
   Chosen chosen{read_config(config_path(flags)), std::nullopt};
   const std::string path = operator_path(flags);
   if (!path.empty()) chosen.operators = read_operator_file(path);
-  const OperatorOptions options = chosen.operators ? chosen.operators->options : OperatorOptions{};
+  const OperatorOptions options = options_of(chosen);
   const std::string lacking = unserved(chosen.config, options);
   if (!lacking.empty()) throw SettingsError(lacking);
   if (options.results.enabled && wire::is_param(options.results.key_field)) {
@@ -69,12 +75,19 @@
 
 Choice choice_of(const cxxopts::ParseResult& flags) {
   const Chosen chosen = usable_choice(flags);
-  return {chosen.config, chosen.operators ? chosen.operators->options : OperatorOptions{}};
+  return {chosen.config, options_of(chosen)};
+}
+
+// Between the two levels ops do not name their customer yet.
+void refuse_customers(const Choice& choice) {
+  if (!choice.config.site.settings.customers.empty())
+    throw SettingsError("settings: 'customers' is not empty; forwarders and planners do not tell them apart");
 }
 
 // A forwarder is nothing without planners.
 Choice forwarder_choice_of(const cxxopts::ParseResult& flags) {
   Choice choice = choice_of(flags);
+  refuse_customers(choice);
   const std::vector<std::string>& planners = choice.options.forward.planners;
   const bool told = choice.options.forward.from_members && choice.options.members.enabled();
   if (planners.empty() && !told)
@@ -85,7 +98,11 @@
 
 int run_backend(Role role, const cxxopts::ParseResult& flags) {
   Logger log = make_logger(flags);
-  const auto reread = [&flags] { return choice_of(flags); };
+  const auto reread = [&flags, role] {
+    Choice choice = choice_of(flags);
+    if (role == Role::kPlanner) refuse_customers(choice);
+    return choice;
+  };
   const Choice choice = reread();
   Backend backend(role, choice, reread, log);
   return backend.run();
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -28,8 +28,8 @@
 
 }  // namespace
 
-Callers::Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names,
-                 Marks marks, Limits limits, CallerEvents& events, Counters& counters, Logger& log)
+Callers::Callers(net::Reactor& reactor, const std::string& listen, const Names& names, Marks marks,
+                 Limits limits, CallerEvents& events, Counters& counters, Logger& log)
     : reactor_(reactor),
       marks_(std::move(marks)),
       limits_(limits),
@@ -51,7 +51,9 @@
         [](double come_back_in) { return wire::encode_nack(0, come_back_in / kSecondsPerMs, false); });
   }
   look_over();
-  for (std::size_t i = 0; i < type_names.size(); ++i) types_[type_names[i]] = static_cast<int>(i);
+  for (const std::string& name : names.types) types_.emplace(name, static_cast<int>(types_.size()));
+  for (const std::string& name : names.customers)
+    customers_.emplace(name, static_cast<int>(customers_.size()));
 }
 
 Callers::~Callers() {
@@ -238,6 +240,13 @@
     return put(caller, wire::encode_error(request.id, wire::RpcError::kParams,
                                           request.has_mark ? "bad key" : "no key"));
   }
+  // Guards against an op whose share nobody could count: it would use another customer's.
+  const auto customer = customers_.find(request.customer);
+  if (!customers_.empty() && customer == customers_.end()) {
+    counters_.add(Count::kBadParams);
+    return put(caller, wire::encode_error(request.id, wire::RpcError::kParams,
+                                          request.customer.empty() ? "no customer" : "unknown customer"));
+  }
   if (events_.in_use(request.txn)) {
     counters_.add(Count::kBadIds);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kRequest, "txn in use"));
@@ -245,7 +254,9 @@
   IncomingOp op;
   op.id = request.txn;
   op.type = type->second;
+  if (customer != customers_.end()) op.customer = customer->second;
   op.caller = request.caller;
+  op.again = request.again;
   op.key = request.has_item ? request.item : 0;
   op.held_kb = request.held_kb;
   op.door = request.door_ms * kSecondsPerMs;
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -35,8 +35,13 @@
     std::size_t longest = 0;   // bytes
     std::vector<bool> needed;  // by op type
   };
-  Callers(net::Reactor& reactor, const std::string& listen, std::vector<std::string> type_names, Marks marks,
-          Limits limits, CallerEvents& events, Counters& counters, Logger& log);
+  // What ops and customers are called; their positions are what the stages know them by.
+  struct Names {
+    std::vector<std::string> types;
+    std::vector<std::string> customers;  // none: ops name no customer
+  };
+  Callers(net::Reactor& reactor, const std::string& listen, const Names& names, Marks marks, Limits limits,
+          CallerEvents& events, Counters& counters, Logger& log);
   ~Callers() override;
 
   void answer_acked(Ticket ticket, std::string_view result) override;
@@ -95,7 +100,7 @@
   bool hold_reading(Caller& caller);
 
   net::Reactor& reactor_;
-  std::unordered_map<std::string, int> types_;
+  std::unordered_map<std::string, int> types_, customers_;
   const Marks marks_;
   Limits limits_;
   CallerEvents& events_;
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -20,7 +20,9 @@
 struct IncomingOp {
   OpId id = 0;
   int type = 0;
+  int customer = 0;  // position among the site's; 0 where it has none
   std::uint32_t caller = 0;
+  bool again = false;     // a further try, where callers mark those
   std::uint64_t key = 0;  // 0: none
   double held_kb = 0;
   double door = 0;   // Unix s, when it came to the machine; 0: not told
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -55,6 +55,17 @@
   return value;
 }
 
+// Ops name their type and their customer by one word, so each is told apart by it.
+void names_apart(const std::vector<std::string>& names, const std::string& key) {
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (names[i].empty() || names[i].find_first_of(" \t\r\n") != std::string::npos)
+      bad(key, "has an entry without a 'name' of one word");
+    if (std::find(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(i), names[i]) !=
+        names.begin() + static_cast<std::ptrdiff_t>(i))
+      bad(key, "has two entries of one name");
+  }
+}
+
 }  // namespace
 
 Config parse_config(const std::string& source) {
@@ -84,15 +95,8 @@
   const auto settings = top.find("settings");
   if (settings == top.end()) bad("settings", "is missing");
   config.site = read_settings(*settings);
-  for (std::size_t i = 0; i < config.site.type_names.size(); ++i) {
-    const std::string& type = config.site.type_names[i];
-    if (type.empty() || type.find_first_of(" \t\r\n") != std::string::npos) {
-      bad("request-classes", "has an entry without a 'name' of one word");
-    }
-    for (std::size_t j = 0; j < i; ++j) {
-      if (config.site.type_names[j] == type) bad("request-classes", "names a type twice");
-    }
-  }
+  names_apart(config.site.type_names, "request-classes");
+  names_apart(config.site.customer_names, "customers");
   if (config.site.settings.below != Below::kOff && config.below.empty()) {
     bad("backend", "is missing, but the settings have a layer below");
   }
@@ -115,19 +119,12 @@
 // program itself and open ops have theirs.
 constexpr double kResultsShare = 0.2;
 constexpr double kBytesPerMb = 1024 * 1024;
+constexpr double kImpliedMemory = 8 * kBytesPerMb;  // bytes at most, as an operators' file has by default
+constexpr std::size_t kImpliedEntryBytes = 400;     // of a key without its result: so many keys fit
+constexpr std::size_t kImpliedKeyLength = 255;      // bytes; the most that a directive may allow
 
 std::string unserved_results(const Config& config, const ResultsOptions& results) {
   const StartSettings& site = config.site;
-  for (std::size_t i = 0; i < site.settings.op_types.size(); ++i) {
-    if (site.settings.op_types[i].effect == Effect::kKeyed && !results.enabled) {
-      return "settings: op type '" + site.type_names[i] +
-             "' is keyed; this program keeps keys only with 'results' enabled in an operators' file";
-    }
-  }
-  if (site.settings.fresh > 0 && !results.enabled) {
-    return "settings: 'fresh' is above 0; this program shares answers only with 'results' enabled in an "
-           "operators' file";
-  }
   if (!results.enabled) return {};
   for (const std::string& type : results.digest) {
     const auto found = std::find(site.type_names.begin(), site.type_names.end(), type);
@@ -147,6 +144,29 @@
 
 }  // namespace
 
+// Where the settings have keyed ops, or answers that reads may share, and no operators' file says how to keep
+// them: in memory, for as long as the process lives. Guards against a start that is refused, and against
+// keyed ops that run twice, at a site whose operators know no such file.
+static ResultsOptions kept_in_memory(const Config& config, const std::string& key_field) {
+  ResultsOptions results;
+  results.enabled = true;
+  const double share = config.limits.memory_mb * kResultsShare * kBytesPerMb;
+  results.memory = static_cast<std::size_t>(std::min(share, kImpliedMemory));
+  results.entries = results.memory / kImpliedEntryBytes;
+  results.patience = 1;  // s; of a store that is not there
+  results.key_field = key_field;
+  results.key_length = kImpliedKeyLength;
+  return results;
+}
+
+void serve_settings(const Config& config, const std::string& key_field, OperatorOptions& options) {
+  if (options.results.enabled) return;
+  const auto& types = config.site.settings.op_types;
+  const bool keyed = std::any_of(types.begin(), types.end(),
+                                 [](const OpType& type) { return type.effect == Effect::kKeyed; });
+  if (keyed || config.site.settings.fresh > 0) options.results = kept_in_memory(config, key_field);
+}
+
 namespace {
 
 std::string unserved_ajp(const Config& config, const AjpOptions& ajp) {
@@ -154,6 +174,8 @@
     return "ajp: below-path '" + ajp.below_uri + "' does not begin with /";
   if (ajp.listen.empty()) return {};
   const StartSettings& site = config.site;
+  if (!site.settings.customers.empty())
+    return "ajp: it listens, but the settings have 'customers', and requests by AJP do not name theirs";
   if (ajp.routes.empty()) return "ajp: it listens, but no 'map' says what a request means";
   const bool loopback = ajp.listen.rfind("127.", 0) == 0 || ajp.listen.rfind("[::1]", 0) == 0;
   if (ajp.secret.empty() && !loopback)
@@ -184,9 +206,6 @@
     return "settings: 'say' is not off; this program announces nothing on sockets yet";
   if (site.settings.below == Below::kTier)
     return "settings: 'below' is a tier; this program calls a shared layer only";
-  if (!site.settings.customers.empty()) {
-    return "settings: 'customers' is not empty; ops on sockets do not name theirs yet";
-  }
   return {};
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -121,7 +121,12 @@
     s.op_types.push_back(type);
   }
   if (s.op_types.empty()) bad("request-classes");
-  for (const Json& entry : array(top, "customers")) s.customers.push_back({number(entry, "quota-per-s", 0)});
+  for (const Json& entry : array(top, "customers")) {
+    s.customers.push_back({number(entry, "quota-per-s", 0)});
+    const Json& name = find(entry, "name");
+    if (!name.is_null() && !name.is_string()) bad("name");
+    start.customer_names.push_back(name.is_null() ? std::string() : name.get<std::string>());
+  }
   s.servers = whole(top, "servers", 0);
   s.callers = whole(family, "callers", 0);
   needed(family, "cores", 1);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,8 +20,9 @@
 
 struct StartSettings {
   Settings settings;
-  std::vector<std::string> type_names;  // by position, as the op types
-  bool list_follows = false;            // the list of backends follows health
+  std::vector<std::string> type_names;      // by position, as the op types
+  std::vector<std::string> customer_names;  // by position, as the customers
+  bool list_follows = false;                // the list of backends follows health
   bool hints = false;    // "hints": "good" or "rough": ops tell their work ("work", ms); "none", the default
   bool by_work = false;  // "counted-by": "work": worth is counted by the unit of work, not by the op
   std::vector<Gauge> gauges;  // in the order in which a wake conveys them
--- a/src/stages/recall.cpp
+++ b/src/stages/recall.cpp
@@ -399,7 +399,8 @@
                     options.key_length == options_.key_length && options.digest == options_.digest &&
                     options.digest_by_caller == options_.digest_by_caller;
   if (!same) log_.warn("results", "only memory, entries and patience are taken without a restart");
-  if (!on()) return;
+  // Guards against a file of another deployment, whose settings ask for no keys: ours stay remembered.
+  if (!on() || !options.enabled) return;
   options_.memory = options.memory;
   options_.entries = options.entries;
   options_.patience = options.patience;
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -31,6 +31,8 @@
   op.key = in.key;
   op.held_kb = in.held_kb;
   op.caller = in.caller;
+  op.customer = in.customer;
+  op.again = in.again;
   op.write = in.key == 0;
   if (site_.hints) op.work_hint = in.work;  // where the site says so; else a caller's figure means nothing
   op.age = in.door > 0 ? std::max(0.0, now - in.door) : 0;
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -70,6 +70,14 @@
     if (in_.kind() != JsonKind::kBool) return wrong();
     return in_.boolean(out);
   }
+  // A mark that is set or not: 0 or 1, as a number or as JSON's own words.
+  bool mark(bool& out) {
+    if (in_.kind() == JsonKind::kBool) return in_.boolean(out);
+    double value = 0;
+    if (!number(value, 0, 1)) return false;
+    out = value > 0;
+    return true;
+  }
   bool body(std::string& out) {
     std::string text;
     if (in_.kind() != JsonKind::kString) return wrong();
@@ -127,8 +135,8 @@
 }
 
 bool is_param(std::string_view name) {
-  constexpr std::string_view kNames[] = {"txn",  "door",     "lb",   "limit", "ram",
-                                         "work", "standing", "item", "probe", "arg"};
+  constexpr std::string_view kNames[] = {"txn",      "door", "lb",    "limit", "ram",  "work",
+                                         "standing", "item", "probe", "arg",   "team", "second"};
   for (const std::string_view known : kNames) {
     if (name == known) return true;
   }
@@ -151,6 +159,11 @@
     if (key == "work") return params.number(out.work_ms, 0, kMostLimitMs);
     if (key == "probe") return params.boolean(out.probe);
     if (key == "arg") return params.body(out.body);
+    if (key == "team") {
+      bool told = false;
+      return params.text(out.customer, told);
+    }
+    if (key == "second") return params.mark(out.again);
     if (!mark_field.empty() && key == mark_field) return params.text(out.mark, out.has_mark);
     if (key != "lb") return in.skip();
     if (!params.number(number, 0, 4294967295.0)) return false;
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -38,9 +38,14 @@
   bool probe = false;
   std::string mark;  // by which a repeat is known
   bool has_mark = false;
+  std::string customer;  // its name; empty: not told
+  bool again = false;    // a further try, where callers mark those
   std::string body;
 };
 
+// The member of the params that holds an op's mark, unless operators name another.
+inline constexpr std::string_view kMarkParam = "unique";
+
 // On a problem the id is filled in where it can be told, so that the request can be answered.
 // `mark_field` names the member of the params that holds an op's mark, a string; empty: none is looked for.
 RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field = {});
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -149,6 +149,8 @@
         << R"("dep-share":4,"calls-over":5000,"linger":200,"calls-by-class":[true,true],"worth-without":[0.5,0],)"
         << R"("list-follows":true,"gauges":["cpu_busy","runnable"])" << more_family_ << "}}}";
   }
+  // What the next configuration file has.
+  void other_types(const std::string& types) { remembering_.types = types; }
   // A new configuration file; a good one moves all peers, a bad one holds only this text.
   void reload(const std::string& bad = "") {
     std::printf("-- a new configuration, %s\n", bad.empty() ? "all peers elsewhere" : bad.c_str());
@@ -434,7 +436,7 @@
 
   std::uint16_t runtime_port_ = 0, below_port_ = 0, roster_port_ = 0, port_ = 0;
   const std::string more_family_, more_top_, more_settings_;
-  const Remembering remembering_;
+  Remembering remembering_;
   int runtime_listener_ = -1, below_listener_ = -1, roster_ = -1, log_ = -1, runtime_ = -1, below_ = -1;
   std::string config_path_;
   pid_t pid_ = -1;
--- /dev/null
+++ b/tests/settings_program.cpp
@@ -0,0 +1,158 @@
+// What one deployment has and another has not: the program by its settings alone, without an operators' file.
+// CTest compares with tests/traces/settings_NAME.txt. usage: settings_program BINARY SCENARIO
+#include "scenarios.h"
+#include "scripted_site.h"
+
+using namespace damsonspoke::standins::scripted;
+
+namespace {
+
+const std::string kMarked = R"("ram":10,"limit":3000,"unique":"MARK")";
+
+std::string marked(const std::string& mark) { return replaced(kMarked, "MARK", mark); }
+
+std::string txn(int id) {
+  char text[20];
+  std::snprintf(text, sizeof text, "%016x", id);
+  return text;
+}
+
+// A keyed op type: its repeats are known by the protocol's own mark, and it runs once.
+void keyed() {
+  Site site("", "",
+            {R"([{"name":"push","target":400,"give-up":3000,"semantics":"dedup","window":20000},)"
+             R"({"name":"pull","target":400,"give-up":800}])",
+             ""});
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", marked("a").c_str());
+  site.runtime_hears(2);
+  site.send_op(caller, 2, "push", marked("a").c_str());
+  site.pause(0.05);
+  site.runtime_says("end 1 " + txn(1) + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.caller_hears(caller);
+  site.send_op(caller, 3, "push", marked("a").c_str());
+  site.caller_hears(caller);
+  site.send_op(caller, 4, "push");  // a keyed op without its mark
+  site.caller_hears(caller);
+  site.send_op(caller, 5, "pull");  // one that needs none
+  site.runtime_hears(2);
+  site.counters({"runs.started", "results.kept", "results.joined", "bad.params"});
+}
+
+// A window shorter than the run: the repeat that waits as it ends still gets the one result, one that comes
+// as the first ends does not run beside it, and only what comes after both runs again.
+void window() {
+  Site site("", "",
+            {R"([{"name":"push","target":2000,"give-up":3000,"semantics":"dedup","window":200}])", ""});
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", marked("a").c_str());
+  site.runtime_hears(2);
+  site.send_op(caller, 2, "push", marked("a").c_str());
+  site.pause(0.5);  // the window is over, the run is not
+  site.send_op(caller, 3, "push", marked("a").c_str());
+  site.pause(0.05);
+  site.signal(SIGSTOP);  // the run's end and another repeat are read in one turn
+  site.pause(0.05);
+  site.runtime_says("end 1 " + txn(1) + " complete 500 6\r\nresult");
+  site.send_op(caller, 4, "push", marked("a").c_str());
+  site.pause(0.05);
+  site.signal(SIGCONT);
+  int acked = 0;
+  for (int i = 0; i < 3; ++i) acked += site.heard(caller).find("cmVzdWx0") != std::string::npos;
+  std::printf("the first and those that waited for it, acked with its result: %d\n", acked);
+  site.pause(0.5);
+  site.send_op(caller, 5, "push", marked("a").c_str());
+  site.pause(0.1);
+  site.counters({"ops.read", "results.conflicts", "results.unknown"});
+}
+
+// Customers are known by name; an op without one, or of another fleet's, is told so and nothing else is lost.
+void customers() {
+  Site site("", "", {}, R"("customers":[{"name":"alba","quota-per-s":7},{"name":"brera","quota-per-s":0}],)");
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", R"("ram":10,"limit":3000,"team":"brera")");
+  site.runtime_hears(2);
+  site.send_op(caller, 2, "push", R"("ram":10,"limit":3000,"team":"cuneo","second":1)");
+  site.caller_hears(caller);
+  site.send_op(caller, 3, "push");
+  site.caller_hears(caller);
+  site.send_op(caller, 4, "push", R"("ram":10,"limit":3000,"team":7)");
+  site.caller_hears(caller);
+  site.send_op(caller, 5, "push", R"("ram":10,"limit":3000,"team":"alba","second":2)");
+  site.caller_hears(caller);
+  site.runtime_says("end 1 " + txn(1) + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.counters({"ops.read", "ops.acked", "bad.params"});
+}
+
+// A new configuration that is another deployment's, with no keyed op type: its addresses are taken, our op
+// types, customers and keys stay.
+void reload() {
+  Site site("", "",
+            {R"([{"name":"push","target":400,"give-up":3000,"semantics":"dedup","window":20000}])", ""});
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", marked("a").c_str());
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + txn(1) + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  site.other_types(R"([{"name":"read","target":400,"give-up":3000}])");
+  site.reload();
+  site.runtime_comes_up("hot 900");
+  site.send_op(caller, 2, "push", marked("a").c_str());
+  site.caller_hears(caller);
+  site.send_op(caller, 3, "push", marked("b").c_str());
+  site.runtime_hears(2);
+  site.send_op(caller, 4, "read");
+  site.caller_hears(caller);
+  site.counters({"runs.started", "results.kept", "results.no_room", "bad.types"});
+}
+
+// One op type, twenty, and none that calls below, where there is no layer below at all.
+void shapes() {
+  const auto serve = [](Site& site, const std::string& type, int notice, bool calls) {
+    site.comes_up();
+    const int caller = site.connect();
+    site.send_op(caller, 1, type.c_str());
+    site.runtime_hears(2);
+    if (calls) {
+      site.runtime_says("wants " + std::to_string(notice++) + " " + txn(1) + " 4\r\ncall");
+      site.below_hears(2);
+      site.below_says(txn(1) + " ok 5\r\nreply");
+      site.runtime_hears(2);
+    }
+    site.runtime_says("end " + std::to_string(notice) + " " + txn(1) + " complete 20 6\r\nresult");
+    site.caller_hears(caller);
+    site.send_op(caller, 2, "of-another-fleet");
+    site.caller_hears(caller);
+  };
+  std::printf("-- one op type\n");
+  Site one(R"(,"calls-by-class":[true],"worth-without":[0])", "",
+           {R"([{"name":"only","target":400,"give-up":3000}])", ""});
+  serve(one, "only", 1, true);
+  std::printf("-- twenty, the calls of the first told and no more\n");
+  std::string types;
+  for (int i = 0; i < 20; ++i)
+    types += (i > 0 ? "," : "") + std::string(R"({"name":"t)") + std::to_string(i) +
+             R"(","target":400,"give-up":3000,"worth":)" + std::to_string(i + 1) + "}";
+  Site twenty("", "", {"[" + types + "]", ""});
+  serve(twenty, "t19", 1, false);
+  std::printf("-- none that calls below\n");
+  Site alone(R"(,"below":"off","calls-by-class":[])", R"(,"backend":null)");
+  serve(alone, "pull", 1, false);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_scenario(argc, argv, binary,
+                      {{"keyed", keyed},
+                       {"window", window},
+                       {"customers", customers},
+                       {"shapes", shapes},
+                       {"reload", reload}});
+}
--- a/tests/settings_shape.cpp
+++ b/tests/settings_shape.cpp
@@ -39,6 +39,9 @@
   show("by work without hints", R"("counted-by": "work", )");
   show("hints of no kind", R"("hints": "sometimes", )");
   show("no load report", R"("stats": {"how": "off", "columns": []}, )");
+  show("customers", R"("customers": [{"name": "a"}, {"name": "b", "quota-per-s": 3}], )");
+  show("one customer twice", R"("customers": [{"name": "a"}, {"name": "a"}], )");
+  show("nameless customer", R"("customers": [{"quota-per-s": 3}], )");
   show("counted by no unit", R"("hints": "good", "counted-by": "hour", )");
   return 0;
 }
