A runtime that began anew is told by its greeting: its runs fail, unsent starts go to it

Cause: Runtime::take (peers/runtime.cpp) took every later `ready` for the same life. A runtime that has begun anew counts its notices from 1, so that all of them were passed over as repeats; its runs' ends never came, their cores stayed charged, and starts that had run in the life before were sent again. Ruled out as a sign: a small number of notices (links break early, too).

Change: a `ready` that says it began after we first heard of it (half a second allowed) is another process: notices count from 1, what it ran is failed and never run again, starts that never left are sent to the new one. Counter runtime.anew.

Tests with bare sockets and the reactor standing still (link_ends_*): reply, timeout, reset and cancel in one turn; a connect made as its timeout ends, one that hangs, one refused; a connection closed before and as it is used again; replies cut at each byte; notices cut; gauges of the old link. None found a fault: "proven not run" was never said of a call of which a byte had left.

--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include "decide.h"
 
@@ -64,6 +65,9 @@
   virtual void on_verdict(std::uint64_t tag, bool good) = 0;
   // A start or a resumption was not carried out: nothing runs.
   virtual void on_not_started(OpId id) = 0;
+  // It has begun anew: what it ran is gone, how far it came is not known. `unsent`: whose start has never
+  // left.
+  virtual void on_runtime_anew(const std::unordered_set<OpId>& unsent) = 0;
 };
 
 class BelowEvents {
--- a/src/peers/runtime.cpp
+++ b/src/peers/runtime.cpp
@@ -12,6 +12,7 @@
 constexpr double kConnectPatience = 1;  // s; a connection on the same machine is made at once or not at all
 constexpr double kSilence = 1;  // s without the answer to `sync` or gauges that is owed: the link is lost
 constexpr double kLostWithLink = 0.25;  // s; 50 ms before the break, and the time until we heard of it
+constexpr double kAnew = 0.5;           // s after we heard of it that it says it began: another process
 constexpr double kSilenceLook = 0.25;   // s; between looks
 constexpr double kGaugesFresh = 0.5;    // s; an older reading says nothing about now
 constexpr std::size_t kInputBytes = 256 * 1024;  // a line with its payload is under 70 KiB
@@ -135,15 +136,40 @@
   return true;
 }
 
+void Runtime::take_ready(const wire::Notice& notice) {
+  greeted_ = true;
+  const double now = net::monotonic_now();
+  if (!ready_) {
+    ready_ = true;
+    ready_at_ = now;
+    log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
+    return events_.on_runtime_ready(notice.cold, notice.ms * kSecondsPerMs);
+  }
+  if (now - notice.ms * kSecondsPerMs > ready_at_ + kAnew) begins_anew();
+}
+
+// The process behind the address is another one: it knows none of the runs and counts its notices from 1.
+// Guards against notices that would be passed over as repeats for ever, ops that wait for ends that never
+// come, and starts that would run a second time what the last one had run.
+void Runtime::begins_anew() {
+  counters_.add(Count::kRuntimeAnew);
+  log_.warn("runtime", "it has begun anew, its runs are gone");
+  last_notice_ = gap_at_ = 0;
+  std::unordered_set<OpId> unsent;
+  std::erase_if(unproven_, [&](const auto& each) {
+    const Unproven& work = each.second.work;
+    const bool never_left = work.number != 0 && work.begins && work.sends == 0;
+    if (never_left) unsent.insert(each.first);
+    return !never_left;
+  });
+  ready_at_ = net::monotonic_now();
+  events_.on_runtime_anew(unsent);
+}
+
 void Runtime::take(const wire::Notice& notice) {
   switch (notice.kind) {
     case wire::NoticeKind::kReady:
-      greeted_ = true;
-      if (!ready_) {
-        ready_ = true;
-        log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
-        events_.on_runtime_ready(notice.cold, notice.ms * kSecondsPerMs);
-      }
+      take_ready(notice);
       return ask_gauges();  // its answer marks the end of what was missed
     case wire::NoticeKind::kRunEnd:
       if (!is_new(notice.number)) return;
@@ -245,10 +271,11 @@
 }
 
 // Until what was missed has been read, commands wait among the unproven.
-void Runtime::command(Unproven& slot, std::string text) {
+void Runtime::command(Unproven& slot, std::string text, bool begins) {
   slot.number = ++commands_;
   slot.text = std::move(text);
   slot.sends = 0;
+  slot.begins = begins;
   if (synced_) send(slot);
 }
 
@@ -259,7 +286,7 @@
 }
 
 void Runtime::start(OpId id, std::string_view type, std::string_view body) {
-  command(unproven_[id].work, wire::encode_start(id, type, body));
+  command(unproven_[id].work, wire::encode_start(id, type, body), true);
 }
 void Runtime::stop(OpId id) { command(unproven_[id].stop, wire::encode_stop(id)); }
 void Runtime::resume(OpId id) { command(unproven_[id].work, wire::encode_resume(id)); }
--- a/src/peers/runtime.h
+++ b/src/peers/runtime.h
@@ -46,6 +46,7 @@
     int sends = 0;             // so far, on this link or another
     double sent_at = 0;        // last
     std::string text;
+    bool begins = false;  // a start: before it is sent nothing runs
   };
   struct UnprovenOf {
     Unproven work;  // start, resume, give, omit: a run takes one at a time
@@ -60,10 +61,12 @@
   void connect();
   void take(const wire::Notice& notice);
   bool is_new(std::uint64_t number);
+  void take_ready(const wire::Notice& notice);
+  void begins_anew();
   void take_gauges(const wire::Notice& notice);
   void take_nack(const wire::Notice& notice);
   void caught_up();
-  void command(Unproven& slot, std::string text);
+  void command(Unproven& slot, std::string text, bool begins = false);
   void send(std::string_view text);
   void send(Unproven& one);
   void look_for_silence();
@@ -80,6 +83,7 @@
   bool greeted_ = false;                     // the runtime has said on this link that it is up
   bool synced_ = false;                      // what was missed has been read on this link
   bool ready_ = false;                       // the runtime has come up
+  double ready_at_ = 0;                      // and when we first heard of it
   std::uint64_t last_notice_ = 0;
   std::uint64_t gap_at_ = 0;    // the missing notice for which the link was opened anew
   double broke_at_ = -1e9;      // when the last link ended
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -1,5 +1,7 @@
 #include "stages/book.h"
 
+#include <algorithm>
+
 #include "net/reactor.h"
 #include "watch/invariants.h"
 
@@ -39,6 +41,14 @@
 void Book::fail(OpenOp& op, peers::Failure why) {
   if (answer(op, Count::kOpsFailed)) peers_.callers->answer_failed(op.ticket, why);
 }
+std::vector<OpId> Book::at_runtime() const {
+  std::vector<OpId> ids;
+  for (const auto& [id, op] : open_) {
+    if (op.run == Run::kOnCores || op.run == Run::kPaused || op.run == Run::kAtCall) ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
 void Book::caller_gone(OpenOp& op) { answer(op, Count::kOpsGone); }
 
 void Book::settle(OpenOp& op) {
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "peers/ports.h"
 #include "watch/counters.h"
@@ -44,6 +45,9 @@
   // Told of each op that the book lets go of, before it does.
   void on_closed(std::function<void(const OpenOp&)> tell) { on_closed_ = std::move(tell); }
 
+  // Ops of which the runtime has something: a run, running, paused or at a call. In the order of their ids.
+  std::vector<OpId> at_runtime() const;
+
   std::size_t unanswered() const { return unanswered_; }
   std::size_t open() const { return open_.size(); }
 
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -39,6 +39,13 @@
 
 void Relay::on_not_started(OpId id) { on_run_ended(id, Outcome::kMoot, 0, {}); }
 
+// What ran may have had its effect: it is failed, never run again.
+void Relay::on_runtime_anew(const std::unordered_set<OpId>& unsent) {
+  for (const OpId id : book_.at_runtime()) {
+    if (!unsent.contains(id)) on_run_ended(id, Outcome::kError, 0, {});
+  }
+}
+
 void Relay::on_call_wanted(OpId id, std::uint64_t notice, std::string_view body) {
   OpenOp* op = book_.find(id);
   if (op == nullptr) return;
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -27,6 +27,7 @@
   void on_call_wanted(OpId id, std::uint64_t notice, std::string_view body) override;
   void on_verdict(std::uint64_t tag, bool good) override { take_in_.on_verdict(tag, good); }
   void on_not_started(OpId id) override;
+  void on_runtime_anew(const std::unordered_set<OpId>& unsent) override;
   void on_call_ended(OpId id, Outcome outcome, double spent, std::string_view reply) override;
 
  private:
--- /dev/null
+++ b/tests/link_ends.cpp
@@ -0,0 +1,416 @@
+// Links whose ends cross what goes over them: calls below and the runtime's link against bare sockets, with
+// the program's reactor standing still while the other side writes, closes or resets. What an end proves is
+// judged by what really left. CTest compares with tests/traces/link_ends_NAME.txt. usage: link_ends -
+// SCENARIO
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "peers/below.h"
+#include "peers/runtime.h"
+#include "scenarios.h"
+#include "stepped_reactor.h"
+
+using namespace damsonspoke;
+
+namespace {
+
+// The other side: a listener on loopback and what came to it, looked at only when the test says so.
+class Bare {
+ public:
+  explicit Bare(int backlog = 64) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(fd_, backlog) != 0) std::abort();
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  ~Bare() {
+    for (const int fd : links_) ::close(fd);
+    if (fd_ >= 0) ::close(fd_);
+  }
+  std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
+  std::uint16_t port() const { return port_; }
+  void refuse() {
+    ::close(fd_);
+    fd_ = -1;
+  }
+  // Accepts what waits; how many links there are.
+  int links() {
+    for (int fd; fd_ >= 0 && (fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0;)
+      links_.push_back(fd);
+    return static_cast<int>(links_.size());
+  }
+  int newest() { return links() > 0 ? links_.back() : -1; }
+  static std::string heard(int fd, double patience = 0) {
+    pollfd one{fd, POLLIN, 0};
+    ::poll(&one, 1, static_cast<int>(patience * 1000));
+    char bytes[65536];
+    const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+    return got > 0 ? std::string(bytes, static_cast<std::size_t>(got)) : std::string();
+  }
+  static void say(int fd, const std::string& text) {
+    if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0) std::printf("(cannot say it)\n");
+  }
+  void close(int fd, bool reset) {
+    const linger now{1, 0};
+    if (reset) ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    ::close(fd);
+    std::erase(links_, fd);
+  }
+
+ private:
+  int fd_ = -1;
+  std::uint16_t port_ = 0;
+  std::vector<int> links_;
+};
+
+bool proves_not_run(Outcome outcome) {
+  return outcome == Outcome::kRefused || outcome == Outcome::kUnreachable || outcome == Outcome::kMoot;
+}
+
+std::string name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk: return "ok";
+    case Outcome::kRefused: return "turned away, never ran";
+    case Outcome::kUnreachable: return "never reached, never ran";
+    case Outcome::kTimeout: return "its time is over, may have run";
+    case Outcome::kReset: return "broken, may have run";
+    case Outcome::kError: return "failed, may have run";
+    case Outcome::kMoot: return "moot, never ran";
+    case Outcome::kCancelled: return "cancelled";
+  }
+  return "?";
+}
+
+// ---- Calls below.
+struct Calls : peers::BelowEvents {
+  explicit Calls(std::size_t most = 8, int backlog = 64)
+      : bare(backlog),
+        log(Level::kError),
+        below(stepped.reactor, bare.address(), most, *this, counters, log) {}
+  ~Calls() override { stepped.end(); }
+  void on_call_ended(OpId id, Outcome outcome, double, std::string_view) override {
+    ends[id].push_back(outcome);
+  }
+  void run(double seconds) { stepped.run_for(seconds); }
+  // Until it has ended, 2 s at most.
+  std::string end_of(OpId id) {
+    for (int i = 0; i < 100 && ends[id].empty(); ++i) run(0.02);
+    run(0.02);
+    if (ends[id].empty()) return "no end";
+    return name_of(ends[id].front()) + (ends[id].size() > 1 ? ", AND ANOTHER END" : "");
+  }
+  // Has it written, and the other side read, the whole call.
+  int made(OpId id, double timeout) {
+    below.call(id, timeout, "body");
+    for (int i = 0; i < 100; ++i) {
+      run(0.01);
+      const int fd = bare.newest();
+      if (fd >= 0 && Bare::heard(fd).find("body") != std::string::npos) return fd;
+    }
+    return -1;
+  }
+  SteppedReactor stepped;
+  Bare bare;
+  Counters counters;
+  Logger log;
+  std::map<OpId, std::vector<Outcome>> ends;
+  peers::Below below;
+};
+
+std::string reply(OpId id) { return fmt::format("{:016x} ok 5\r\nreply\r\n", id); }
+
+// What meets in one turn of the reactor.
+void one_turn() {
+  {
+    Calls c;
+    const int fd = c.made(1, 0.2);
+    ::usleep(250'000);  // its time is over before the reactor looks again; the reply is there too
+    Bare::say(fd, reply(1));
+    fmt::print("reply and timeout: {}\n", c.end_of(1));
+  }
+  {
+    Calls c;
+    const int fd = c.made(1, 5);
+    Bare::say(fd, reply(1));
+    c.bare.close(fd, true);
+    const std::string end = c.end_of(1);
+    say("reply and reset: one end, and none that proves it did not run",
+        (end == "ok" || end == "broken, may have run"));
+  }
+  {
+    Calls c;
+    const int fd = c.made(1, 5);
+    Bare::say(fd, reply(1) + reply(1));
+    c.bare.close(fd, false);
+    fmt::print("reply twice and the end: {}\n", c.end_of(1));
+  }
+  {
+    Calls c;
+    const int fd = c.made(1, 0.2);
+    Bare::say(fd, reply(1));
+    c.below.cancel(1);
+    ::usleep(250'000);
+    c.run(0.1);
+    fmt::print("reply, timeout and cancel: {} ends\n", c.ends[1].size());
+  }
+  {
+    Calls c;
+    const int fd = c.made(1, 0.2);
+    c.bare.close(fd, true);
+    ::usleep(250'000);
+    fmt::print("reset and timeout: {}\n", c.end_of(1));
+  }
+}
+
+// Connects that are slow, that succeed as the timeout ends, and that nobody takes.
+void dials() {
+  {
+    Calls c;
+    c.below.call(1, 0.2, "body");  // the system makes the connection while nobody here looks
+    ::usleep(250'000);
+    fmt::print("connected as its timeout ended: {}\n", c.end_of(1));
+    const int fd = c.bare.newest();
+    fmt::print("  bytes of it that left: {}\n", fd >= 0 ? Bare::heard(fd, 0.1).size() : 0);
+  }
+  {
+    Calls c(8, 0);  // its queue is full with two that nobody accepts
+    std::vector<int> in_front;
+    for (int i = 0; i < 4; ++i) {
+      const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      sockaddr_in at{};
+      at.sin_family = AF_INET;
+      at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      at.sin_port = htons(c.bare.port());
+      static_cast<void>(::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at));
+      in_front.push_back(fd);
+    }
+    c.below.call(1, 0.3, "body");
+    fmt::print("a connect that hangs: {}\n", c.end_of(1));
+    for (const int fd : in_front) ::close(fd);
+  }
+  {
+    Calls c;
+    c.bare.refuse();
+    c.below.call(1, 1, "body");
+    fmt::print("refused: {}\n", c.end_of(1));
+  }
+  {
+    Calls c(1);  // one connection for all
+    c.below.call(1, 5, "body");
+    c.below.call(2, 0.2, "other");
+    ::usleep(250'000);  // connected, nothing written; the second's time is over
+    c.run(0.05);
+    fmt::print("two on a connection that is just made, the second's time over: {}\n", c.end_of(2));
+    Bare::say(c.bare.newest(), reply(1));
+    fmt::print("  the first: {}\n", c.end_of(1));
+  }
+}
+
+// A connection that has carried a call and is used again as the other side closes it.
+void reuse() {
+  {
+    Calls c;
+    const int fd = c.made(1, 5);
+    Bare::say(fd, reply(1));
+    c.end_of(1);
+    c.bare.close(fd, false);  // nobody here has read its end yet
+    const int next = c.made(2, 5);
+    fmt::print("closed before the next call: it goes on another, {}\n", next >= 0 ? "yes" : "no");
+    Bare::say(next, reply(2));
+    fmt::print("  {}\n", c.end_of(2));
+  }
+  {
+    Calls c;
+    const int fd = c.made(1, 5);
+    Bare::say(fd, reply(1));
+    c.end_of(1);
+    c.below.call(2, 5, "body");  // written at once, on the connection that is there
+    c.bare.close(fd, true);
+    fmt::print("closed as the next call was written: {}\n", c.end_of(2));
+  }
+}
+
+// A reply that is cut at each byte, by a close or by silence, is never taken for one, and never for a proof.
+void cut() {
+  const std::string whole = reply(1);
+  for (const char* how : {"closed", "reset", "silent"}) {
+    int ok = 0, proofs = 0, ends = 0;
+    const std::size_t step = std::strcmp(how, "silent") == 0 ? 5 : 1;
+    int plays = 0;
+    for (std::size_t at = 0; at < whole.size(); at += step, ++plays) {
+      Calls c;
+      const int fd = c.made(1, 0.6);
+      if (at > 0) Bare::say(fd, whole.substr(0, at));
+      if (std::strcmp(how, "silent") != 0) c.bare.close(fd, std::strcmp(how, "reset") == 0);
+      c.end_of(1);
+      ends += static_cast<int>(c.ends[1].size());
+      for (const Outcome outcome : c.ends[1])
+        ok += outcome == Outcome::kOk, proofs += proves_not_run(outcome);
+    }
+    fmt::print("cut at each byte, then {}: plays - ends {}, taken for a reply {}, for a proof {}\n", how,
+               plays - ends, ok, proofs);
+  }
+}
+
+// ---- The runtime's link.
+struct Link : peers::RuntimeEvents {
+  Link()
+      : log(Level::kError), runtime(stepped.reactor, bare.address(), 64 * 1024, {}, *this, counters, log) {}
+  ~Link() override { stepped.end(); }
+  void on_runtime_ready(bool, double) override { ++readies; }
+  void on_run_ended(OpId id, Outcome outcome, double, std::string_view result) override {
+    ends[id].push_back(name_of(outcome) + (result.empty() ? "" : " " + std::string(result)));
+  }
+  void on_call_wanted(OpId id, std::uint64_t, std::string_view body) override {
+    wanted[id] += std::string(body) + ";";
+  }
+  void on_verdict(std::uint64_t, bool) override {}
+  void on_not_started(OpId id) override { ends[id].push_back("not started"); }
+  void on_runtime_anew(const std::unordered_set<OpId>& unsent) override { ++anew, spared = unsent.size(); }
+  // Lets it run until this has come to the other side; gauges are answered meanwhile.
+  bool hears(const std::string& part, bool gauges = true) {
+    for (int i = 0; i < 150; ++i) {
+      stepped.run_for(0.01);
+      const int fd = bare.newest();
+      if (fd < 0) continue;
+      in += Bare::heard(fd);
+      answer_gauges(fd, gauges);
+      if (in.find(part) != std::string::npos) return true;
+    }
+    return false;
+  }
+  void answer_gauges(int fd, bool gauges) {
+    for (std::size_t at; gauges && (at = in.find("gauges ")) != std::string::npos;) {
+      const std::size_t end = in.find("\r\n", at);
+      if (end == std::string::npos) return;
+      Bare::say(fd, "load " + in.substr(at + 7, end - at - 7) + "\r\n");
+      in.erase(at, end + 2 - at);
+    }
+  }
+  void breaks() {
+    in.clear();
+    bare.close(bare.newest(), true);
+  }
+  int count(const std::string& part) const {
+    int n = 0;
+    for (std::size_t at = 0; (at = in.find(part, at)) != std::string::npos; at += part.size()) ++n;
+    return n;
+  }
+  std::string ends_of(OpId id) { return fmt::format("{}", fmt::join(ends[id], " and ")); }
+  SteppedReactor stepped;
+  Bare bare;
+  Counters counters;
+  Logger log;
+  std::map<OpId, std::vector<std::string>> ends;
+  std::map<OpId, std::string> wanted;
+  int readies = 0, anew = 0;
+  std::size_t spared = 0;
+  std::string in;
+  peers::Runtime runtime;
+};
+
+// A notice that the link's end cuts at each byte is heard whole, and once, on the next link.
+void notices_cut() {
+  for (const std::string& whole : {std::string("end 1 0000000000000001 complete 20 6\r\nresult\r\n"),
+                                   std::string("wants 1 0000000000000001 4\r\ncall\r\n")}) {
+    int once = 0, plays = 0;
+    for (std::size_t at = 0; at <= whole.size(); at += 3, ++plays) {
+      Link link;
+      link.hears("sync 0");
+      Bare::say(link.bare.newest(), "ready hot 0\r\n");
+      link.hears("gauges");
+      link.runtime.start(1, "push", "body");
+      link.stepped.run_for(0.03);
+      if (at > 0) Bare::say(link.bare.newest(), whole.substr(0, at));
+      link.breaks();
+      link.hears("sync ");
+      const bool seen = link.in.find("sync 1") != std::string::npos;
+      Bare::say(link.bare.newest(), "ready hot 50\r\n" + (seen ? std::string() : whole));
+      link.stepped.run_for(0.05);
+      once += link.ends_of(1) == "ok result" || link.wanted[1] == "call;";
+    }
+    fmt::print("{}: cut at each third byte, heard once on the next link: {}\n", whole.substr(0, 5),
+               once == plays ? "always" : fmt::format("{} of {}", once, plays));
+  }
+}
+
+// A runtime that has begun anew counts from 1 and knows nothing: what ran there is told, what never left
+// runs.
+void anew() {
+  Link link;
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 3000\r\n");
+  link.hears("gauges");
+  Bare::say(link.bare.newest(), "end 1 0000000000000009 complete 1 0\r\n\r\n");
+  link.runtime.start(1, "push", "body");
+  link.hears("start 0000000000000001");
+  link.stepped.run_for(0.6);
+  link.breaks();
+  link.stepped.run_for(0.02);             // the break is seen
+  link.runtime.start(2, "push", "body");  // waits here, never sent
+  link.in.clear();
+  link.hears("sync 1");
+  Bare::say(link.bare.newest(), "ready chilly 20\r\n");
+  link.hears("start 0000000000000002");
+  fmt::print("it began anew: {}, starts that had not left: {}\n", link.anew, link.spared);
+  fmt::print("sent to the new one: the first {}, the second {}\n", link.count("start 0000000000000001"),
+             link.count("start 0000000000000002"));
+  Bare::say(link.bare.newest(), "end 1 0000000000000002 complete 20 3\r\ntwo\r\n");
+  link.stepped.run_for(0.05);
+  fmt::print("the second, by a notice numbered 1: {}; the runtime came up {} times for the module\n",
+             link.ends_of(2), link.readies);
+  link.breaks();
+  link.hears("sync 1");
+  Bare::say(link.bare.newest(), "ready chilly 5000\r\n");
+  link.stepped.run_for(0.05);
+  fmt::print("the same one after a break: anew {}\n", link.anew);
+}
+
+// An answer to gauges that the old link still held means nothing on the new one.
+void old_gauges() {
+  Link link;
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  link.hears("gauges ", false);
+  const std::size_t at = link.in.find("gauges ");
+  const std::string tag = link.in.substr(at + 7, link.in.find("\r\n", at) - at - 7);
+  link.runtime.start(1, "push", "body");  // not sent before what was missed is read
+  link.breaks();
+  link.in.clear();
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "load " + tag + " 0.25 1\r\n");
+  link.stepped.run_for(0.05);
+  link.in += Bare::heard(link.bare.newest());
+  fmt::print("the old link's gauges on the new one: starts sent {}\n", link.count("start "));
+  Bare::say(link.bare.newest(), "ready hot 100\r\n");
+  link.hears("start ");
+  fmt::print("after its own: starts sent {}\n", link.count("start "));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::string unused;
+  return run_scenario(argc, argv, unused,
+                      {{"one_turn", one_turn},
+                       {"dials", dials},
+                       {"reuse", reuse},
+                       {"cut", cut},
+                       {"notices_cut", notices_cut},
+                       {"anew", anew},
+                       {"old_gauges", old_gauges}});
+}
