Restarts under load are timed: kill and start twenty times on one address, ready within 10 s

Restarted processes have to take and ack an op within 10 s, nine in ten of them. The test kills a relay with kill -9 under 300 ops a second, with a store of some thousand keys, learned state, nobody listening to its reports, callers' old connections in TIME_WAIT, and at every third restart a runtime that greets 0.7 s late.

No change of the program.

--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -11,6 +11,9 @@
 #include <stdexcept>
 
 namespace damsonspoke::standins {
+namespace {
+constexpr std::uint16_t kNobody = 9;  // discard: nothing here listens there
+}  // namespace
 
 Folder::Folder() {
   const char* root = std::getenv("TMPDIR");
@@ -77,7 +80,7 @@
   const json config = {{"name", spec_.name},
                        {"listen", at(port_)},
                        {"runtime", at(runtime.port())},
-                       {"roster", at(roster.port())},
+                       {"roster", at(spec_.roster_down ? kNobody : roster.port())},
                        {"backend", at(by_way("below", below.port()))},
                        {"seed", "7"},
                        {"stop_ms", spec_.stop_after * 1000},
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -37,6 +37,7 @@
   std::string name = "n1";
   std::uint16_t port = 0;          // that it listens on; 0: as it comes
   int sockets = 512;               // descriptors that it may have
+  bool roster_down = false;        // nobody listens to its reports
   std::vector<std::string> under;  // words before the program's own: a program that starts it
 };
 
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -98,7 +98,14 @@
   in_.erase(0, used);
   if (words.empty()) return true;
   const std::uint64_t op = words.size() > 1 ? std::strtoull(words[1].c_str(), nullptr, 16) : 0;
-  if (words[0] == "sync") {
+  if (words[0] == "sync" && options.late > 0) {  // the link is taken, and nothing said on it meanwhile
+    loop_.after(std::exchange(options.late, 0), [this, link = link_] {
+      if (link != link_) return;
+      in_.insert(0, "sync 0\r\n");
+      while (take_one()) {
+      }
+    });
+  } else if (words[0] == "sync") {
     loop_.send(link_, fmt::format("ready {} {:.0f}\r\n", options.cold_time > 0 ? "chilly" : "hot",
                                   (now() - began_) * 1000));
     const std::uint64_t last = std::strtoull(words[1].c_str(), nullptr, 10);
--- a/standins/runtime.h
+++ b/standins/runtime.h
@@ -23,6 +23,7 @@
     double cold_time = 0;                        // s until it is warm
     double calls = 0;                            // share of runs that want a call below
     std::size_t result_bytes = 64;               // of a result
+    double late = 0;                             // s after a link is made in which it is not up yet
   };
   Runtime(Loop& loop, Journal& journal, Options options);
   ~Runtime();
--- /dev/null
+++ b/tests/restarts.cpp
@@ -0,0 +1,81 @@
+// A relay that is killed under load and started again on the same address, many times: how soon it takes an
+// op and acks it. usage: restarts BINARY RESTARTS [times]; with `times` each part of each start is printed.
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "fleet.h"
+
+using namespace damsonspoke::standins;
+
+namespace {
+
+constexpr double kReadyIn = 10;      // s in which a restarted process takes and acks an op
+constexpr double kReadyShare = 0.9;  // of all restarts
+
+// Seconds until an op of this life was acked; < 0: none was in time.
+double first_ack(Fleet& fleet, double began) {
+  const int life = fleet.server.life_number();
+  double at = -1;
+  fleet.callers.on_answer = [&](const Try& one) {
+    if (at < 0 && one.life == life && !one.answers.empty() && one.answers.back().kind == AnswerKind::kAcked)
+      at = one.answers.back().at;
+  };
+  fleet.loop.run_until([&] { return at >= 0; }, kReadyIn + 5);
+  fleet.callers.on_answer = nullptr;
+  return at < 0 ? -1 : at - began;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 3) return 2;
+  const int restarts = std::atoi(argv[2]);
+  const bool times = argc > 3;
+  SiteSpec site;
+  site.types = {{"push", "dedup", 1, 2, 600, 1}, {"pull", "retryable", 1, 2, 0, 1}};
+  site.port = lasting_port();
+  site.roster_down = true;
+  site.operators =
+      "results\n    enabled on\n    memory 16M\n    store STORE\n"
+      "knowledge\n    enabled on\n    folder FOLDER\n";
+  Callers::Options load;
+  Flow push{"push", 150, 1.5};
+  push.marked = true;
+  push.retries = 2;
+  Flow pull = push;
+  pull.type = "pull";
+  pull.marked = false;
+  load.flows = {push, pull};
+  load.connections = 24;
+  Runtime::Options work;
+  work.cores = 4;
+  work.work = 0.004;
+  work.result_bytes = 1024;
+  Fleet fleet(argv[1], site, work, load);
+  if (!fleet.start()) return std::printf("it does not start\n"), 1;
+  fleet.loop.run_for(3);  // a state to come back to
+  int ready = 0;
+  double slowest = 0;
+  for (int i = 0; i < restarts; ++i) {
+    fleet.kill();
+    if (i % 3 == 2) fleet.runtime.options.late = 0.7;  // the runtime comes up after it
+    const double began = now();
+    if (!fleet.start()) return std::printf("it does not start again, restart %d\n", i + 1), 1;
+    const double listens = now() - began, acks = first_ack(fleet, began);
+    if (acks >= 0 && acks <= kReadyIn) ++ready;
+    slowest = std::max(slowest, acks < 0 ? kReadyIn + 5 : acks);
+    if (times) std::fprintf(stderr, "restart %2d: listens %.3f s, first ack %.3f s\n", i + 1, listens, acks);
+    fleet.loop.run_for(0.1);
+  }
+  const bool settled = fleet.settle(15), left = fleet.leave();
+  const Verdict verdict = check_rules(fleet.journal, fleet.limits());
+  for (const std::string& line : verdict.broken) std::printf("%s\n", line.c_str());
+  std::fprintf(stderr, "restarts %d, ready within %.0f s %d, slowest %.2f s\n", restarts, kReadyIn, ready,
+               slowest);
+  std::printf("nine in ten of the restarts ready in time: %s\n",
+              ready >= kReadyShare * restarts ? "yes" : "no");
+  std::printf("the four rules: %s; settled: %s; left in order: %s\n", verdict.kept() ? "kept" : "broken",
+              settled ? "yes" : "no", left ? "yes" : "no");
+  return verdict.kept() ? 0 : 1;
+}
