Cold planners hand out parts that sum to what they take; forwarders rest after a nack

What all send to a cold server is what it falls under. A planner told each forwarder twice its even part, four at least, cold or not (peers/forwarders.cpp, tier/slot_worth.h): with 30 links 120 attempts where a cold one of two cores takes 9; each forwarder's own slow start sums to 30 slow starts, and a nack freed its room at once, so that nothing bounded how often they came.

Change: tier/parts, pure policy at the receiver: parts sum to 24 attempts a core times its share of speed, through joins, deaths and late words; what is left over goes by ones to who has been without for the longest. A nacked attempt keeps its room for 0.25 s at the forwarder. Warm, nothing changes.

Also here: checks of endings_refused that could not fail (a peer sees our end whatever we do) count descriptors and bytes now; restarts come back to a store of 40,000 keys.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -60,8 +60,9 @@
   const std::size_t output = part(config_.limits, kOutputShare);
   peers::CallerEvents& events = take_in_;
   if (role == Role::kPlanner) {
-    peers::Forwarders::Self self{config_.name,       draw_epoch(),    site.settings.cores,
-                                 config_.stop_after, site.type_names, {}};
+    peers::Forwarders::Self self{
+        config_.name,    draw_epoch(), site.settings.cores,     config_.stop_after,
+        site.type_names, {},           site.settings.cold_from, site.settings.cold_time};
     for (const OpType& type : site.settings.op_types) self.importance.push_back(type.importance);
     const int fit = links_that_fit(config_.limits, peers::Forwarders::kMostInput);
     return std::make_unique<peers::Forwarders>(
--- a/src/peers/forwarders.cpp
+++ b/src/peers/forwarders.cpp
@@ -123,7 +123,10 @@
     link.types.push_back(found == self_.types.end() ? -1 : static_cast<int>(found - self_.types.begin()));
   }
   log_.info("forwarders", "{} is linked", hello.name);
-  const wt::Window window = window_now();
+  const double now = net::monotonic_now();
+  parts_.joined(link.forwarder);
+  hand_out(now);
+  const wt::Window window = window_now(link);
   link.told_window = window.window;
   link.told_worth = window.slot_worth;
   wt::Hello mine;
@@ -233,18 +236,40 @@
   answer(ticket, std::move(out));
 }
 
-wt::Window Forwarders::window_now() {
+void Forwarders::began(bool cold, double ago) {
+  cold_ = cold;
+  began_at_ = net::monotonic_now() - ago;
+  tell_windows(false);
+}
+
+// Before it has come up nothing can run: the little that forwarders may send then is nacked.
+bool Forwarders::cold_now(double now) const {
+  return began_at_ < 0 || (cold_ && now - began_at_ < self_.cold_time);
+}
+
+void Forwarders::hand_out(double now) {
+  if (!cold_now(now)) return;
+  const double age = began_at_ < 0 ? 0 : now - began_at_;
+  parts_.look(now, tier::cold_budget(self_.cores, self_.cold_from, self_.cold_time, age),
+              [this](tier::Parts::Link forwarder) { return holdings_.open(forwarder); });
+}
+
+// Warm, each may have twice its even part: what comes too much is nacked. Cold, all parts together are what
+// it takes: the sum of what many forwarders send is what a cold planner falls under.
+wt::Window Forwarders::window_now(const Link& link) {
   wt::Window window;
-  window.window = tier::window_of(self_.cores, holdings_.linked());
+  window.window = cold_now(net::monotonic_now()) ? parts_.part(link.forwarder)
+                                                 : tier::window_of(self_.cores, holdings_.linked());
   window.slot_worth = static_cast<std::uint32_t>(worth_.worth(net::monotonic_now()) * 1000);
   window.good = good_;
   return window;
 }
 
 void Forwarders::tell_windows(bool all) {
-  const wt::Window window = window_now();
+  hand_out(net::monotonic_now());
   for (auto& [tag, link] : links_) {
     if (link.forwarder == 0) continue;
+    const wt::Window window = window_now(link);
     const double moved = std::abs(static_cast<double>(window.slot_worth) - link.told_worth);
     if (!all && window.window == link.told_window && moved < kWorthStep) continue;
     link.told_window = window.window;
@@ -300,6 +325,7 @@
   if (found->second.forwarder != 0) {
     log_.info("forwarders", "{}: link ended", found->second.name);
     holdings_.link_lost(connection.tag, net::monotonic_now());
+    parts_.left(found->second.forwarder, net::monotonic_now());
   }
   links_.erase(found);
   counters_.add(why == net::End::kInOrder ? Count::kCallersClosed : Count::kCallersReset);
--- a/src/peers/fronts.h
+++ b/src/peers/fronts.h
@@ -29,6 +29,10 @@
     first_->ask_no_more();
     ajp_->ask_no_more();
   }
+  void began(bool cold, double ago) override {
+    first_->began(cold, ago);
+    ajp_->began(cold, ago);
+  }
   void health(bool good) override {
     first_->health(good);
     ajp_->health(good);
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -86,7 +86,9 @@
   virtual void answer_failed(Ticket ticket, Failure why) = 0;
   virtual void answer_check(Ticket ticket, bool good) = 0;
   virtual void close_idle(double after) = 0;
-  virtual void ask_no_more() = 0;        // of everyone, and of each who connects from now on
+  virtual void ask_no_more() = 0;  // of everyone, and of each who connects from now on
+  // The work behind this backend came up so long ago (s); what a front hands out while it is cold follows.
+  virtual void began(bool /*cold*/, double /*ago*/) {}
   virtual void health(bool /*good*/) {}  // of this backend, for a front that passes it on by itself
 };
 
--- a/src/stages/forward.cpp
+++ b/src/stages/forward.cpp
@@ -11,8 +11,9 @@
 
 namespace wt = wire::tier;
 
-constexpr double kLook = 0.1;      // s; between looks at health, for the roster
-constexpr double kSixteenth = 16;  // of a kB, as sizes stand on the wire
+constexpr double kNackRest = 0.25;  // s; a planner that nacks at once is sent four windows a second, no flood
+constexpr double kLook = 0.1;       // s; between looks at health, for the roster
+constexpr double kSixteenth = 16;   // of a kB, as sizes stand on the wire
 constexpr double kMicro = 1e-6;
 // Between attempts' numbers at most: one guess in 8 million hits the next, and 64 bits last for 10^12
 // attempts.
@@ -53,6 +54,7 @@
 
 tier::DispatchTerms terms_of(const ForwardOptions& options, const StartSettings& site) {
   tier::DispatchTerms terms;
+  terms.picker.nack_rest = kNackRest;
   terms.homes = homes_of(options, site);
   terms.retry_share = options.retry_share;
   terms.link_patience = options.link_patience;
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -17,6 +17,7 @@
 // A new process is good, and not from store, until the module says otherwise: one that has no deep checks to
 // answer from store says nothing at its start, and would never come on the list.
 void Relay::on_runtime_ready(bool cold, double ago) {
+  send_.began(cold, ago);
   send_.health(true, false);
   admit_.begin(cold, ago);
 }
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -24,6 +24,7 @@
   void omit(OpenOp& op);
   void give_up_call(const OpenOp& op) { peers_.below->cancel(op.id); }
   void health(bool good, bool from_store);
+  void began(bool cold, double ago) { peers_.callers->began(cold, ago); }
   void leaving();
   void close_idle(double after) { peers_.callers->close_idle(after); }
 
--- a/src/tier/holdings.cpp
+++ b/src/tier/holdings.cpp
@@ -164,6 +164,10 @@
   return static_cast<std::size_t>(std::count_if(forwarders_.begin(), forwarders_.end(),
                                                 [](const auto& one) { return one.second.link != 0; }));
 }
+std::size_t Holdings::open(ForwarderId forwarder) const {
+  const auto found = forwarders_.find(forwarder);
+  return found == forwarders_.end() ? 0 : found->second.open.size();
+}
 std::size_t Holdings::open() const {
   std::size_t count = 0;
   for (const auto& [id, forwarder] : forwarders_) count += forwarder.open.size();
--- a/src/tier/holdings.h
+++ b/src/tier/holdings.h
@@ -75,6 +75,7 @@
   std::size_t forwarders() const { return forwarders_.size(); }
   std::size_t linked() const;
   std::size_t open() const;
+  std::size_t open(ForwarderId forwarder) const;
 
  private:
   struct Forwarder {
--- /dev/null
+++ b/src/tier/parts.h
@@ -0,0 +1,53 @@
+// A cold planner's attempts, handed out to its forwarders: what they may have open there sums to its budget
+// at any time, however many they are, while links come and go and while they have not heard of a smaller part
+// yet. Where there are fewer attempts than links, parts of one go round, so that nobody waits for ever. Pure
+// policy.
+//
+// A cold server falls under the sum of what is sent to it; no sender knows the others, the receiver knows
+// them all.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace damsonspoke::tier {
+
+struct PartsTerms {
+  double settle =
+      0.25;  // s after which a smaller part has surely been heard, and what was sent before it is here
+  double turn = 0.25;  // s that a part which goes round stays; at least settle
+};
+
+class Parts {
+ public:
+  using Link = std::uint64_t;
+  explicit Parts(PartsTerms terms = {}) : terms_(terms) {}
+
+  void joined(Link link) { links_[link].gone = false; }
+  // Its part is free once what it has open here has ended, and what was on its way has come.
+  void left(Link link, double now);
+
+  // New parts for this budget (attempts; fractions are rounded down). `open`: how many a link has open here.
+  void look(double now, double budget, const std::function<std::size_t(Link)>& open);
+  std::uint32_t part(Link link) const;
+
+ private:
+  struct Held {
+    std::uint32_t part = 0;
+    std::uint32_t before = 0;  // what it may still act on
+    double lowered_at = -1e9;
+    double raised_at = -1e9;  // by one over the even part
+    bool gone = false;
+  };
+  std::uint64_t charge(const Held& held, std::size_t open, double now) const;
+
+  const PartsTerms terms_;
+  std::map<Link, Held> links_;  // in the order in which they came
+};
+
+// So many attempts may be open at a planner that began this long ago (s), cold: its share of speed then, of
+// all that it takes when it is warm. The settings tell speed and time.
+double cold_budget(int cores, double cold_from, double cold_time, double age);
+
+}  // namespace damsonspoke::tier
--- a/src/tier/picker.cpp
+++ b/src/tier/picker.cpp
@@ -73,6 +73,8 @@
   p.ends += 1;
   p.bad += how == Ended::kBad;
   p.nacked += how == Ended::kNacked;
+  while (!p.rests.empty() && p.rests.front() <= now) p.rests.pop_front();
+  if (how == Ended::kNacked && terms_.nack_rest > 0) p.rests.push_back(now + terms_.nack_rest);
   if (how == Ended::kServed) {
     p.took += (took - p.took) / (p.took == 0 ? 1 : kTookMemory);
     p.ejected_in_a_row = p.ejected_until < now - terms_.eject_most ? 0 : p.ejected_in_a_row;
@@ -124,10 +126,16 @@
   return p.window == 0 ? 0 : std::max(1.0, share * p.window);
 }
 
+// Guards against a planner that is cold, or full, and nacks at once: its room would come free at once too,
+// and many forwarders together would send it a flood that no window bounds.
+int Picker::resting(const Planner& p, double now) {
+  return static_cast<int>(p.rests.end() - std::upper_bound(p.rests.begin(), p.rests.end(), now));
+}
+
 int Picker::credits(int planner, double now) const {
   const Planner& p = at(planner);
   if (!p.up || !p.wanted || p.leaving || p.ejected_until > now) return 0;
-  return std::max(0, static_cast<int>(effective(p, now)) - p.open);
+  return std::max(0, static_cast<int>(effective(p, now)) - p.open - resting(p, now));
 }
 int Picker::asking_room(int planner, double now) const {
   const Planner& p = at(planner);
--- a/src/tier/picker.h
+++ b/src/tier/picker.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
   int judged_over = 16;        // ends by which a planner is judged
   double bad_share = 0.5;      // of them that ended badly, beyond what the others' do
   double slow_multiple = 5;    // x the median of the others' times to an answer
+  double nack_rest = 0;        // s that an attempt which was nacked keeps its room
 };
 
 // How an attempt ended, as far as it says something about its planner.
@@ -84,11 +86,13 @@
     double took = 0;                       // s, of served ones, a fading mean; 0: none yet
     double ejected_until = 0;
     int ejected_in_a_row = 0;
+    std::deque<double> rests;  // until when room stays taken that nacked attempts had
   };
   const Planner& at(int planner) const { return planners_[static_cast<std::size_t>(planner)]; }
   Planner& at(int planner) { return planners_[static_cast<std::size_t>(planner)]; }
   bool takes(int planner, double now) const;
   double effective(const Planner& p, double now) const;
+  static int resting(const Planner& p, double now);
   double use(int planner, double now) const;
   bool better(int a, int b, double now) const;
   void judge(int planner, double now);
--- a/standins/forwarder.h
+++ b/standins/forwarder.h
@@ -61,6 +61,7 @@
   }
   bool greeted = false, no_more = false;
   int pongs = 0;
+  std::uint32_t window = 0;  // that it was told of last
   std::map<std::uint64_t, wire::tier::Result> answers;
 
  private:
@@ -78,7 +79,9 @@
       const wire::tier::Taken taken = wire::tier::next_message(in_);
       if (taken.state != wire::tier::Framing::kFrame) return;
       in_.erase(0, taken.length);
-      if (std::holds_alternative<wire::tier::Hello>(taken.message)) greeted = true;
+      if (const auto* hello = std::get_if<wire::tier::Hello>(&taken.message))
+        greeted = true, window = hello->window;
+      if (const auto* told = std::get_if<wire::tier::Window>(&taken.message)) window = told->window;
       if (std::holds_alternative<wire::tier::NoMore>(taken.message)) no_more = true;
       if (std::holds_alternative<wire::tier::Pong>(taken.message)) ++pongs;
       if (const auto* answer = std::get_if<wire::tier::Answer>(&taken.message))
--- a/standins/planner.cpp
+++ b/standins/planner.cpp
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include "runtime.h"
 
 namespace damsonspoke::standins {
@@ -47,6 +49,7 @@
   if (got <= 0) {
     loop_.forget(fd);
     ::close(fd);
+    parts_.left(links_.at(fd).serial, now());
     links_.erase(fd);
     return;
   }
@@ -83,8 +86,10 @@
     mine.epoch = epoch_;
     mine.name = "scripted";
     mine.cores = 4;
-    mine.window = options.window;
+    mine.window = options.cold > 0 ? 0 : options.window;
     put(fd, mine);
+    if (options.cold > 0) parts_.joined(links_.at(fd).serial);
+    if (options.cold > 0 && links_.size() == 1) hand_out();
   } else if (const auto* ping = std::get_if<wt::Ping>(&message)) {
     put(fd, wt::Pong{ping->token});
   } else if (const auto* op = std::get_if<wt::Submit>(&message)) {
@@ -102,10 +107,46 @@
   }
 }
 
+// As a real one does while it is cold: what all may have open sums to its budget.
+void Planner::hand_out() {
+  parts_.look(now(), options.cold, [this](std::uint64_t serial) {
+    for (const auto& [fd, link] : links_) {
+      if (link.serial == serial) return link.open;
+    }
+    return std::size_t{0};
+  });
+  for (auto& [fd, link] : links_) {
+    wt::Window window;
+    window.window = parts_.part(link.serial);
+    window.good = true;
+    if (window.window == link.told) continue;
+    link.told = window.window;
+    put(fd, window);
+  }
+  loop_.after(0.05, [this, here = here_] {
+    if (*here) hand_out();
+  });
+}
+
+std::size_t Planner::open() const {
+  std::size_t all = 0;
+  for (const auto& [fd, link] : links_) all += link.open;
+  return all;
+}
+
+std::uint64_t Planner::fewest_sent() const {
+  std::uint64_t fewest = links_.empty() ? 0 : ~std::uint64_t{0};
+  for (const auto& [fd, link] : links_) fewest = std::min(fewest, link.sent);
+  return fewest;
+}
+
 void Planner::submit(int fd, const wt::Submit& op) {
   ++taken_;
   const std::uint64_t serial = links_.at(fd).serial, attempt = op.attempt;
   links_.at(fd).last = attempt;
+  ++links_.at(fd).sent;
+  ++links_.at(fd).open;
+  most_open_ = std::max(most_open_, open());
   switch (options.manner) {
     case PlannerManner::kMute:
     case PlannerManner::kLies: return;
@@ -128,6 +169,7 @@
                      const std::string& body) {
   const auto found = links_.find(fd);
   if (found == links_.end() || found->second.serial != serial || found->second.halved) return;
+  if (found->second.open > 0) --found->second.open;
   wt::Answer out;
   out.attempt = attempt;
   out.result = result;
--- a/standins/planner.h
+++ b/standins/planner.h
@@ -10,6 +10,7 @@
 
 #include "journal.h"
 #include "loop.h"
+#include "tier/parts.h"
 #include "wire/tier.h"
 
 namespace damsonspoke::standins {
@@ -29,6 +30,7 @@
     PlannerManner manner = PlannerManner::kSound;
     double takes = 0.005;  // s an op
     std::uint32_t window = 64;
+    double cold = 0;  // attempts: its budget, handed out in parts; 0: warm, everybody has the window
   };
   Planner(Loop& loop, Journal& journal, Options options, std::uint16_t port = 0);
   ~Planner();
@@ -37,6 +39,9 @@
   std::uint64_t taken() const { return taken_; }
   std::uint64_t fences() const { return fences_; }
   std::size_t linked() const { return links_.size(); }
+  // Cold: attempts open here at once, over all forwarders, at most; and the fewest that any linked one sent.
+  std::size_t most_open() const { return most_open_; }
+  std::uint64_t fewest_sent() const;
   Options options;
 
  private:
@@ -55,7 +60,14 @@
     bool halved = false;
     std::uint64_t last = 0;          // attempt that it was given
     std::vector<std::string> types;  // as its hello names them
+    std::uint64_t sent = 0;          // attempts that it was given
+    std::size_t open = 0;            // and has not answered
+    std::uint32_t told = 0;          // the part that it was told of
   };
+  void hand_out();
+  std::size_t open() const;
+  tier::Parts parts_;
+  std::size_t most_open_ = 0;
   std::shared_ptr<bool> here_ = std::make_shared<bool>(true);  // timers may outlive this
   Loop& loop_;
   Journal& journal_;
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -222,15 +222,28 @@
   const char* end = caller.end();
   std::printf("last words: %s, the result: %s, the end: %s\n", caller.heard("broken frame") ? "yes" : "no",
               caller.heard("cmVzdWx0") ? "yes" : "no", end);
-  // Who goes on for ever is not read for ever.
-  Raw endless(site.port());
-  endless.say("Content-Length: 99999\r\n\r\n");
-  const auto begin = Clock::now();
-  while (Clock::now() - begin < std::chrono::seconds(3)) {
-    endless.say(std::string(20'000, 'y'));
-    site.pause(0.02);
+  // Who never closes its side costs no descriptor for long, and who floods is not read for long.
+  site.pause(1);
+  const std::size_t before = descriptors_of(site);
+  std::vector<Raw> held;
+  for (int i = 0; i < 16; ++i) {
+    held.emplace_back(site.port());
+    held.back().say("Content-Length: 99999\r\n\r\n");
+  }
+  site.pause(1.5);
+  std::printf("sixteen that never close their side; descriptors more than before: %d\n",
+              static_cast<int>(descriptors_of(site)) - static_cast<int>(before));
+  Raw flood(site.port());
+  flood.say("Content-Length: 99999\r\n\r\n");
+  const std::string noise(65536, 'y');
+  std::size_t wrote = 0;
+  bool over = false;
+  for (const auto until = Clock::now() + std::chrono::seconds(3); !over && Clock::now() < until;) {
+    const std::size_t some = flood.say(noise);
+    wrote += some;
+    over = some == 0 && errno != EAGAIN;
   }
-  std::printf("one that never ends is let go: %s\n", std::strcmp(endless.end(2), "open") != 0 ? "yes" : "no");
+  std::printf("one that floods after its end is cut off: %s\n", over && wrote < (64U << 20) ? "yes" : "no");
 }
 
 // Requests by the hundred lie unread as the process would end; more than one look at the socket reads.
--- a/tests/restarts.cpp
+++ b/tests/restarts.cpp
@@ -1,10 +1,12 @@
 // A relay that is killed under load and started again on the same address, many times: how soon it takes an
 // op and acks it. usage: restarts BINARY RESTARTS [times]; with `times` each part of each start is printed.
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
 
 #include "fleet.h"
+#include "results/database.h"
 
 using namespace damsonspoke::standins;
 
@@ -13,6 +15,24 @@
 constexpr double kReadyIn = 10;      // s in which a restarted process takes and acks an op
 constexpr double kReadyShare = 0.9;  // of all restarts
 
+// What a relay that has served for hours remembers: so many ended keys with their results, in its store.
+void fill(const std::string& path, int keys) {
+  namespace results = damsonspoke::results;
+  results::Database store(path, {});
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  store.begin();
+  for (int i = 0; i < keys; ++i) {
+    results::Row row;
+    row.key = {0x1234, static_cast<std::uint64_t>(i)};
+    row.op = 0x10000000u + static_cast<std::uint64_t>(i);
+    row.type = "push";
+    row.until_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count() + 600'000;
+    store.put_intent(row);
+    store.put_result(row.key, std::string(1024, 'r'));
+  }
+  store.commit();
+}
+
 // Seconds until an op of this life was acked; < 0: none was in time.
 double first_ack(Fleet& fleet, double began) {
   const int life = fleet.server.life_number();
@@ -37,7 +57,7 @@
   site.port = lasting_port();
   site.roster_down = true;
   site.operators =
-      "results\n    enabled on\n    memory 16M\n    store STORE\n"
+      "results\n    enabled on\n    memory 32M\n    entries 100000\n    store STORE\n"
       "knowledge\n    enabled on\n    folder FOLDER\n";
   Callers::Options load;
   Flow push{"push", 150, 1.5};
@@ -53,6 +73,7 @@
   work.work = 0.004;
   work.result_bytes = 1024;
   Fleet fleet(argv[1], site, work, load);
+  fill(fleet.store_path(), 40'000);
   if (!fleet.start()) return std::printf("it does not start\n"), 1;
   fleet.loop.run_for(3);  // a state to come back to
   int ready = 0;
