Ops tell their work by "cpu", and a site counted by work need not say so

The program refuses such a start ("'counted-by' is 'work', but 'hints' is 'none'") and reads "work", which nobody sends.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -142,8 +142,11 @@
       {{"off", Say::kOff}, {"level", Say::kLevel}, {"credit", Say::kCredit}, {"weight", Say::kWeight}});
   s.deep_checks = flag(family, "deep-checks");
   start.list_follows = flag(family, "list-follows");
-  start.hints = word<bool>(top, "hints", {{"none", false}, {"good", true}, {"rough", true}});
   start.by_work = word<bool>(top, "counted-by", {{"request", false}, {"work", true}});
+  // A platform that counts by work has its ops tell theirs, and need not say so.
+  start.hints = find(top, "hints").is_null()
+                    ? start.by_work
+                    : word<bool>(top, "hints", {{"none", false}, {"good", true}, {"rough", true}});
   s.caller_idle = seconds(family, "caller-idle");
   s.below = word<Below>(family, "below",
                         {{"off", Below::kOff}, {"shared", Below::kShared}, {"tier", Below::kTier}});
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -23,7 +23,7 @@
   std::vector<std::string> type_names;      // by position, as the op types
   std::vector<std::string> customer_names;  // by position, as the customers
   bool list_follows = false;                // the list of backends follows health
-  bool hints = false;    // "hints": "good" or "rough": ops tell their work ("work", ms); "none", the default
+  bool hints = false;    // "hints": "good" or "rough": ops tell their work (ms); "none"; absent: as by_work
   bool by_work = false;  // "counted-by": "work": worth is counted by the unit of work, not by the op
   std::vector<Gauge> gauges;  // in the order in which a wake conveys them
 };
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -135,8 +135,8 @@
 }
 
 bool is_param(std::string_view name) {
-  constexpr std::string_view kNames[] = {"txn",      "door", "lb",    "limit", "ram",  "work",
-                                         "standing", "item", "probe", "arg",   "team", "second"};
+  constexpr std::string_view kNames[] = {"txn",  "door",  "lb",  "limit", "ram",    "work", "standing",
+                                         "item", "probe", "arg", "team",  "second", "cpu"};
   for (const std::string_view known : kNames) {
     if (name == known) return true;
   }
@@ -156,7 +156,7 @@
     if (key == "door") return params.number(out.door_ms, 0, kMostMs);
     if (key == "limit") return params.number(out.limit_ms, 0, kMostLimitMs);
     if (key == "ram") return params.number(out.held_kb, 0, kMostKb);
-    if (key == "work") return params.number(out.work_ms, 0, kMostLimitMs);
+    if (key == "cpu" || key == "work") return params.number(out.work_ms, 0, kMostLimitMs);
     if (key == "probe") return params.boolean(out.probe);
     if (key == "arg") return params.body(out.body);
     if (key == "team") {
--- a/tests/settings_program.cpp
+++ b/tests/settings_program.cpp
@@ -112,6 +112,30 @@
   site.counters({"runs.started", "results.kept", "results.no_room", "bad.types"});
 }
 
+// Where worth is counted by work, ops tell theirs, and the settings need not say that they do: the op that
+// tells fifty times the work of those that ran is nacked at once, the one that tells a tenth waits.
+void told_work() {
+  Site site("", "", {}, R"("counted-by":"work",)");
+  site.comes_up();
+  const int caller = site.connect();
+  const auto op = [&](int id, const char* more) { site.send_op(caller, id, "pull", more); };
+  op(1, R"("ram":10,"limit":3000,"cpu":100)");
+  site.runtime_hears(2);
+  site.pause(0.2);
+  site.runtime_says("end 1 " + txn(1) + " complete 20 6\r\nresult");
+  site.caller_hears(caller);
+  op(2, R"("ram":10,"limit":3000,"cpu":100)");
+  op(3, R"("ram":10,"limit":3000,"cpu":100)");
+  site.runtime_hears(4);
+  op(4, R"("ram":10,"limit":3000,"cpu":5000)");
+  const bool nacked = site.heard(caller).find("-32001") != std::string::npos;
+  std::printf("the one of much work: %s\n", nacked ? "nacked" : "waits");
+  op(5, R"("ram":10,"limit":3000,"cpu":10)");
+  op(6, R"("ram":10,"limit":3000,"cpu":"much")");
+  site.caller_hears(caller);
+  site.counters({"ops.read", "ops.acked", "ops.nacked", "bad.params"});
+}
+
 // One op type, twenty, and none that calls below, where there is no layer below at all.
 void shapes() {
   const auto serve = [](Site& site, const std::string& type, int notice, bool calls) {
@@ -154,5 +178,6 @@
                        {"window", window},
                        {"customers", customers},
                        {"shapes", shapes},
+                       {"told_work", told_work},
                        {"reload", reload}});
 }
