--- a/tests/link_ends.cpp
+++ b/tests/link_ends.cpp
@@ -293,6 +293,14 @@
     }
     return false;
   }
+  // What was missed has been read: its gauges are answered.
+  void catches_up() {
+    for (int i = 0; i < 200 && counters[Count::kGaugesMostUs] == 0; ++i) {
+      stepped.run_for(0.01);
+      in += Bare::heard(bare.newest());
+      answer_gauges(bare.newest(), true);
+    }
+  }
   void answer_gauges(int fd, bool gauges) {
     for (std::size_t at; gauges && (at = in.find("gauges ")) != std::string::npos;) {
       const std::size_t end = in.find("\r\n", at);
@@ -328,11 +336,11 @@
   for (const std::string& whole : {std::string("end 1 0000000000000001 complete 20 6\r\nresult\r\n"),
                                    std::string("wants 1 0000000000000001 4\r\ncall\r\n")}) {
     int once = 0, plays = 0;
-    for (std::size_t at = 0; at <= whole.size(); at += 3, ++plays) {
+    for (std::size_t at = 0; at <= whole.size(); ++at, ++plays) {
       Link link;
       link.hears("sync 0");
       Bare::say(link.bare.newest(), "ready hot 0\r\n");
-      link.hears("gauges");
+      link.catches_up();
       link.runtime.start(1, "push", "body");
       link.stepped.run_for(0.03);
       if (at > 0) Bare::say(link.bare.newest(), whole.substr(0, at));
@@ -343,7 +351,7 @@
       link.stepped.run_for(0.05);
       once += link.ends_of(1) == "ok result" || link.wanted[1] == "call;";
     }
-    fmt::print("{}: cut at each third byte, heard once on the next link: {}\n", whole.substr(0, 5),
+    fmt::print("{}: cut at each byte, heard once on the next link: {}\n", whole.substr(0, 5),
                once == plays ? "always" : fmt::format("{} of {}", once, plays));
   }
 }
@@ -354,7 +362,7 @@
   Link link;
   link.hears("sync 0");
   Bare::say(link.bare.newest(), "ready hot 3000\r\n");
-  link.hears("gauges");
+  link.catches_up();
   Bare::say(link.bare.newest(), "end 1 0000000000000009 complete 1 0\r\n\r\n");
   link.runtime.start(1, "push", "body");
   link.hears("start 0000000000000001");
