--- a/src/settings/config.h
+++ b/src/settings/config.h
@@ -31,8 +31,8 @@
 Config read_config(const std::string& path);
 Config parse_config(const std::string& text);
 
-// Fills in what the settings ask for where operators have chosen nothing: keys are kept in memory, told by the
-// protocol's own member of that name.
+// Fills in what the settings ask for where operators have chosen nothing: keys are kept in memory, told by
+// the protocol's own member of that name.
 void serve_settings(const Config& config, const std::string& key_field, OperatorOptions& options);
 
 // What this program does not serve with these options, in plain words; empty when it serves all that is
