--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "app/forwarder.h"
+#include "app/leaving.h"
 #include "app/limits.h"
 #include "app/marks.h"
 #include "peers/callers.h"
@@ -20,13 +21,8 @@
 constexpr double kKeptShare = 0.03;  // a planner's answers that a forwarder may ask for again
 constexpr double kRuntimeShare =
     0.05;  // commands that the runtime does not read; the rest: the program, open ops
-constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
-constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
 constexpr long kClientsTold = 20, kMostClientsTold = 1000;  // to who asks by hand
 constexpr double kOpenPerCore = 8;  // ops that it holds at most, for what it tells members
-constexpr double kPartMargin =
-    0.12;                            // s before the kill: connections are ended, with time for their peers to
-constexpr double kEndMargin = 0.06;  // s before the kill: the end in any case
 
 std::size_t below_links(const Limits& limits) {
   const std::size_t fit = part(limits, kBelowShare) / (peers::Below::kMostInput + peers::Below::kMostOutput);
@@ -60,9 +56,9 @@
   const std::size_t output = part(config_.limits, kOutputShare);
   peers::CallerEvents& events = take_in_;
   if (role == Role::kPlanner) {
-    peers::Forwarders::Self self{
-        config_.name,    draw_epoch(), site.settings.cores,     config_.stop_after,
-        site.type_names, {},           site.settings.cold_from, site.settings.cold_time};
+    const tier::Warming warming{site.settings.cores, site.settings.cold_from, site.settings.cold_time};
+    peers::Forwarders::Self self{config_.name,       draw_epoch(),    warming,
+                                 config_.stop_after, site.type_names, {}};
     for (const OpType& type : site.settings.op_types) self.importance.push_back(type.importance);
     const int fit = links_that_fit(config_.limits, peers::Forwarders::kMostInput);
     return std::make_unique<peers::Forwarders>(
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <random>
 
+#include "app/leaving.h"
 #include "app/limits.h"
 #include "app/marks.h"
 #include "net/address.h"
@@ -10,13 +11,8 @@
 namespace damsonspoke {
 namespace {
 
-constexpr double kLinkShare = 0.15;     // of the memory limit: ops that planners do not read
-constexpr double kBodyShare = 0.2;      // ops that are open
-constexpr double kLeaveLook = 0.02;     // s; between looks at whether the last answer is out
-constexpr double kListenMargin = 0.15;  // s before the kill: the last connections are taken then
-constexpr double kPartMargin =
-    0.12;                            // s before the kill: connections are ended, with time for their peers to
-constexpr double kEndMargin = 0.06;  // s before the kill: the end in any case
+constexpr double kLinkShare = 0.15;  // of the memory limit: ops that planners do not read
+constexpr double kBodyShare = 0.2;   // ops that are open
 constexpr int kMostPlanners = 64;    // as the operators' file allows
 
 // Links to planners that members tell come from where members hear this one.
--- a/src/peers/ajp_callers.cpp
+++ b/src/peers/ajp_callers.cpp
@@ -111,7 +111,7 @@
           const auto found = open_.find(tag);
           if (found == open_.end()) return;
           if (!found->second.has_asked) wasted(found->second, conns::Waste::kSilent);
-          found->second.connection->end();
+          let_go(found->second);
         },
         nullptr);  // AJP has no word for who has not asked
   }
@@ -168,6 +168,16 @@
          caller.connection->nothing_to_read();
 }
 
+// As at the other front: its place is another's, but what it has said is read first, and answered before the
+// end.
+void AjpCallers::let_go(Caller& caller) {
+  const auto connection = caller.connection;
+  connection->read_now();
+  if (!connection->open()) return;
+  connection->stop_reading();
+  on_end_of_input(*connection);
+}
+
 // As at the other front: silent ones first, the oldest of them, then the longest idle one.
 bool AjpCallers::make_room() {
   const double now = net::monotonic_now();
--- a/src/peers/ajp_callers.h
+++ b/src/peers/ajp_callers.h
@@ -95,6 +95,7 @@
   void note_busy(Caller& caller);
   bool too_slow(Caller& caller, double now);
   bool nothing_owed(const Caller& caller) const;
+  void let_go(Caller& caller);
   bool make_room();
   bool take(Caller& caller, std::string_view payload);
   void take_request(Caller& caller, const wire::ajp::ForwardRequest& request);
--- a/src/peers/forwarders.cpp
+++ b/src/peers/forwarders.cpp
@@ -41,7 +41,8 @@
       log_(log),
       output_{limits.output_bytes, 0},
       listener_(reactor, net::parse_address(listen), [this](const net::Accepted& one) { on_accept(one); }),
-      holdings_(terms_of(limits)) {
+      holdings_(terms_of(limits)),
+      windows_(self_.warming) {
   look();
 }
 
@@ -124,7 +125,7 @@
   }
   log_.info("forwarders", "{} is linked", hello.name);
   const double now = net::monotonic_now();
-  parts_.joined(link.forwarder);
+  windows_.joined(link.forwarder);
   hand_out(now);
   const wt::Window window = window_now(link);
   link.told_window = window.window;
@@ -133,7 +134,7 @@
   mine.planner = true;
   mine.epoch = self_.epoch;
   mine.name = self_.name;
-  mine.cores = static_cast<std::uint16_t>(self_.cores);
+  mine.cores = static_cast<std::uint16_t>(self_.warming.cores);
   mine.window = window.window;
   put(link, mine);
   put(link, window);
@@ -237,30 +238,19 @@
 }
 
 void Forwarders::began(bool cold, double ago) {
-  cold_ = cold;
-  began_at_ = net::monotonic_now() - ago;
+  windows_.began(cold, net::monotonic_now() - ago);
   tell_windows(false);
 }
 
-// Before it has come up nothing can run: the little that forwarders may send then is nacked.
-bool Forwarders::cold_now(double now) const {
-  return began_at_ < 0 || (cold_ && now - began_at_ < self_.cold_time);
-}
-
 void Forwarders::hand_out(double now) {
-  if (!cold_now(now)) return;
-  const double age = began_at_ < 0 ? 0 : now - began_at_;
-  parts_.look(now, tier::cold_budget(self_.cores, self_.cold_from, self_.cold_time, age),
-              [this](tier::Parts::Link forwarder) { return holdings_.open(forwarder); });
+  windows_.look(now, [this](tier::Parts::Link forwarder) { return holdings_.open(forwarder); });
 }
 
-// Warm, each may have twice its even part: what comes too much is nacked. Cold, all parts together are what
-// it takes: the sum of what many forwarders send is what a cold planner falls under.
 wt::Window Forwarders::window_now(const Link& link) {
+  const double now = net::monotonic_now();
   wt::Window window;
-  window.window = cold_now(net::monotonic_now()) ? parts_.part(link.forwarder)
-                                                 : tier::window_of(self_.cores, holdings_.linked());
-  window.slot_worth = static_cast<std::uint32_t>(worth_.worth(net::monotonic_now()) * 1000);
+  window.window = windows_.window(link.forwarder, holdings_.linked(), now);
+  window.slot_worth = static_cast<std::uint32_t>(worth_.worth(now) * 1000);
   window.good = good_;
   return window;
 }
@@ -325,7 +315,7 @@
   if (found->second.forwarder != 0) {
     log_.info("forwarders", "{}: link ended", found->second.name);
     holdings_.link_lost(connection.tag, net::monotonic_now());
-    parts_.left(found->second.forwarder, net::monotonic_now());
+    windows_.left(found->second.forwarder, net::monotonic_now());
   }
   links_.erase(found);
   counters_.add(why == net::End::kInOrder ? Count::kCallersClosed : Count::kCallersReset);
--- a/src/peers/forwarders.h
+++ b/src/peers/forwarders.h
@@ -12,8 +12,8 @@
 #include "net/connection.h"
 #include "peers/ports.h"
 #include "tier/holdings.h"
-#include "tier/parts.h"
 #include "tier/slot_worth.h"
+#include "tier/windows.h"
 #include "watch/counters.h"
 #include "watch/logger.h"
 #include "wire/tier.h"
@@ -31,12 +31,10 @@
   struct Self {
     std::string name;
     std::uint64_t epoch = 0;
-    int cores = 1;
+    tier::Warming warming;
     double stop_after = 0;  // s
     std::vector<std::string> types;
     std::vector<double> importance;  // by op type
-    double cold_from = 1;            // share of its speed with which a cold life begins
-    double cold_time = 0;            // s until it is warm
   };
   Forwarders(net::Reactor& reactor, const std::string& listen, Self self, Limits limits, CallerEvents& events,
              Counters& counters, Logger& log);
@@ -77,7 +75,6 @@
   void take_fence(Link& link, const wire::tier::Fence& fence);
   void answer(Ticket ticket, wire::tier::Answer answer);
   void put(Link& link, const wire::tier::Message& message);
-  bool cold_now(double now) const;
   void hand_out(double now);
   wire::tier::Window window_now(const Link& link);
   void tell_windows(bool all);
@@ -94,13 +91,11 @@
   net::Listener listener_;
   tier::Holdings holdings_;
   tier::SlotWorth worth_;
-  tier::Parts parts_;  // of what it takes while it is cold
+  tier::Windows windows_;
   std::unordered_map<std::uint64_t, Link> links_;
   std::uint64_t next_tag_ = 1;
   bool good_ = false;  // until it is told otherwise: a runtime that is not up yet runs nothing
   bool no_more_ = false;
-  bool cold_ = true;      // until it is told otherwise, as cold as the settings allow
-  double began_at_ = -1;  // < 0: it has not come up yet
   net::Reactor::TimerId look_timer_;
 };
 
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -142,12 +142,10 @@
   return {};
 }
 
-}  // namespace
-
 // Where the settings have keyed ops, or answers that reads may share, and no operators' file says how to keep
 // them: in memory, for as long as the process lives. Guards against a start that is refused, and against
 // keyed ops that run twice, at a site whose operators know no such file.
-static ResultsOptions kept_in_memory(const Config& config, const std::string& key_field) {
+ResultsOptions kept_in_memory(const Config& config, const std::string& key_field) {
   ResultsOptions results;
   results.enabled = true;
   const double share = config.limits.memory_mb * kResultsShare * kBytesPerMb;
@@ -159,6 +157,8 @@
   return results;
 }
 
+}  // namespace
+
 void serve_settings(const Config& config, const std::string& key_field, OperatorOptions& options) {
   if (options.results.enabled) return;
   const auto& types = config.site.settings.op_types;
--- a/src/tier/parts.h
+++ b/src/tier/parts.h
@@ -31,6 +31,8 @@
   // New parts for this budget (attempts; fractions are rounded down). `open`: how many a link has open here.
   void look(double now, double budget, const std::function<std::size_t(Link)>& open);
   std::uint32_t part(Link link) const;
+  std::size_t known() const { return links_.size(); }
+  void clear() { links_.clear(); }
 
  private:
   struct Held {
--- /dev/null
+++ b/src/tier/windows.h
@@ -0,0 +1,46 @@
+// How many attempts each forwarder may have open at this planner: warm, twice its even part, as what comes
+// too much is nacked; cold, a part of what it takes then (tier/parts), since the sum of what many send is
+// what a cold planner falls under. Pure policy. Seconds on one clock that never steps back.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+#include "tier/parts.h"
+
+namespace damsonspoke::tier {
+
+// As the settings tell of a planner.
+struct Warming {
+  int cores = 1;
+  double cold_from = 1;  // share of its speed with which a cold life begins
+  double cold_time = 0;  // s until it is warm
+};
+
+class Windows {
+ public:
+  explicit Windows(Warming warming) : warming_(warming) {}
+
+  // The work behind the planner came up at this time. Until it is told so nothing can run there: what may be
+  // sent is as little as at the beginning of a cold life.
+  void began(bool cold, double at) {
+    cold_ = cold;
+    began_at_ = at;
+  }
+  void joined(Parts::Link link) { parts_.joined(link); }
+  void left(Parts::Link link, double now) { parts_.left(link, now); }
+  void look(double now, const std::function<std::size_t(Parts::Link)>& open);
+  std::uint32_t window(Parts::Link link, std::size_t links, double now) const;
+  std::size_t known() const { return parts_.known(); }
+
+ private:
+  bool cold(double now) const;
+
+  const Warming warming_;
+  Parts parts_;
+  bool cold_ = true;
+  double began_at_ = -1;  // < 0: it has not come up yet
+};
+
+}  // namespace damsonspoke::tier
