--- a/src/peers/ajp_callers.cpp
+++ b/src/peers/ajp_callers.cpp
@@ -218,7 +218,7 @@
       wasted(caller, conns::Waste::kBadFrame);
       log_.debug("ajp", "connection {}: a packet that can't be trusted, closed",
                  connection.tag & ~kAjpTickets);
-      connection.close(net::End::kBroken);
+      close_after_output(caller);  // an answer before it may not have been read yet
       return bytes.size();
     }
     if (const double now = net::monotonic_now(); !share_.may_read(front_, now)) {
@@ -234,7 +234,7 @@
     if (!sound) {
       counters_.add(Count::kBadFrames);
       wasted(caller, conns::Waste::kBadFrame);
-      connection.close(net::End::kBroken);
+      close_after_output(caller);  // an answer before it may not have been read yet
       return bytes.size();
     }
   }
