A request's decision costs the same however many tenants and routes there are

Cause: Decider::within_quota let every tenant's share fade on each request, and common_room, mean_run and look_at_self walked every op type. A slot keeps its op type as it was when it was read.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,6 +1,5 @@
-// All decisions of a damsonspoke backend. The front (in the bench: src/benchlink) calls one method of Decider
-// for each thing that happens, in the order in which it happens; the methods act at once through the Host
-// that was handed over at start. Interface: decide.h. The mechanism and every departure from it:
+// All decisions of a damsonspoke backend, but for quotas (quota.h). The front calls one method of Decider for
+// each thing that happens; the methods act at once through the Host. Interface: decide.h; why:
 // docs/design.md.
 #include "decide.h"
 
@@ -12,6 +11,9 @@
 #include <set>
 #include <utility>
 
+#include "fixed_directory.h"
+#include "quota.h"
+
 namespace damsonspoke {
 namespace {
 
@@ -24,18 +26,16 @@
 constexpr double kHeldPerCore = 8;  // ops; the count bound beside the bytes, above what the finish check lets
 constexpr double kCrowdShare = 0.6;  // of the survivable crowd: returns from calls come on top by themselves
 constexpr double kAtCallsPerCore = 2;  // ops; at calls beside the run limit: all may come back at one moment
-constexpr double kFinishShare =
-    0.85;                             // of the time to the target: predictions are means, answers must not be
-constexpr double kLeastShare = 0.5;   // of that for the least important: with plenty of room they still pass
-constexpr double kLeastWorth = 1e-3;  // importance counted at least in the order: a free op waits, finitely
-constexpr double kLateMatters = 0.5;  // late worth under which the target counts as the end of the wait
-constexpr double kAgainSpent = 0.4;   // of the target, gone before a marked further try comes
-constexpr double kPaceMemory = 1.5;   // s; a slow spell shows within two or three runs
-constexpr double kPacePrior = 0.1;    // core s at normal pace: nothing measured reads as normal
-constexpr double kPaceLeast = 0.02;   // a standstill still gives a finite prediction
-constexpr double kPaceMost = 3;       // a backend that warms up outruns what it learned cold
-constexpr double kHintSpread =
-    8;  // x the type's mean run: past it a told work is not believed; few honest ones are
+constexpr double kFinishShare = 0.85;  // of the time to the target: predictions are means
+constexpr double kLeastShare = 0.5;    // of that for the least important: with plenty of room they still pass
+constexpr double kLeastWorth = 1e-3;   // importance counted at least in the order: a free op waits, finitely
+constexpr double kLateMatters = 0.5;   // late worth under which the target counts as the end of the wait
+constexpr double kAgainSpent = 0.4;    // of the target, gone before a marked further try comes
+constexpr double kPaceMemory = 1.5;    // s; a slow spell shows within two or three runs
+constexpr double kPacePrior = 0.1;     // core s at normal pace: nothing measured reads as normal
+constexpr double kPaceLeast = 0.02;    // a standstill still gives a finite prediction
+constexpr double kPaceMost = 3;        // a backend that warms up outruns what it learned cold
+constexpr double kHintSpread = 8;      // x the type's mean run: past it a told work is not believed
 constexpr double kOverdue = 2;         // x mean run; a run past this is no longer taken as progress
 constexpr double kAilingEnter = 0.9;   // predicted bare run over target: nothing would be in time
 constexpr double kAilingLeave = 0.6;   // and back only when clearly better, so that it does not flap
@@ -70,11 +70,6 @@
 constexpr double kCreditDepth = 0.5;    // call s owed at most, and s of the usual load that may be saved up
 constexpr int kCallTries = 3;           // calls for one need; more only add to a trouble below
 constexpr double kCallBackoff = 0.05;   // s; doubled a try, by chance up to twice as long
-constexpr double kQuotaRoom = 1.1;      // x the even part of a quota: callers do not spread evenly
-constexpr double kQuotaBurst = 1.5;     // s of quota that a customer may send at once
-constexpr double kMixMemory = 60;       // ops read; a customer's burst shows within seconds
-constexpr double kMixRoom = 1.1;        // x its part of the quotas: small numbers are uneven by chance
-constexpr double kQuotaSpread = 6;      // ops on top: a small quota split over many backends comes in clumps
 constexpr double kHeavyPart = 0.5;      // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
 constexpr double kStorm = 0.5;          // share of newcomers nacked; over it most of what is read are repeats
@@ -83,9 +78,8 @@
 constexpr double kWaitFade = 0.98;      // an op of the type; a habit is told by some fifty
 constexpr double kWaitWidth = 0.015;    // of the wait; what clocks and the way add to a habitual one
 constexpr double kWaitsSeen = 10;       // ops; before, none is unusual
-constexpr double kUsualWait =
-    0.1;                          // share of ops that tell about the same; a habit of fewer is taken for none
-constexpr double kWalkTier = 25;  // backends; a larger tier has callers walk on over more of its backends
+constexpr double kUsualWait = 0.1;      // share of ops that tell about the same; fewer are no habit
+constexpr double kWalkTier = 25;   // backends; a larger tier has callers walk on over more of its backends
 constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
 constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
@@ -103,9 +97,9 @@
 constexpr double kReturns = 0.5;         // share of ops whose connection was worth keeping
 constexpr double kWorthKeeping = 1.0 / 6;   // of the callers' idle time; open that long costs as much as new
 constexpr std::size_t kCallersKept = 1024;  // entries; beyond what one backend meets in that time
+constexpr std::size_t kTypesKept = 64;      // that ran lately; what all of them do is judged by these
 constexpr int kJudged = 4;  // fresh runs of a type that a prior is held against: one odd run is chance
-constexpr double kContradicted =
-    2;  // x, either way, between their mean and the prior's: another machine or load
+constexpr double kContradicted = 2;    // x, either way, between their mean and the prior's
 constexpr double kLeastAdvice = 0.05;  // s; a shorter stay away changes nothing
 
 // Permuted congruential generator (XSH-RR), started from the instance's seed.
@@ -170,6 +164,7 @@
 
 struct Slot {
   Op op;
+  OpType type;  // as it was when the op was read: it ends under what it began with
   Stage stage = Stage::kHeld;
   bool answered = false;  // or nobody waits any more
   bool has_run = false;
@@ -188,6 +183,8 @@
 
 // What differs by op type.
 struct Row {
+  OpType type;  // as it was when an op of it was last read
+  double learned_at = 0;
   Histogram run;                                     // s on the cores
   Histogram away;                                    // s at calls
   double calls = 1;                                  // a run, of late
@@ -199,72 +196,78 @@
   Histogram fresh_run, fresh_away;
 };
 
-struct Bucket {
-  double tokens = 0;
-  double filled = 0;
-  double mix = 0;  // its part of the ops read
-};
-
 }  // namespace
 
 struct Decider::State {
-  State(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior)
+  State(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior,
+        const Directory* directory)
       : set_(settings),
+        fixed_(settings),
+        directory_(directory != nullptr ? *directory : fixed_),
+        quotas_(directory_, settings.servers),
         host_(host),
         chance_(seed),
-        rows_(settings.op_types.size()),
-        buckets_(settings.customers.size()),
         run_limit_(settings.cores),
         callers_(kCallersKept, {0, -1e9}),
         last_(now),
         created_(now) {
-    for (const Customer& customer : set_.customers) quotas_ += customer.quota_per_s;
-    for (std::size_t i = 0; i < buckets_.size(); ++i)
-      buckets_[i] = {bucket_size(i), now, set_.customers[i].quota_per_s / quotas_};
-    for (const OpType& type : set_.op_types) most_important_ = std::max(most_important_, type.importance);
-    for (std::size_t i = 0; i < rows_.size() && i < prior.types.size(); ++i) {
-      rows_[i].run.begin_with(prior.types[i].run);
-      rows_[i].away.begin_with(prior.types[i].away);
-      rows_[i].remembered = rows_[i].run.mean();
-      remembers_ = remembers_ || rows_[i].remembered > 0;
+    for (std::size_t i = 0; i < directory_.op_types() && i < prior.types.size(); ++i) {
+      Row& row = begin_row(static_cast<int>(i));
+      row.run.begin_with(prior.types[i].run);
+      row.away.begin_with(prior.types[i].away);
+      row.remembered = row.run.mean();
+      remembers_ = remembers_ || row.remembered > 0;
+      if (row.run.learned()) note_learned(static_cast<int>(i));
     }
     calls_.begin_with(prior.calls);
     recent_call_ = calls_.mean();
     if (prior.returns >= 0) returns_ = prior.returns;
     call_ceiling_ = kAtCallsPerCore * set_.cores;
     call_bound_ = call_ceiling_;
-    // A second tier runs this code too and refuses for itself; a shared layer below has a part for each
-    // backend, as a mean number of calls in its hands over a window. One budget for all fleets, in call
-    // seconds: what may be used at once and what flows in add up to the part, so that the backends together
-    // stay under what the layer survives even if it hangs. Guards against slow, hung and refusing layers,
-    // and against a part under one call, where resting after each left cores idle. It hurts where the
-    // patience is long: few calls go at once.
+    // A shared layer below has a part for each backend, as a mean number of calls in its hands over a window.
+    // One budget, in call seconds: what may be used at once and what flows in add up to the part. Guards
+    // against slow, hung and refusing layers. It hurts where the patience is long: few calls go at once.
     call_depth_ = std::max(set_.dep_share * (1 - kCallShare) * set_.calls_over, kLeastPatience + set_.linger);
     call_budget_ = call_depth_;
     said_idle_ = set_.caller_idle;
     if (set_.deep_checks) host_.set_health(true, true);  // deep checks cost work: answer them from store
-    // A cold backend can hardly read a full part of the traffic, let alone run it: it starts by asking for
-    // what its speed floor allows, and for more as soon as its cores idle.
+    // A cold backend asks for what its speed floor allows, and for more as soon as its cores idle.
     level_ = 1 - speed_floor();
     steer(-1);
     wake(now + kTick);
   }
 
   // ---- Small readings.
-  const OpType& type_of(const Slot& s) const { return set_.op_types[static_cast<std::size_t>(s.op.type)]; }
-  Row& row_of(const Slot& s) { return rows_[static_cast<std::size_t>(s.op.type)]; }
-  // The list may not hold anyone yet: then this backend counts itself.
-  double quota_here(std::size_t i) const {
-    return kQuotaRoom * set_.customers[i].quota_per_s / std::max(1, set_.servers);
+  static const OpType& type_of(const Slot& s) { return s.type; }
+  // Of an op whose type has gone, and left its position to another, a row that nothing else goes by.
+  Row& row_of(const Slot& s) {
+    Row& row = row_at(s.op.type);
+    return row.type.life == s.type.life ? row : former_;
+  }
+  Row& row_at(int type) { return *rows_[static_cast<std::size_t>(type)]; }
+  Row& begin_row(int type) {
+    const OpType& told = directory_.op_type(type);
+    const auto i = static_cast<std::size_t>(type);
+    if (rows_.size() <= i) rows_.resize(i + 1);
+    if (rows_[i] == nullptr || rows_[i]->type.life != told.life) rows_[i] = std::make_unique<Row>();
+    rows_[i]->type = told;
+    return *rows_[i];
+  }
+  // By position; of more than can be walked the one goes that has not learned for longest.
+  void note_learned(int type) {
+    row_at(type).learned_at = last_;
+    const auto at = std::lower_bound(recent_.begin(), recent_.end(), type);
+    if (at != recent_.end() && *at == type) return;
+    recent_.insert(at, type);
+    if (recent_.size() <= kTypesKept) return;
+    recent_.erase(std::min_element(recent_.begin(), recent_.end(), [&](int a, int b) {
+      return row_at(a).learned_at < row_at(b).learned_at;
+    }));
   }
-  double bucket_size(std::size_t i) const { return kQuotaSpread + quota_here(i) * kQuotaBurst; }
   bool leaving() const { return leave_at_ >= 0; }
-  // Whether a nack asks not to be tried elsewhere. One that walks on costs a reading at each backend it
-  // reaches, and the walk grows with the tier, where the others may be as short as this one; whether they are
-  // shows in how many of the ops that come here have been elsewhere before. Guards against a retry storm of a
-  // large tier that reads more than it runs, while the nacks of a few slow or cold backends still find room
-  // elsewhere. It hurts where further tries are neither marked nor told by their wait: they show only in what
-  // is nacked.
+  // Whether a rejection asks not to be retried elsewhere. Whether the others are short of room too shows in
+  // the share of retries read here. Guards against a retry storm that reads more than it runs, while what a
+  // few slow or cold backends reject finds room. It hurts where retries can't be told from first tries.
   bool storming() const {
     const double large = std::min(1.0, kWalkTier / std::max(1, set_.servers));
     const bool repeats = shortage_ > kStorm * large && repeats_ > kRepeats;
@@ -279,32 +282,30 @@
   }
   double survivable() const { return (1 + (set_.crowd_multiple - 1) * speed_floor()) * set_.cores; }
 
-  double mean_run(int type) const {
-    const Row& row = rows_[static_cast<std::size_t>(type)];
+  double mean_run(const Row& row) {
     if (row.run.learned()) return row.run.mean();
     double sum = 0, n = 0;
-    for (const Row& other : rows_) {
+    for (const int type : recent_) {
+      const Row& other = row_at(type);
       if (other.run.learned()) sum += other.run.mean(), n += 1;
     }
     return n > 0 ? sum / n : 0;
   }
 
-  // An op that tells its work takes the learned time of its type in proportion: a caller's estimate is on
-  // another machine, but larger stays larger. Guards against wide spreads of work, where a mean of the type
-  // misjudged both the op and the line before it.
-  double run_of(const Slot& s) const {
-    const Row& row = rows_[static_cast<std::size_t>(s.op.type)];
-    if (s.op.work_hint <= 0 || !row.hints.learned() || row.hints.mean() <= 0) return mean_run(s.op.type);
-    // A caller's figure is believed within a spread of the type's mean: one that lies, or whose tiny figures
-    // skewed the learned ratio, moves a prediction that far and no further.
-    const double usual = mean_run(s.op.type);
+  // An op that tells its work takes the learned time of its type in proportion: a caller's estimate is of
+  // another machine, but larger stays larger. Guards against types with a wide spread of work.
+  double run_of(const Slot& s) {
+    const Row& row = row_of(s);
+    if (s.op.work_hint <= 0 || !row.hints.learned() || row.hints.mean() <= 0) return mean_run(row);
+    // Believed within a spread of the type's mean: a false figure moves a prediction so far and no further.
+    const double usual = mean_run(row);
     return std::clamp(s.op.work_hint * row.hinted.mean() / row.hints.mean(), usual / kHintSpread,
                       usual * kHintSpread);
   }
 
-  // Learned work done per second on the cores, against what the learned run times promise. One measure for a
-  // slow machine, a stolen one, a slow dependency of all and a hung one: it sees only that runs do not end.
-  double pace() const {
+  // Learned work done per second on the cores, against what the learned run times promise: one measure for
+  // whatever makes runs slow, since it sees only that they do not end.
+  double pace() {
     double done = done_work_;
     for (const auto& [id, s] : ops_) {
       if (s.stage != Stage::kRunning) continue;
@@ -316,16 +317,14 @@
     return std::clamp((done + kPacePrior * usual) / (core_time_ + kPacePrior), kPaceLeast, kPaceMost);
   }
 
-  double predicted_wait() const {
+  double predicted_wait() {
     double ahead = 0;
     for (const OpId id : line_) ahead += run_of(ops_.at(id));
-    for (const auto& [id, s] : ops_) {
+    for (const auto& [id, s] : ops_)
       if (s.stage == Stage::kRunning) ahead += run_of(s) / 2;
-    }
     return ahead / (run_limit_ * pace_);
   }
-  // A layer below that has turned slow, and the ops that wait to call it, lengthen the predicted finish at
-  // once; not where the call can be left out in time.
+  // A slow layer below lengthens the predicted finish at once; not where the call can be left out in time.
   double own_time(const Slot& s) {
     double away = row_of(s).away.mean();
     if (away > 0 && calls_.learned() && type_of(s).worth_without <= 0) {
@@ -342,7 +341,7 @@
   double budget() const { return set_.memory_kb * kMemoryShare - key_kb_ - largest_kb_ * set_.run_factor; }
 
   // ---- Time: every method starts here.
-  void advance(double now) {
+  State& at(double now) {
     const double dt = std::max(0.0, now - last_);
     const double keep = std::exp(-dt / kPaceMemory);
     core_time_ = core_time_ * keep + running_ * dt;
@@ -362,6 +361,7 @@
     const double most = std::max(recent_call_, kCreditDepth * flows);  // one call is always ready
     call_credit_ = std::clamp(call_credit_ + (flows - calling_) * dt, -kCreditDepth, most);
     pace_ = pace();
+    return *this;
   }
   // One pending timer: the earliest of the next tick, due time or call. Older wakes are told by their token.
   void wake(double at) {
@@ -406,8 +406,7 @@
     host_.fail(id);
     stop_unwanted(id, s);
   }
-  // Nobody waits for this op any more: what is held goes, what runs is stopped where that is allowed. A run
-  // that cannot be stopped keeps its charge and its core until its end is told.
+  // What is held goes, what runs is stopped or keeps its charge and its core until its end is told.
   void stop_unwanted(OpId id, Slot& s) {
     s.answered = true;
     due_.erase({s.due, id});
@@ -435,21 +434,8 @@
     host_.forget(s.op.id);
   }
 
-  // ---- Intake.
-  bool within_quota(const Op& op) {
-    if (buckets_.empty()) return true;
-    const auto i = static_cast<std::size_t>(op.customer);
-    Bucket& b = buckets_[i];
-    b.tokens = std::min(b.tokens + (last_ - b.filled) * quota_here(i), bucket_size(i));
-    b.filled = last_;
-    // Traffic that is spread unevenly over the fleet brings more of every customer to some backends: only one
-    // whose part of what is read here is over its part of all quotas can be over its share. Guards against a
-    // zone that carries most of the load and refused half of it as beyond the shares.
-    for (Bucket& other : buckets_) other.mix += ((&other == &b ? 1 : 0) - other.mix) / kMixMemory;
-    return b.tokens >= 1 || b.mix <= kMixRoom * set_.customers[i].quota_per_s / quotas_;
-  }
-  // The counter sees bytes, not callers (a limit that the source names): while work waits, one caller or
-  // subject that holds over half of the bytes in use loses room first. Idle room stays free for anyone.
+  // ---- Intake. The pool sees bytes, not callers: while work waits, one caller or subject that holds over
+  // half of the bytes in use loses room first. Idle room stays free for anyone.
   bool heavy(const Op& op) const {
     double of_caller = 0, of_key = 0, all = 0;
     bool others = false;
@@ -464,10 +450,9 @@
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
-  // First tries tell one of the few waits that callers have as a habit; where further ones are not marked,
-  // they show by telling what is left of their client's patience, which is any wait.
+  // First tries tell one of the few waits that callers have as a habit, unmarked retries tell any wait.
   bool unusual_wait(const Op& op) {
-    auto& waits = rows_[static_cast<std::size_t>(op.type)].waits;
+    auto& waits = row_at(op.type).waits;
     const double told = op.remaining_wait + op.age;
     auto at = waits.end();
     double all = 1;
@@ -485,10 +470,9 @@
   }
   void on_op(const Op& op) {
     const double now = last_;
-    const OpType& type = set_.op_types[static_cast<std::size_t>(op.type)];
+    const OpType type = begin_row(op.type).type;
     const double arrival = now - op.age;
-    // What could never run here takes no room and must not shrink the budget for the rest. Guards against one
-    // op of an absurd size after which nothing is admitted any more.
+    // What could never run here must not shrink the budget for the rest.
     if (fits(op)) largest_kb_ = std::max(largest_kb_, op.held_kb);
     if (type.target_latency > 0) lag_ += (std::min(op.age / type.target_latency, 1.5) - lag_) / kLagMemory;
     note_caller(op.caller);
@@ -497,14 +481,13 @@
     last_read_ = now;
     Slot s;
     s.op = op;
+    s.type = type;
     s.since = now;
     s.due = std::max(
         now, (op.remaining_wait > 0 ? now + op.remaining_wait : arrival + type.op_timeout) - kDueMargin);
     if (leaving()) s.due = std::min(s.due, std::max(now, stop_at_ - kStopMargin));
     s.useful_by = s.due;
-    // The target counts from the first try; a further try has spent an unknown part of it.
-    // Where it tells its wait, not more than its client's whole patience less that: a try that came fresh
-    // from a full table or a nack has lost next to nothing, and was refused as if it had.
+    // The target counts from the first try; a retry has spent a part, at most what its told wait leaves over.
     double spent = again ? kAgainSpent * type.target_latency : 0;
     if (op.remaining_wait > 0) spent = std::clamp(type.op_timeout - op.remaining_wait - op.age, 0.0, spent);
     if (type.late_worth < kLateMatters) s.useful_by = std::min(s.due, arrival + type.target_latency - spent);
@@ -518,21 +501,17 @@
       return;
     }
     const double wait = predicted_wait();
-    const bool in_quota = within_quota(op);
+    const bool in_quota = !quotas_.on() || quotas_.within(op.customer, now);
     std::string why = refusal(s, arrival, wait, in_quota);
     if (why == "busy" && in_quota && displaces(s, wait)) why = "";
-    // What is stale when read counts as short too: its backend reads too much, whether it nacks for that or
-    // not.
+    // What is stale when read counts as short too, rejected or not: its backend reads too much.
     const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
     if (in_quota) shortage_ += ((shortage ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
       if (why == "busy") nacked_since_tick_ += 1;
       return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
     }
-    if (!buckets_.empty() && in_quota) {
-      double& tokens = buckets_[static_cast<std::size_t>(op.customer)].tokens;
-      tokens = std::max(0.0, tokens - 1);
-    }
+    if (quotas_.on() && in_quota) quotas_.spend(op.customer);
     Slot& kept = admit(s);
     if (type.effect == Effect::kKeyed) keep_key(op.id, kept, std::max(set_.resolution, type.window - op.age));
     // Reads may share an answer where the site allows it: a hot key then costs one run, not many.
@@ -562,24 +541,22 @@
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
     // The finish check; ops of types with nothing learned are held.
-    if (!rows_[static_cast<std::size_t>(s.op.type)].run.learned()) return {};
+    if (!row_of(s).run.learned()) return {};
     if (!in_quota) return "busy";  // over its quota an op takes idle room only
-    // Importance: the less an op is worth against the most important, the shorter the line it may join, so
-    // that under shortage room is left for the rest. One measure of line for all, or types with short targets
-    // would pay alone.
+    // The less an op is worth against the most important, the shorter the line it may join. One measure of
+    // line for all, or types with short targets would pay alone.
     return wait > room_for(s) ? "busy" : "";
   }
   double room_for(const Slot& s) {
     const double room = s.useful_by - last_ - own_time(s);
-    const double share = kLeastShare + (1 - kLeastShare) * type_of(s).importance / most_important_;
+    const double share =
+        kLeastShare + (1 - kLeastShare) * type_of(s).importance / directory_.most_important();
     return kFinishShare * (share < 1 ? share * std::min(room, common_room()) : room);
   }
   // A newcomer that finds the line too long takes the places of held ops that are worth less, even together:
-  // the least first, of those the last to come. They are given up, and answered, at once. Guards against a
-  // crowd of cheap ops that was there first and leaves what is worth most no room.
+  // the least first, of those the last to come. Guards against a crowd of cheap ops that was there first.
   bool displaces(const Slot& s, double wait) {
-    if (pool_used_ >= budget() || !rows_[static_cast<std::size_t>(s.op.type)].run.learned() || heavy(s.op))
-      return false;
+    if (pool_used_ >= budget() || !row_of(s).run.learned() || heavy(s.op)) return false;
     std::vector<const Slot*> cheap;
     for (const OpId id : line_) {
       const Slot& other = ops_.at(id);
@@ -606,13 +583,14 @@
     return true;
   }
   // The time that the op type with the least of it has for waiting.
-  double common_room() const {
+  double common_room() {
     double least = -1;
-    for (std::size_t i = 0; i < rows_.size(); ++i) {
-      const OpType& type = set_.op_types[i];
-      if (!rows_[i].run.learned()) continue;
+    for (const int i : recent_) {
+      const Row& row = row_at(i);
+      const OpType& type = row.type;
+      if (!row.run.learned()) continue;
       const double end = type.late_worth < kLateMatters ? type.target_latency : type.op_timeout;
-      const double room = end - rows_[i].run.mean() / pace_ - rows_[i].away.mean();
+      const double room = end - row.run.mean() / pace_ - row.away.mean();
       least = least < 0 ? std::max(room, 0.0) : std::min(least, std::max(room, 0.0));
     }
     return least;
@@ -620,10 +598,8 @@
   double held() const { return static_cast<double>(line_.size()); }
   int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
 
-  // ---- Starts. Of the held ops the one goes first that has the least time left to start by, counted by its
-  // importance: ten times the importance has ten times the haste. Guards against a line of cheap ops, each in
-  // time, behind which the few that matter are late by a little. It hurts the cheap ones when the line is
-  // long.
+  // ---- Starts. The held op goes first that has the least time left to start by, divided by its importance.
+  // Guards against a line of cheap ops behind which the few that matter are late by a little.
   void start_more() {
     start_held();
     if (running_ < limit() || held() == 0) full_since_ = last_;
@@ -684,6 +660,7 @@
     if (outcome == Outcome::kOk) {
       row_of(s).run.add(s.on_cores);
       row_of(s).away.add(s.away);
+      if (&row_of(s) != &former_) note_learned(s.op.type);
       if (type_of(s).calls) row_of(s).calls += (s.calls - row_of(s).calls) / kErrorMemory;
       judge_prior(s);
       done_work_ += run_of(s);
@@ -692,17 +669,14 @@
       pace_ = pace();
     }
     if (outcome == Outcome::kError) sound_runs_ = 0;
-    if (outcome != Outcome::kCancelled) {
+    if (outcome != Outcome::kCancelled)
       errors_ += ((outcome == Outcome::kError ? 1 : 0) - errors_) / kErrorMemory;
-    }
     erase(id);
     look_at_self();
     start_more();
   }
 
-  // What an earlier life knew is a prior, not a fact: where the first warm runs take other times, only they
-  // count. Guards against another machine, another release or another load behind the same settings; a cold
-  // backend is slow by nature and contradicts nobody.
+  // Where the first warm runs contradict what an earlier life learned, only they count.
   void judge_prior(Slot& s) {
     Row& row = row_of(s);
     if (row.remembered <= 0 || cold(last_)) return;
@@ -718,7 +692,9 @@
   }
   Knowledge learned() const {
     Knowledge out;
-    for (const Row& row : rows_) out.types.push_back({row.run.told(), row.away.told()});
+    out.types.resize(directory_.op_types());
+    for (std::size_t i = 0; i < rows_.size() && i < out.types.size(); ++i)
+      if (rows_[i] != nullptr) out.types[i] = {rows_[i]->run.told(), rows_[i]->away.told()};
     out.calls = calls_.told();
     out.returns = returns_;
     out.troubled = ailing_ || cold(last_) || call_bound_ < call_ceiling_;
@@ -735,19 +711,16 @@
     s.call_tries = 0;
     ++s.calls;
     if (s.answered) return host_.fail(id);
-    if (set_.below == Below::kShared && set_.dep_share <= 0) {  // no part below: nothing may be called
-      return type_of(s).worth_without > 0 ? skip(id, s) : fail(id);
-    }
+    const bool may_call = set_.below != Below::kShared || set_.dep_share > 0;
+    if (!may_call) return type_of(s).worth_without > 0 ? skip(id, s) : fail(id);
     call_line_.push_back(id);
     let_calls_out();
     start_more();
   }
   bool calls_slow() const { return calls_.learned() && recent_call_ > kCallsSlow * calls_.quantile(0.5); }
-  // Calls in hand, on the mean, while calls took their usual time: so many the layer below is known to bear.
-  // While it is slow it gets no more: a call that has taken its time is followed by a rest, or by credit from
-  // before. Guards against a shared layer that turns slow, for whatever cause: all that the part allows sent
-  // at once crowds it, hardly any call comes back before it is given up, and what is given up stays in its
-  // hands. It may hurt where the usual load below was far under what the layer bears even when slow.
+  // Calls in hand, on the mean, while calls took their usual time: so many the layer below is known to bear,
+  // and while it is slow it gets no more. Guards against crowding a slow layer until hardly any call comes
+  // back in time. It may hurt where the usual load was far under what the layer bears.
   double usual_in_hand() const {
     const double part = set_.below == Below::kShared ? set_.dep_share * kCallShare : call_ceiling_;
     return std::max(kLeastInHand,
@@ -760,7 +733,7 @@
     return std::min(owed, std::max(0.0, call_at_ + kCallProbe - last_));
   }
   // How long the calls of an op take while calls are slow: those of its equals and betters go first.
-  double slow_calls(const Slot& s) const {
+  double slow_calls(const Slot& s) {
     double ahead = 0;
     for (const auto& [id, other] : ops_) {
       if (id == s.op.id || other.answered || other.stage == Stage::kJoining || !type_of(other).calls)
@@ -768,14 +741,13 @@
       if (type_of(other).importance < type_of(s).importance) continue;
       if (other.stage == Stage::kHeld && s.stage == Stage::kHeld && other.since > s.since) continue;
       ahead += other.stage == Stage::kWantsCall ? 1 : 0;
-      ahead += std::max(0.0, rows_[static_cast<std::size_t>(other.op.type)].calls - other.calls);
+      ahead += std::max(0.0, row_of(other).calls - other.calls);
     }
-    const double own = rows_[static_cast<std::size_t>(s.op.type)].calls;
+    const double own = row_of(s).calls;
     return own * recent_call_ + call_rest() + (ahead + own - 1) * call_gap();
   }
-  // Calls in hand, abandoned ones included, stay under a bound of our own; when the layer below is slow the
-  // more important go first. A call that could only return too late is left out where its answer is still
-  // worth something.
+  // Calls in hand stay under a bound of our own; when the layer below is slow the more important go first. A
+  // call that could only return too late is left out where an answer without it is still worth something.
   void let_calls_out() {
     const bool by_importance = calls_slow() || call_bound_ < call_ceiling_;
     const bool shared = set_.below == Below::kShared;
@@ -797,7 +769,7 @@
       const OpId id = *pick;
       Slot& s = ops_.at(id);
       double patience = s.due - last_;
-      if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(s.op.type) / pace_ - last_;
+      if (type_of(s).worth_without > 0) patience = s.useful_by - mean_run(row_of(s)) / pace_ - last_;
       if (calls_.learned())
         patience =
             std::min(patience,
@@ -827,20 +799,19 @@
       Slot& s = ops_.at(id);
       // The mean of dozens of calls lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
-      if (calls_slow()) {
+      if (calls_slow())
         left -= calls_before(i) * call_gap() + call_rest();
-      } else if (by_importance) {
+      else if (by_importance)
         left -= calls_before(i) * recent_call_ / (call_bound_ * (1 - turned_away_));
-      }
-      if (type_of(s).worth_without > 0 && left < mean_run(s.op.type) / pace_) {
-        call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
-        skip(id, s);
-      } else if (by_importance && s.useful_by < last_ + recent_call_ && !s.answered) {
-        call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
-        fail(id);  // it cannot be in time any more, and others wait for the same scarce calls
-      } else {
+      const bool skips = type_of(s).worth_without > 0 && left < mean_run(row_of(s)) / pace_;
+      // It cannot be in time any more, and others wait for the same scarce calls.
+      const bool fails = by_importance && s.useful_by < last_ + recent_call_ && !s.answered;
+      if (!skips && !fails) {
         ++i;
+        continue;
       }
+      call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
+      skips ? skip(id, s) : fail(id);
     }
   }
   // How many in the line go first when the more important do.
@@ -887,8 +858,7 @@
         if (call_bound_ >= call_ceiling_) host_.log("calls: bound back at its usual");
       }
     }
-    // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls,
-    // and ops would pile up behind the bound with idle cores.
+    // Only signs of crowding shrink the bound: a layer below that errs quickly is not helped by fewer calls.
     const bool crowded = outcome == Outcome::kTimeout || outcome == Outcome::kRefused || calls_slow();
     if (crowded && last_ >= call_drop_at_) {
       if (call_bound_ >= call_ceiling_) host_.log("calls: under pressure, bound lowered");
@@ -945,11 +915,10 @@
     while (!due_.empty() && due_.begin()->first <= last_) {
       const OpId id = due_.begin()->second;
       const Slot& s = ops_.at(id);
-      if (s.has_run || s.stage == Stage::kJoining || type_of(s).effect != Effect::kRetryable) {
+      if (s.has_run || s.stage == Stage::kJoining || type_of(s).effect != Effect::kRetryable)
         fail(id);
-      } else {
+      else
         nack(id, 0);
-      }
     }
     if (last_ >= next_tick_) tick(gauges);
     let_calls_out();
@@ -961,14 +930,11 @@
   void tick(const Gauges& gauges) {
     next_tick_ = last_ + kTick;
     const bool waits = held() > 0;
-    // The gauge looks back: cores that it saw idle before the work came are no reason to run more. Guards
-    // against bursts after a lull, which with few cores tripled the limit and thrashed; it delays the growth
-    // for runs that wait off the cores by the gauge's span.
-    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores && last_ - full_since_ >= kGaugeSpan) {
+    // The gauge looks back: cores that it saw idle before the work came are no reason to run more.
+    if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores && last_ - full_since_ >= kGaugeSpan)
       run_limit_ = run_limit_ * kGrow;
-    } else if (gauges.cpu_busy > kFullCores || !waits) {
+    else if (gauges.cpu_busy > kFullCores || !waits)
       run_limit_ = run_limit_ - 1;
-    }
     if (gauges.cpu_busy >= 0 && gauges.cpu_busy < kIdleCores) lag_ = 0;  // idle cores: nothing stands unread
     lag_ *= kLagFade;
     run_limit_ = std::clamp<double>(run_limit_, set_.cores, survivable() * kCrowdShare);
@@ -981,26 +947,22 @@
   }
 
   // Open connections take a part of the cores and a full table denies the next caller, while a new one costs
-  // work: worth keeping where callers come back to this backend soon, and not where many callers share many
-  // backends. But when reading and new connections fall behind, a table that fills up turns callers away for
-  // nothing: then idle ones stay, until newcomers find room again. Guards against a fleet with many callers
-  // that spends its cores on the table, and against floods of tries, of whatever cause, that drown it in new
-  // connections. It hurts where a few callers pause for longer than the window and return all at once.
+  // work: worth keeping where callers come back to this backend soon. When reading and new connections fall
+  // behind, idle ones stay until newcomers find room again. Guards against a table that takes the cores, and
+  // floods of new connections. It hurts where a few callers pause for long and return all at once.
   void look_at_connections(const Gauges& gauges) {
     if (set_.caller_idle <= 0) return;
-    if (gauges.runnable - running_ > kUnreadPerCore * set_.cores) {
+    if (gauges.runnable - running_ > kUnreadPerCore * set_.cores)
       idle_ *= kIdleUp;
-    } else if (shortage_ < kRoomAgain) {
+    else if (shortage_ < kRoomAgain)
       idle_ *= kIdleDown;
-    }
     idle_ = std::clamp(idle_, std::min(kIdleConnection, set_.caller_idle), set_.caller_idle);
     const double after = returns_ > kReturns ? set_.caller_idle : idle_;
     if (std::abs(after - said_idle_) <= kIdleStep * said_idle_) return;
     said_idle_ = after;
     host_.close_idle(after);
   }
-  // Whether callers come back while their connection is still worth keeping. A small table of fixed size, so
-  // that nothing is allocated on reading; a caller that another one pushed out counts as new.
+  // Whether callers come back while their connection is worth keeping; one that another pushed out is new.
   void note_caller(std::uint32_t caller) {
     auto& [last_caller, at] = callers_[caller % kCallersKept];
     const bool back = last_caller == caller && last_ - at < kWorthKeeping * set_.caller_idle;
@@ -1010,14 +972,13 @@
   }
 
   // Whether runs still get done in time, whether they succeed, and whether ops are read before they are
-  // stale. The last guards against a machine so slow, or a line of unread ops so long, that reading takes all
-  // the cores: no run ever starts, so the pace sees nothing, while callers go on sending to a backend that
-  // can serve nobody.
+  // stale. The last guards against reading that takes all the cores: no run starts, so the pace sees nothing.
   void look_at_self() {
     double need = 0, n = 0;
-    for (std::size_t i = 0; i < rows_.size(); ++i) {
-      if (!rows_[i].run.learned() || set_.op_types[i].target_latency <= 0) continue;
-      need += rows_[i].run.mean() / pace_ / set_.op_types[i].target_latency;
+    for (const int i : recent_) {
+      const Row& row = row_at(i);
+      if (!row.run.learned() || row.type.target_latency <= 0) continue;
+      need += row.run.mean() / pace_ / row.type.target_latency;
       n += 1;
     }
     const bool slow = !cold(last_) && n > 0 && need / n > (ailing_ ? kAilingLeave : kAilingEnter);
@@ -1036,9 +997,8 @@
     show_health();
   }
   void show_health() {
-    // Where the list follows health, bad health ends the probes too. So after a silence it is good again, for
-    // as long as it takes the list to send some: they show whether this backend is well. Guards against
-    // staying away for ever after any short trouble; it costs the failing a few ops each time.
+    // Where the list follows health, bad health ends the probes too. So after a silence it is good again
+    // until some ops come and show it. Guards against staying away for ever; it costs the failing a few ops.
     const bool silent = last_ >= last_read_ + kSilence;
     const bool good = !leaving() && !(ailing_ && !silent && last_ >= ailing_since_ + kHealthPatience);
     if (good == healthy_) return;
@@ -1052,7 +1012,7 @@
     // Few callers that all heed long advice leave the cores idle between their returns: then it is shortened.
     stay_away_ = std::clamp(stay_away_ + (idle ? -kStayDown : kStayUp), 0.0, 1.0);
     level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
-    const double most = kLevelMost / static_cast<double>(set_.op_types.size());
+    const double most = kLevelMost / static_cast<double>(std::max<std::size_t>(1, directory_.op_types()));
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
     nacked_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
@@ -1066,11 +1026,14 @@
   }
 
   const Settings set_;
+  const FixedDirectory fixed_;
+  const Directory& directory_;
+  Quotas quotas_;
   Host& host_;
   Pcg chance_;
-  std::vector<Row> rows_;
-  std::vector<Bucket> buckets_;
-  double quotas_ = 1e-9;  // ops a second of all customers; never a divisor of 0
+  std::vector<std::unique_ptr<Row>> rows_;  // by position, of op types that were seen
+  std::vector<int> recent_;                 // positions of those that learned lately
+  Row former_;
   std::map<OpId, Slot> ops_;
   std::deque<OpId> line_;  // held ops, in the order in which they came
   std::deque<OpId> call_line_;
@@ -1087,7 +1050,6 @@
   double call_depth_ = 0, call_budget_ = 0;  // call seconds below
   double in_hand_ = 0, in_hand_over_ = 0;    // call seconds while calls took their usual time, and s
   double call_at_ = 0, call_credit_ = 0;     // call seconds; what the pace of slow calls has left
-  double most_important_ = 0;
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
   bool failing_ = false, ailing_ = false, healthy_ = true, storm_ = false;
@@ -1103,37 +1065,23 @@
   std::uint64_t wake_token_ = 0;
 };
 
-Decider::Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior)
-    : state_(std::make_unique<State>(settings, seed, host, now, prior)) {}
+Decider::Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior,
+                 const Directory* directory)
+    : state_(std::make_unique<State>(settings, seed, host, now, prior, directory)) {}
 Decider::~Decider() = default;
 
-void Decider::on_op(double now, const Op& op) {
-  state_->advance(now);
-  state_->on_op(op);
-}
-void Decider::on_run_end(double now, OpId id, Outcome outcome, double /*spent*/) {
-  state_->advance(now);
-  state_->on_run_end(id, outcome);
-}
-void Decider::on_call_needed(double now, OpId id) {
-  state_->advance(now);
-  state_->on_call_needed(id);
-}
-void Decider::on_call_end(double now, OpId id, Outcome outcome, double /*spent*/) {
-  state_->advance(now);
-  state_->on_call_end(id, outcome);
-}
-void Decider::on_gone(double now, OpId id) {
-  state_->advance(now);
-  state_->on_gone(id);
+void Decider::on_op(double now, const Op& op) { state_->at(now).on_op(op); }
+void Decider::on_run_end(double now, OpId id, Outcome outcome, double) {
+  state_->at(now).on_run_end(id, outcome);
 }
-void Decider::on_leave(double now, double time_left) {
-  state_->advance(now);
-  state_->on_leave(time_left);
+void Decider::on_call_needed(double now, OpId id) { state_->at(now).on_call_needed(id); }
+void Decider::on_call_end(double now, OpId id, Outcome outcome, double) {
+  state_->at(now).on_call_end(id, outcome);
 }
+void Decider::on_gone(double now, OpId id) { state_->at(now).on_gone(id); }
+void Decider::on_leave(double now, double time_left) { state_->at(now).on_leave(time_left); }
 void Decider::on_wake(double now, std::uint64_t token, const Gauges& gauges) {
-  state_->advance(now);
-  state_->on_wake(token, gauges);
+  state_->at(now).on_wake(token, gauges);
 }
 Knowledge Decider::learned() const { return state_->learned(); }
 double Decider::pool_in_use() const { return state_->pool_used_; }
--- a/src/decide.h
+++ b/src/decide.h
@@ -20,6 +20,7 @@
 enum class Outcome { kOk, kError, kRefused, kTimeout, kUnreachable, kReset, kCancelled, kMoot };
 
 struct OpType {
+  std::uint32_t life = 0;  // told anew when another op type takes this one's position
   double target_latency = 0;
   double op_timeout = 0;
   double window = 0;  // keyed: how long a repeat may come
@@ -32,6 +33,22 @@
 
 struct Customer {
   double quota_per_s = 0;  // over the whole fleet
+  std::uint32_t life = 0;  // told anew when another customer takes this one's position
+};
+
+// What is looked up of op types and customers by their positions. It may change between two calls of a
+// Decider, never within one. Every call takes constant time, however many there are.
+class Directory {
+ public:
+  virtual ~Directory() = default;
+  virtual const OpType& op_type(int position) const = 0;
+  virtual Customer customer(int position) const = 0;
+  virtual std::size_t op_types() const = 0;
+  virtual std::size_t customers() const = 0;  // 0: nobody has a quota
+  // Positions are below this, now and later.
+  virtual std::size_t customer_positions() const = 0;
+  virtual double quotas_per_s() const = 0;    // of all customers together
+  virtual double most_important() const = 0;  // importance of the op type that has most
 };
 
 struct Settings {
@@ -125,8 +142,10 @@
 
 class Decider {
  public:
-  // A prior is believed as far as its counts go, until the first runs speak against it.
-  Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior = {});
+  // A prior is believed as far as its counts go, until the first runs speak against it. Op types and
+  // customers are those of the settings, or of a directory, which then has to outlive this.
+  Decider(const Settings& settings, std::uint64_t seed, Host& host, double now, const Knowledge& prior = {},
+          const Directory* directory = nullptr);
   ~Decider();
   Decider(const Decider&) = delete;
   Decider& operator=(const Decider&) = delete;
