--- /dev/null
+++ b/bench/scale.cpp
@@ -0,0 +1,83 @@
+// How costs grow with the size of the fleet and of its configuration: the program's decisions, its catalog,
+// one real backend under load, and fleets of hollow members beside real processes. Each figure is measured at
+// several sizes; a line through the smaller ones has to foretell the largest, or it is not straight.
+#include "scale.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cxxopts.hpp>
+
+namespace damsonspoke::bench {
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+double median(std::vector<double> values) { return quantile(std::move(values), 0.5); }
+
+Forecast forecast(const std::vector<std::pair<double, double>>& points) {
+  Forecast out;
+  if (points.size() < 3) return out;
+  const auto count = static_cast<double>(points.size() - 1);
+  double x = 0, y = 0, xx = 0, xy = 0;
+  for (std::size_t i = 0; i + 1 < points.size(); ++i) {
+    x += points[i].first, y += points[i].second;
+    xx += points[i].first * points[i].first, xy += points[i].first * points[i].second;
+  }
+  const double spread = count * xx - x * x;
+  out.slope = spread != 0 ? (count * xy - x * y) / spread : 0;
+  out.base = (y - out.slope * x) / count;
+  out.measured = points.back().second;
+  out.foretold = out.base + out.slope * points.back().first;
+  return out;
+}
+
+void print_forecast(const char* what, const char* unit,
+                    const std::vector<std::pair<double, double>>& points) {
+  const Forecast line = forecast(points);
+  fmt::print("  {}: {:.6g} + {:.6g} x size; at {:.0f} foretold {:.4g} {}, measured {:.4g} ({:+.0f}%){}\n",
+             what, line.base, line.slope, points.back().first, line.foretold, unit, line.measured,
+             100 * line.error(), std::abs(line.error()) <= 0.25 ? "" : ": not straight");
+}
+
+}  // namespace damsonspoke::bench
+
+int main(int argc, char** argv) {
+  using namespace damsonspoke::bench;
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  cxxopts::Options flags("scale", "how costs grow with the size");
+  flags.add_options()("seconds", "of load in each play", cxxopts::value<double>()->default_value("10"))(
+      "seed", "of load and chance", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "rounds", "plays of each figure", cxxopts::value<int>()->default_value("3"))(
+      "fleets", "members of the fleets on sockets",
+      cxxopts::value<std::vector<int>>()->default_value("100,300,1000,2300"))(
+      "loss", "the largest of them that loses a sixth", cxxopts::value<int>()->default_value("300"))(
+      "parts", "which: decisions, catalog, backend, members, simulated",
+      cxxopts::value<std::vector<std::string>>()->default_value(
+          "decisions,catalog,backend,members,simulated"));
+  const auto given = flags.parse(argc, argv);
+  ScaleOptions options;
+  options.seconds = given["seconds"].as<double>();
+  options.seed = given["seed"].as<std::uint64_t>();
+  options.rounds = given["rounds"].as<int>();
+  options.fleets = given["fleets"].as<std::vector<int>>();
+  options.largest_loss = given["loss"].as<int>();
+  const auto parts = given["parts"].as<std::vector<std::string>>();
+  const auto wanted = [&](const char* part) {
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+  };
+  Figures figures;
+  if (wanted("decisions")) measure_decisions(options, figures);
+  if (wanted("catalog")) measure_catalog(options, figures);
+  if (wanted("backend")) measure_backend(options, figures);
+  if (wanted("members")) measure_members(options, figures);
+  if (wanted("simulated")) measure_simulated_members(options, figures);
+  fmt::print("figures:");
+  for (const auto& [name, value] : figures) fmt::print(" {}={:.6g}", name, value);
+  fmt::print("\n");
+  return 0;
+}
--- /dev/null
+++ b/bench/scale_backend.cpp
@@ -0,0 +1,224 @@
+// One real backend with the whole catalog, under the load of one backend at the peak: what changes and a
+// whole replacement cost the requests that it serves meanwhile.
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "catalog/files.h"
+#include "fleet.h"
+#include "scale.h"
+#include "synthetic_site.h"
+
+namespace damsonspoke::bench {
+namespace {
+
+using namespace standins;
+
+const char* const kBinary = DAMSONSPOKE_BINARY;
+constexpr SiteSize kWhole{44000, 960000};
+constexpr catalog::CatalogLimits kLimits{50000, 1000000, true};
+constexpr double kRequestsPerS = 1304;            // 3 million over 2,300 backends
+constexpr double kChangesPerS = 22000 / 86400.0;  // on the mean of a day
+constexpr double kPeak = 10;                      // x that
+constexpr double kWork = 0.001;                   // core s of a run; four cores are a third busy
+constexpr int kCores = 4;
+
+// A folder of catalog files, written as a source would.
+class Files {
+ public:
+  Files(const std::string& folder, SiteSize size) : folder_(folder), size_(size) { write_whole(1); }
+
+  // Everything anew, with quotas of its own.
+  void write_whole(double factor) {
+    std::string lines;
+    for (std::size_t i = 0; i < size_.routes; ++i)
+      lines += encode_change(catalog::PutRoute{route_name(i), synthetic_route(i)});
+    for (std::size_t i = 0; i < size_.tenants; ++i)
+      lines +=
+          encode_change(catalog::PutTenant{tenant_name(i), {factor * synthetic_quota(size_.tenants), 0}});
+    history_ = catalog::extend(history_, lines);
+    catalog::write_snapshot(folder_, {1, ++sequence_}, history_, lines);
+  }
+  // Behind the changes so far; returns the number of the last one.
+  std::uint64_t append(std::size_t count) {
+    std::string lines;
+    for (std::size_t i = 0; i < count; ++i)
+      lines += encode_change(catalog::PutTenant{tenant_name((sequence_ * 97 + i) % size_.tenants),
+                                                {10 + static_cast<double>(i), 0}});
+    std::ofstream file(folder_ + "/" + catalog::kChangesFile, std::ios::binary | std::ios::app);
+    file << catalog::seal_span(1, sequence_ + 1, history_, lines);
+    return sequence_ += count;
+  }
+  std::uint64_t sequence() const { return sequence_; }
+
+ private:
+  const std::string folder_;
+  const SiteSize size_;
+  std::uint64_t sequence_ = 0;
+  catalog::HistoryDigest history_ = 0;
+};
+
+struct Play {
+  std::vector<double> added;     // s of each acked request beyond its run's work
+  std::vector<double> in_force;  // s from a change's writing until it is in force
+  std::size_t wanted = 0, acked = 0, versionless = 0;
+  double processor_share = 0;  // of a core
+  double hold_ms = 0, resident_mb = 0;
+  std::uint64_t applied = 0, refused = 0, broken = 0, overdue = 0;
+  std::uint64_t sequence = 0, last_written = 0;
+};
+
+struct Timing {
+  double every = 0;       // s between two groups of changes; 0: none
+  std::size_t group = 1;  // changes in one
+  bool replaces = false;  // everything, a second into the play
+};
+
+SiteSpec site_of(const std::string& folder) {
+  SiteSpec site;
+  site.types = {{"first", "retryable", 0.2, 0.4, 0, 1}};
+  site.cores = kCores;
+  site.memory_mb = 256;
+  site.operators = fmt::format("catalog\n    folder {}\n", folder);
+  return site;
+}
+
+Callers::Options load_of(std::uint64_t seed) {
+  Flow flow;
+  flow.type = "any";
+  flow.per_s = kRequestsPerS;
+  flow.patience = 0.4;
+  flow.type_of = [](std::uint64_t draw) { return route_name(draw % kWhole.routes); };
+  flow.tenant_of = [](std::uint64_t draw) { return tenant_name(draw % kWhole.tenants); };
+  Callers::Options load;
+  load.flows = {flow};
+  load.connections = 32;
+  load.seed = seed;
+  return load;
+}
+
+Play play(const std::string& folder, Files& files, const Timing& timing, const ScaleOptions& options) {
+  Play out;
+  Runtime::Options work;
+  work.cores = kCores;
+  work.work = kWork;
+  Fleet fleet(kBinary, site_of(folder), work, load_of(options.seed));
+  if (!fleet.start()) return out;
+  fleet.loop.run_for(2);
+  std::map<std::uint64_t, double> written;  // number of a change, until it is in force
+  fleet.process->on_line = [&](const std::string& line) {
+    const std::size_t at = line.find("in force ");
+    if (line.find("catalog: version 1.") == std::string::npos || at == std::string::npos) return;
+    const std::uint64_t sequence = std::strtoull(line.c_str() + line.find("version 1.") + 10, nullptr, 10);
+    while (!written.empty() && written.begin()->first <= sequence) {
+      out.in_force.push_back(now() - written.begin()->second);
+      written.erase(written.begin());
+    }
+  };
+  const double begin = now(), cpu = fleet.process->processor_time();
+  std::function<void()> change = [&] {
+    if (now() - begin > options.seconds) return;
+    const double at = now();
+    written[files.append(timing.group)] = at;
+    fleet.process->signal(SIGHUP);
+    fleet.loop.after(timing.every, change);
+  };
+  if (timing.every > 0) fleet.loop.after(timing.every, change);
+  if (timing.replaces) {
+    // Written before: the stand-ins share this thread.
+    written[files.sequence()] = now() + 1;
+    fleet.loop.after(1, [&] { fleet.process->signal(SIGHUP); });
+  }
+  fleet.loop.run_for(options.seconds);
+  out.processor_share = (fleet.process->processor_time() - cpu) / (now() - begin);
+  out.resident_mb = static_cast<double>(fleet.process->resident_kb()) / 1024;
+  fleet.settle(3);
+  fleet.loop.run_for(1);
+  auto counters = fleet.process->counters();
+  out.hold_ms = static_cast<double>(counters["catalog.most_us"]) / 1000;
+  out.applied = counters["catalog.applied"];
+  out.refused = counters["catalog.refused"];
+  out.sequence = counters["catalog.sequence"];
+  out.overdue = counters["ops.overdue"];
+  out.last_written = files.sequence();
+  fleet.leave();
+  for (const auto& [op, asked] : fleet.journal.tries) {
+    if (asked.sent < begin) continue;
+    ++out.wanted;
+    for (const Answer& answer : asked.answers) {
+      if (answer.kind != AnswerKind::kAcked) continue;
+      ++out.acked;
+      out.added.push_back(answer.at - asked.sent - kWork);
+    }
+  }
+  out.broken = check_rules(fleet.journal, fleet.limits()).broken.size();
+  return out;
+}
+
+void tell(const char* what, const Play& p) {
+  fmt::print(
+      "  {:<34} {} of {} served, added p50 {:.2f} p99 {:.2f} ms; {:.1f}% of a core, {:.0f} MB, longest hold "
+      "{:.2f} ms; "
+      "{} taken, {} refused, {} in force of {}{}{}\n",
+      what, p.acked, p.wanted, 1000 * quantile(p.added, 0.5), 1000 * quantile(p.added, 0.99),
+      100 * p.processor_share, p.resident_mb, p.hold_ms, p.applied, p.refused, p.sequence, p.last_written,
+      p.in_force.empty() ? "" : fmt::format(" after p99 {:.3f} s", quantile(p.in_force, 0.99)),
+      p.broken > 0 ? "; RULES BROKEN" : "");
+}
+
+}  // namespace
+
+void measure_backend(const ScaleOptions& options, Figures& figures) {
+  fmt::print("One backend with {} routes and {} tenants, {:.0f} requests a second:\n", kWhole.routes,
+             kWhole.tenants, kRequestsPerS);
+  const Folder folder;
+  Files files(folder.path("."), kWhole);
+  const Play calm = play(folder.path("."), files, {}, options);
+  tell("no change", calm);
+  const Play peak = play(folder.path("."), files, {1 / (kPeak * kChangesPerS), 1, false}, options);
+  tell("changes at ten times the mean", peak);
+  const Play burst = play(folder.path("."), files, {1, 1000, false}, options);
+  tell("a thousand changes each second", burst);
+  // The backend starts with the one before and finds the next one when it is asked.
+  const std::string current = folder.path("./") + catalog::kSnapshotFile;
+  Play replaced;
+  {
+    const std::string aside = folder.path("./") + "next";
+    ::rename(current.c_str(), aside.c_str());
+    files.write_whole(2);  // under the snapshot's name: becomes the next one
+    const std::string next = folder.path("./") + "later";
+    ::rename(current.c_str(), next.c_str());
+    ::rename(aside.c_str(), current.c_str());
+    // Swapped in by name when the play asks for it, a second in: here, since the play itself only signals.
+    replaced = [&] {
+      const pid_t mover = ::fork();
+      if (mover == 0) {
+        ::usleep(2500000);
+        ::rename(next.c_str(), current.c_str());
+        std::_Exit(0);
+      }
+      return play(folder.path("."), files, {0, 1, true}, options);
+    }();
+  }
+  tell("everything replaced", replaced);
+  figures["added_ms_p99_calm"] = 1000 * quantile(calm.added, 0.99);
+  figures["added_ms_p99_changes"] = 1000 * quantile(peak.added, 0.99);
+  figures["added_ms_p99_burst"] = 1000 * quantile(burst.added, 0.99);
+  figures["added_ms_p99_replaced"] = 1000 * quantile(replaced.added, 0.99);
+  figures["in_force_s_p99"] = quantile(peak.in_force, 0.99);
+  figures["in_force_s_replaced"] = quantile(replaced.in_force, 0.99);
+  figures["longest_hold_ms"] = std::max({peak.hold_ms, burst.hold_ms, replaced.hold_ms});
+  figures["mb_at_size"] = std::max({calm.resident_mb, peak.resident_mb, burst.resident_mb});
+  figures["mb_replaced"] = replaced.resident_mb;
+  figures["lost_changes"] +=
+      static_cast<double>(peak.last_written - peak.sequence + burst.last_written - burst.sequence);
+  figures["rule_breaks"] = static_cast<double>(calm.broken + peak.broken + burst.broken + replaced.broken);
+  figures["control_core_share_changes"] = std::max(0.0, peak.processor_share - calm.processor_share);
+}
+
+}  // namespace damsonspoke::bench
--- /dev/null
+++ b/bench/scale_members.cpp
@@ -0,0 +1,201 @@
+// Fleets of hollow members beside real processes of the program, on sockets; and the same view simulated, at
+// sizes that one machine's processors do not carry.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <thread>
+
+#include "decision_load.h"
+#include "fleet.h"
+#include "hollow.h"
+#include "members_sim.h"
+#include "process.h"
+#include "scale.h"
+#include "synthetic_site.h"
+
+namespace damsonspoke::bench {
+namespace {
+
+using namespace standins;
+
+const char* const kBinary = DAMSONSPOKE_BINARY;
+constexpr int kReal = 12;          // processes of the program
+constexpr double kConverge = 120;  // s
+constexpr double kLook = 5;        // s; of one look at bytes and time after a loss
+
+// Processes that serve nobody and take part in membership.
+class RealMembers {
+ public:
+  RealMembers(Loop& loop, std::uint64_t seed, const std::vector<std::string>& seeds) {
+    for (int i = 0; i < kReal; ++i) {
+      const std::string config = folder_.path(fmt::format("config-{}", i));
+      const std::string operators = folder_.path(fmt::format("operator-{}", i));
+      std::string text = synthetic_config({3, 0});
+      text.replace(text.find("hollow"), 6, fmt::format("real-{}", i));
+      std::ofstream(config) << text;
+      const std::string at = fmt::format("127.{}.240.{}:{}", 20 + seed % 200, 1 + i, HollowMembers::kPort);
+      std::ofstream(operators) << fmt::format(
+          "members\n    bind {0}\n    face {0}\n    cluster hollow\n    seeds {1}\n    peers 127.0.0.0/8\n",
+          at, fmt::join(seeds, " "));
+      processes_.push_back(std::make_unique<Process>(
+          loop, std::vector<std::string>{kBinary, "serve", "--config", config, "--operator", operators}));
+    }
+  }
+
+  struct Sums {
+    double processor_seconds = 0, bytes = 0, resident_kb = 0, there = 0;
+  };
+  Sums sums() {
+    Sums out;
+    for (const auto& process : processes_) {
+      out.processor_seconds += process->processor_time();
+      out.resident_kb = std::max(out.resident_kb, static_cast<double>(process->resident_kb()));
+      auto counters = process->counters();
+      out.bytes += static_cast<double>(counters["members.bytes"]);
+      out.there += static_cast<double>(counters["members.there"]) / kReal;
+    }
+    return out;
+  }
+
+ private:
+  Folder folder_;
+  std::vector<std::unique_ptr<Process>> processes_;
+};
+
+struct Rates {
+  double bytes = 0, hollow_share = 0, real_share = 0;  // a member and second; shares of a core
+};
+
+// Watches for so long.
+Rates rates_over(Loop& loop, HollowMembers& hollow, RealMembers& real, double seconds) {
+  const HollowMembers::Sums h = hollow.sums();
+  const RealMembers::Sums r = real.sums();
+  const double begin = now();
+  loop.run_for(seconds);
+  const HollowMembers::Sums h2 = hollow.sums();
+  const RealMembers::Sums r2 = real.sums();
+  const double took = now() - begin;
+  Rates out;
+  out.bytes = (static_cast<double>(h2.bytes - h.bytes) + r2.bytes - r.bytes) / (h2.alive + kReal) / took;
+  out.hollow_share = (h2.processor_seconds - h.processor_seconds) / h2.alive / took;
+  out.real_share = (r2.processor_seconds - r.processor_seconds) / kReal / took;
+  return out;
+}
+
+struct FleetFigures {
+  Rates calm;
+  double converged = -1;  // s; < 0: not within the time
+  double resident_kb = 0;
+};
+
+void lose_a_sixth(Loop& loop, HollowMembers& hollow, RealMembers& real, int members, Figures& figures) {
+  std::vector<int> lost;
+  for (int i = 3; i < members - kReal; i += 6) lost.push_back(i);
+  const auto left = static_cast<std::size_t>(members) - lost.size();
+  hollow.kill(lost);
+  const double begin = now();
+  double most = 0, found = -1;
+  for (int look = 0; look < 9; ++look) {
+    const Rates rates = rates_over(loop, hollow, real, kLook);
+    const HollowMembers::Sums sums = hollow.sums();
+    if (found < 0 && sums.most_there <= left) found = now() - begin;
+    most = std::max(most, rates.bytes);
+    fmt::print(
+        "    {:>4.0f} s after {} ended: {:>7.0f} bytes/s a member, {:.2f}% of a core (real {:.2f}%), sees {} "
+        "to {}\n",
+        now() - begin, lost.size(), rates.bytes, 100 * rates.hollow_share, 100 * rates.real_share,
+        sums.least_there, sums.most_there);
+  }
+  figures[fmt::format("bytes_per_s_loss_{}", members)] = most;
+  figures[fmt::format("loss_found_s_{}", members)] = found;
+}
+
+FleetFigures fleet_of(int members, const ScaleOptions& options, Figures& figures) {
+  FleetFigures out;
+  Loop loop;
+  HollowMembers::Options hollow_options;
+  hollow_options.count = members - kReal;
+  hollow_options.seed = options.seed + static_cast<std::uint64_t>(members);
+  HollowMembers hollow(hollow_options);
+  hollow.begin();
+  RealMembers real(loop, hollow_options.seed, hollow.first_addresses());
+  const double begin = now();
+  HollowMembers::Sums sums;
+  while (now() - begin < kConverge) {
+    loop.run_for(1);
+    sums = hollow.sums();
+    if (hollow.all_up() && sums.least_there == static_cast<std::size_t>(members)) break;
+  }
+  if (sums.least_there == static_cast<std::size_t>(members)) out.converged = now() - begin;
+  loop.run_for(5);
+  out.calm = rates_over(loop, hollow, real, options.seconds);
+  out.resident_kb = real.sums().resident_kb;
+  sums = hollow.sums();
+  fmt::print(
+      "  {:>4} members: {} see {} to {}{}; calm {:.0f} bytes/s a member, {:.3f}% of a core (real {:.3f}%), "
+      "{:.1f} MB resident\n",
+      members, sums.alive, sums.least_there, sums.most_there,
+      out.converged < 0 ? fmt::format(", not all of them within {:.0f} s", kConverge)
+                        : fmt::format(", all of them after {:.0f} s", out.converged),
+      out.calm.bytes, 100 * out.calm.hollow_share, 100 * out.calm.real_share, out.resident_kb / 1024);
+  if (members <= options.largest_loss) lose_a_sixth(loop, hollow, real, members, figures);
+  return out;
+}
+
+// A simulated fleet that loses a sixth at once; bytes a member and second, by fifths of a minute.
+void simulated_loss(int members, std::uint64_t seed, Figures& figures) {
+  MembersSim::Options options;
+  options.count = members, options.seed = seed, options.loss = 0.01;
+  MembersSim sim(options);
+  sim.begin(true);
+  sim.run_until(10);
+  sim.forget_bytes();
+  const double begin = thread_processor_time();
+  sim.run_until(20);
+  const double us = (thread_processor_time() - begin) * 1e6 / 10 / members;
+  const double calm = sim.bytes_a_member_second();
+  fmt::print("  {:>4} members, simulated: calm {:.0f} bytes/s a member, {:.0f} us a second;", members, calm,
+             us);
+  for (int i = 0; i < members; i += 6) sim.kill(i);
+  double most = 0;
+  for (int look = 1; look <= 8; ++look) {
+    sim.forget_bytes();
+    sim.run_until(20 + 5 * look);
+    // The dead send nothing, and are counted among the fleet.
+    const double bytes = sim.bytes_a_member_second() * 6 / 5;
+    most = std::max(most, bytes);
+    fmt::print(" {:.0f}", bytes);
+  }
+  fmt::print(" bytes/s in each 5 s after a sixth ended\n");
+  figures[fmt::format("bytes_per_s_calm_simulated_{}", members)] = calm;
+  figures[fmt::format("bytes_per_s_loss_simulated_{}", members)] = most;
+}
+
+}  // namespace
+
+void measure_members(const ScaleOptions& options, Figures& figures) {
+  fmt::print("Fleets on sockets, {} real processes among them:\n", kReal);
+  std::vector<std::pair<double, double>> bytes, share, memory;
+  for (const int members : options.fleets) {
+    const FleetFigures fleet = fleet_of(members, options, figures);
+    bytes.emplace_back(members, fleet.calm.bytes);
+    share.emplace_back(members, 100 * fleet.calm.hollow_share);
+    memory.emplace_back(members, fleet.resident_kb / 1024);
+    figures[fmt::format("bytes_per_s_calm_{}", members)] = fleet.calm.bytes;
+    figures[fmt::format("core_share_calm_{}", members)] = fleet.calm.hollow_share;
+    figures[fmt::format("converged_s_{}", members)] = fleet.converged;
+  }
+  print_forecast("bytes/s a member", "bytes/s", bytes);
+  print_forecast("share of a core a member", "%", share);
+  print_forecast("resident of a real process", "MB", memory);
+  figures["hollow"] = options.fleets.back() - kReal;
+  figures["real"] = kReal;
+}
+
+void measure_simulated_members(const ScaleOptions& options, Figures& figures) {
+  fmt::print("Fleets simulated, 1% of datagrams lost:\n");
+  for (const int members : {100, 300, 600, 1000, 2300}) simulated_loss(members, options.seed, figures);
+}
+
+}  // namespace damsonspoke::bench
--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -65,14 +65,13 @@
         reactor_, config_.listen, std::move(self),
         peers::Forwarders::Limits{fit, output, part(config_.limits, kKeptShare)}, events, counters_, log_);
   }
-  const peers::Callers::Marks keys = marks(config_, options_.results);
-  const peers::Callers::Names names{site.type_names, site.customer_names};
+  const peers::Callers::Marks keys = marks(options_.results);
   const AjpOptions& ajp = options_.ajp;
   if (ajp.listen.empty()) {
     const int fit = links_that_fit(config_.limits, peers::Callers::kMostInput);
     make_door(fit, {1});
     conns::Share* share = door_ ? &door_->share() : nullptr;
-    return std::make_unique<peers::Callers>(reactor_, config_.listen, names, keys,
+    return std::make_unique<peers::Callers>(reactor_, config_.listen, catalog_.catalog(), keys,
                                             peers::Callers::Limits{fit, output, share, 0, door_.get()},
                                             events, counters_, log_);
   }
@@ -83,9 +82,10 @@
   if (!door_) share_ = std::make_unique<conns::Share>(static_cast<std::size_t>(fit), floors);
   conns::Share& share = door_ ? door_->share() : *share_;
   auto callers = std::make_unique<peers::Callers>(
-      reactor_, config_.listen, names, keys, peers::Callers::Limits{fit, output / 2, &share, 0, door_.get()},
-      events, counters_, log_);
-  peers::AjpCallers::Self self{site.type_names, keys.needed, keys.longest, {}, draw_epoch()};
+      reactor_, config_.listen, catalog_.catalog(), keys,
+      peers::Callers::Limits{fit, output / 2, &share, 0, door_.get()}, events, counters_, log_);
+  peers::AjpCallers::Self self{
+      site.type_names, needs_key(config_, options_.results), keys.longest, {}, draw_epoch()};
   for (const OpType& type : site.settings.op_types) self.op_timeouts.push_back(type.op_timeout);
   auto second = std::make_unique<peers::AjpCallers>(reactor_, std::move(self), ajp, output / 2, share, 1,
                                                     events, counters_, log_, door_.get());
@@ -98,13 +98,16 @@
       options_(choice.options),
       reread_(std::move(reread)),
       log_(log),
+      catalog_(reactor_, choice, counters_, log),
       book_(ports_, counters_),
       send_(ports_, config_.site, counters_),
-      recall_(reactor_, book_, send_, admit_, config_.site, options_.results, counters_, log_),
+      recall_(reactor_, book_, send_, admit_, config_.site, catalog_.catalog(), options_.results, counters_,
+              log_),
       learn_(reactor_, admit_, config_.site, config_.name, options_.knowledge, counters_, log_),
       route_(book_, send_, recall_, counters_, log_),
-      admit_(reactor_, config_.site, config_.seed, route_, learn_, ports_, counters_),
-      take_in_(reactor_, {book_, admit_, send_, recall_}, ports_, config_.site, counters_),
+      admit_(reactor_, config_.site, catalog_.catalog(), config_.seed, route_, learn_, ports_, counters_),
+      take_in_(reactor_, {book_, admit_, send_, recall_}, ports_, config_.site, catalog_.catalog(),
+               counters_),
       relay_(book_, send_, recall_, admit_, take_in_, config_.site.settings.halt, counters_),
       membership_(
           reactor_, choice, role == Role::kPlanner ? "planner" : "relay",
@@ -125,6 +128,7 @@
         reactor_, options_.ajp, ajp_links(config_.limits, options_.ajp), relay_, counters_, log_);
     ports_.below = ajp_below_.get();
   }
+  book_.log_answers(log_);
   listen_for_questions();
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow any more: the write says so, nobody dies of it
@@ -138,6 +142,7 @@
   if (options_.control.folder.empty()) return;
   control_ = std::make_unique<control::Server>(reactor_, options_.control.folder, log_);
   membership_.answer_questions(*control_);
+  catalog_.answer_questions(*control_);
   control_->add("conns", [this](const std::vector<std::string>& words) {
     if (!door_) throw std::runtime_error("the gate is off: nothing is counted by client");
     const long most = words.size() > 1 ? std::atol(words[1].c_str()) : kClientsTold;
@@ -160,12 +165,14 @@
 void Backend::report() {
   recall_.report();
   membership_.report();
+  catalog_.report();
   log_.block(counters_.report());
 }
 
 // Addresses of peers move while everything goes on; each peer moves its own links. Guards against a file that
 // is missing, cut short or wrong when it is read: then the old configuration stays, whole.
 void Backend::reload() {
+  catalog_.follow();
   Choice choice;
   try {
     choice = reread_();
--- a/src/app/backend.h
+++ b/src/app/backend.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "app/catalog_watch.h"
 #include "app/membership.h"
 #include "conns/share.h"
 #include "control/server.h"
@@ -57,6 +58,7 @@
   Logger& log_;
   Counters counters_;
   net::Reactor reactor_;
+  CatalogWatch catalog_;
   peers::Ports ports_;
   stages::Book book_;
   stages::Send send_;
--- /dev/null
+++ b/src/app/catalog_watch.cpp
@@ -0,0 +1,122 @@
+#include "app/catalog_watch.h"
+
+#include <fmt/format.h>
+
+#include <random>
+#include <stdexcept>
+
+namespace damsonspoke {
+namespace {
+
+constexpr double kStep = 0.0005;       // s that the reactor is held at once
+constexpr double kRest = 0.0005;       // s between two steps: half of the time is for everything else
+constexpr double kStartStep = 0.1;     // s; nothing else waits then
+constexpr double kFolderPatience = 2;  // s; a start does not wait longer for a piece of a file
+
+std::uint64_t draw_key() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+}  // namespace
+
+CatalogWatch::CatalogWatch(net::Reactor& reactor, const Choice& choice, Counters& counters, Logger& log)
+    : reactor_(reactor), counters_(counters), log_(log), folder_(choice.options.catalog.folder) {
+  catalog::CatalogLimits limits;
+  if (!folder_.empty()) {
+    limits.routes = choice.options.catalog.routes;
+    limits.tenants = choice.options.catalog.tenants;
+  }
+  limits.keyed_routes = choice.options.results.enabled;
+  catalog_ = catalog::Catalog::of_settings(choice.config.site, limits, draw_key());
+  if (folder_.empty()) return;
+  source_ =
+      std::make_unique<catalog::ThreadedSource>(std::make_unique<catalog::FolderSource>(folder_),
+                                                [this] { reactor_.post_from_elsewhere([this] { step(); }); });
+  follower_ = std::make_unique<catalog::Follower>(*catalog_, *source_, net::monotonic_now);
+  load();
+}
+
+CatalogWatch::~CatalogWatch() {
+  source_.reset();  // its thread tells the reactor nothing more
+  reactor_.cancel(timer_);
+}
+
+void CatalogWatch::load() {
+  const double begin = net::monotonic_now();
+  follower_->follow();
+  while (follower_->state() != catalog::Follower::State::kIdle) {
+    if (follower_->step(kStartStep) != catalog::Follower::State::kWaiting) continue;
+    if (source_->wait(kFolderPatience)) continue;
+    log_.error("catalog", "'{}' hangs: starts with what it has", folder_);
+    break;
+  }
+  tell();
+  log_.info("catalog", "version {}.{}, {} routes, {} tenants, read in {:.3f} s", catalog_->version().epoch,
+            catalog_->version().sequence, catalog_->op_types(), catalog_->customers(),
+            net::monotonic_now() - begin);
+}
+
+void CatalogWatch::follow() {
+  if (follower_ == nullptr) return;
+  if (asked_at_ < 0) asked_at_ = net::monotonic_now();
+  const bool idle = follower_->state() == catalog::Follower::State::kIdle;
+  follower_->follow();
+  if (idle) step();
+}
+
+void CatalogWatch::step() {
+  const double begin = net::monotonic_now();
+  const catalog::Follower::State state = follower_->step(kStep);
+  counters_.most(Count::kCatalogMostUs, static_cast<std::uint64_t>((net::monotonic_now() - begin) * 1e6));
+  tell();
+  reactor_.cancel(timer_);
+  if (state == catalog::Follower::State::kWorking) timer_ = reactor_.after(kRest, [this] { step(); });
+  if (state != catalog::Follower::State::kIdle || asked_at_ < 0) return;
+  log_.info("catalog", "version {}.{} in force {:.3f} s after it was asked for", catalog_->version().epoch,
+            catalog_->version().sequence, net::monotonic_now() - asked_at_);
+  asked_at_ = -1;
+}
+
+void CatalogWatch::tell() {
+  for (const catalog::FollowerMessage& message : follower_->take_messages())
+    message.trouble ? log_.warn("catalog", "{}", message.text) : log_.info("catalog", "{}", message.text);
+}
+
+void CatalogWatch::report() {
+  if (follower_ == nullptr) return;
+  const catalog::FollowerCounts& counts = follower_->counts();
+  counters_.set(Count::kCatalogEpoch, catalog_->version().epoch);
+  counters_.set(Count::kCatalogSequence, catalog_->version().sequence);
+  counters_.set(Count::kCatalogRoutes, catalog_->op_types());
+  counters_.set(Count::kCatalogTenants, catalog_->customers());
+  counters_.set(Count::kCatalogBytes, catalog_->bytes());
+  counters_.set(Count::kCatalogApplied, counts.applied);
+  counters_.set(Count::kCatalogRefused, counts.refused);
+  counters_.set(Count::kCatalogSnapshots, counts.snapshots);
+}
+
+void CatalogWatch::answer_questions(control::Server& control) {
+  control.add("catalog", [this](const std::vector<std::string>&) {
+    if (follower_ == nullptr)
+      throw std::runtime_error("the catalog is off: no section 'catalog' with 'folder'");
+    return described();
+  });
+}
+
+std::string CatalogWatch::described() const {
+  const catalog::Version version = catalog_->version();
+  const catalog::FollowerCounts& counts = follower_->counts();
+  std::string out = fmt::format(
+      "version {}.{}, in force for {:.1f} s\n{} routes, {} tenants, {} bytes\n"
+      "{} changes and {} snapshots taken, {} refused; {} bytes of changes read\n",
+      version.epoch, version.sequence, net::monotonic_now() - follower_->in_force_since(),
+      catalog_->op_types(), catalog_->customers(), catalog_->bytes(), counts.applied, counts.snapshots,
+      counts.refused, follower_->changes_offset());
+  if (follower_->state() != catalog::Follower::State::kIdle) out += "reading now\n";
+  for (const catalog::Refusal& refusal : follower_->refusals())
+    out += fmt::format("refused: {}: {}\n", refusal.what, refusal.why);
+  return out;
+}
+
+}  // namespace damsonspoke
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -65,6 +65,17 @@
                         cxxopts::value<std::string>(), "FOLDER")(
       "limit", "so many clients at most", cxxopts::value<std::size_t>()->default_value("20"), "N");
 }
+void catalog_flags(cxxopts::Options& options) {
+  add_operator(options), add_words(options, "show, check, snapshot, append or compare");
+  options.add_options()("folder",
+                        "the folder of the files (show: the control folder); without it, the one that the "
+                        "operators' file names",
+                        cxxopts::value<std::string>(), "FOLDER")(
+      "entries", "snapshot, append: a file of entries or changes, one JSON object a line",
+      cxxopts::value<std::string>(), "FILE")("epoch", "snapshot, append: of the source that writes",
+                                             cxxopts::value<std::uint64_t>()->default_value("1"), "N")(
+      "other", "compare: with this folder", cxxopts::value<std::string>(), "FOLDER");
+}
 void members_flags(cxxopts::Options& options) {
   add_operator(options);
   options.add_options()("folder", "the control folder; without it, the one that the operators' file names",
@@ -90,6 +101,8 @@
     {"results", "look at, verify or drop remembered results", results_flags, results_command},
     {"conns", "ask a running backend who holds its connections, and who was turned away", conns_flags,
      conns_command},
+    {"catalog", "show routes and tenants in force; make, check or compare the files that backends follow",
+     catalog_flags, catalog_command},
     {"members", "ask a running instance who is there, and which links are broken", members_flags,
      members_command},
     {"version", "print the version", no_flags, version_command},
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -33,6 +33,7 @@
 int config_command(const cxxopts::ParseResult& flags);
 int knowledge_command(const cxxopts::ParseResult& flags);
 std::string control_folder(const cxxopts::ParseResult& flags);
+int catalog_command(const cxxopts::ParseResult& flags);
 int conns_command(const cxxopts::ParseResult& flags);
 int members_command(const cxxopts::ParseResult& flags);
 int results_command(const cxxopts::ParseResult& flags);
--- a/src/app/forwarder.h
+++ b/src/app/forwarder.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "app/membership.h"
+#include "catalog/catalog.h"
 #include "control/server.h"
 #include "net/reactor.h"
 #include "peers/callers.h"
@@ -40,6 +41,7 @@
   Logger& log_;
   Counters counters_;
   net::Reactor reactor_;
+  const std::unique_ptr<catalog::Catalog> catalog_;
   stages::Forward::Ports ports_;
   stages::Forward forward_;
   peers::Callers callers_;
--- /dev/null
+++ b/src/catalog/catalog.cpp
@@ -0,0 +1,167 @@
+#include "catalog/catalog.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace damsonspoke::catalog {
+namespace {
+
+constexpr double kLongestTimeout = 3600;  // s
+constexpr double kMostQuota = 1e9;        // requests a second
+
+std::string unusable_name(const std::string& name) {
+  if (name.empty()) return "its name is empty";
+  if (name.size() > NameArena::kLongestName)
+    return fmt::format("its name has {} bytes, {} at most", name.size(), NameArena::kLongestName);
+  const auto unfit = [](char c) { return static_cast<unsigned char>(c) <= ' ' || c == '\x7f'; };
+  if (std::any_of(name.begin(), name.end(), unfit)) return "its name is not one word";
+  return {};
+}
+
+std::string unusable(const OpType& type, const CatalogLimits& limits) {
+  if (!(type.op_timeout > 0 && type.op_timeout <= kLongestTimeout)) return "its timeout is out of range";
+  if (!(type.target_latency >= 0 && type.target_latency <= kLongestTimeout))
+    return "its target is out of range";
+  if (!(type.importance >= 0) || !std::isfinite(type.importance)) return "its importance is out of range";
+  if (type.effect == Effect::kKeyed && !limits.keyed_routes)
+    return "it is keyed, and keys are not remembered here";
+  return {};
+}
+
+template <class... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <class... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+}  // namespace
+
+Catalog::Catalog(const CatalogLimits& limits, std::uint64_t key, HashFunction hash)
+    : limits_(limits),
+      key_(key),
+      hash_(hash),
+      routes_(limits.routes, key, hash),
+      tenants_(limits.tenants, key, hash) {}
+
+std::unique_ptr<Catalog> Catalog::of_settings(const StartSettings& site, CatalogLimits limits,
+                                              std::uint64_t key) {
+  limits.routes = std::max(limits.routes, site.type_names.size());
+  limits.tenants = std::max(limits.tenants, site.customer_names.size());
+  auto catalog = std::make_unique<Catalog>(limits, key);
+  for (std::size_t i = 0; i < site.type_names.size(); ++i)
+    catalog->put(PutRoute{site.type_names[i], site.settings.op_types[i]}, nullptr);
+  for (std::size_t i = 0; i < site.customer_names.size(); ++i)
+    catalog->put(PutTenant{site.customer_names[i], site.settings.customers[i]}, nullptr);
+  return catalog;
+}
+
+std::string Catalog::refusal(const Change& change) const {
+  return std::visit(
+      Overloaded{[&](const PutRoute& route) {
+                   std::string why = unusable_name(route.name);
+                   if (why.empty()) why = unusable(route.type, limits_);
+                   if (why.empty() && routes_.full() && routes_.find(route.name) < 0)
+                     why = fmt::format("there are {} routes already", routes_.size());
+                   return why;
+                 },
+                 [&](const PutTenant& tenant) {
+                   std::string why = unusable_name(tenant.name);
+                   const double quota = tenant.customer.quota_per_s;
+                   if (why.empty() && !(quota >= 0 && quota <= kMostQuota)) why = "its quota is out of range";
+                   if (why.empty() && tenants_.full() && tenants_.find(tenant.name) < 0)
+                     why = fmt::format("there are {} tenants already", tenants_.size());
+                   return why;
+                 },
+                 [&](const RemoveRoute& route) {
+                   if (routes_.find(route.name) < 0) return std::string("there is no such route");
+                   return routes_.size() > 1 ? std::string() : std::string("it is the last route");
+                 },
+                 [&](const RemoveTenant& tenant) {
+                   return tenants_.find(tenant.name) >= 0 ? std::string()
+                                                          : std::string("there is no such tenant");
+                 }},
+      change);
+}
+
+std::string Catalog::apply(const Change& change) {
+  std::string why = refusal(change);
+  if (!why.empty()) return why;
+  std::visit(Overloaded{[&](const PutRoute& route) { put(route, nullptr); },
+                        [&](const PutTenant& tenant) { put(tenant, nullptr); },
+                        [&](const RemoveRoute& route) { remove(route); },
+                        [&](const RemoveTenant& tenant) { remove(tenant); }},
+             change);
+  return {};
+}
+
+void Catalog::count(double importance, int by) {
+  std::size_t& routes = importance_[importance];
+  routes += static_cast<std::size_t>(by);
+  if (routes == 0) importance_.erase(importance);
+}
+
+void Catalog::put(const PutRoute& route, const Catalog* predecessor) {
+  const int before = routes_.find(route.name);
+  if (before >= 0) count(routes_.at(before).importance, -1);
+  routes_.put(route.name, route.type, predecessor != nullptr ? &predecessor->routes_ : nullptr);
+  count(route.type.importance, 1);
+}
+
+void Catalog::put(const PutTenant& tenant, const Catalog* predecessor) {
+  const int before = tenants_.find(tenant.name);
+  if (before >= 0) quotas_per_s_ -= tenants_.at(before).quota_per_s;
+  tenants_.put(tenant.name, tenant.customer, predecessor != nullptr ? &predecessor->tenants_ : nullptr);
+  quotas_per_s_ += tenant.customer.quota_per_s;
+}
+
+void Catalog::remove(const RemoveRoute& route) {
+  count(routes_.at(routes_.find(route.name)).importance, -1);
+  routes_.remove(route.name);
+}
+
+void Catalog::remove(const RemoveTenant& tenant) {
+  quotas_per_s_ -= tenants_.at(tenants_.find(tenant.name)).quota_per_s;
+  tenants_.remove(tenant.name);
+  if (tenants_.size() == 0) quotas_per_s_ = 0;  // no drift of sums
+}
+
+std::unique_ptr<Catalog> Catalog::successor() const {
+  auto next = std::make_unique<Catalog>(limits_, key_, hash_);
+  next->routes_.begin_after(routes_);
+  next->tenants_.begin_after(tenants_);
+  return next;
+}
+
+std::string Catalog::add(const Change& entry, const Catalog& predecessor) {
+  std::string why = refusal(entry);
+  if (!why.empty()) return why;
+  if (const auto* route = std::get_if<PutRoute>(&entry)) {
+    if (routes_.find(route->name) >= 0) return "this route stands twice";
+    put(*route, &predecessor);
+  } else if (const auto* tenant = std::get_if<PutTenant>(&entry)) {
+    if (tenants_.find(tenant->name) >= 0) return "this tenant stands twice";
+    put(*tenant, &predecessor);
+  } else {
+    return "a snapshot removes nothing";
+  }
+  return {};
+}
+
+bool Catalog::prepare(std::size_t positions) {
+  return routes_.note_free(positions) || tenants_.note_free(positions);
+}
+
+void Catalog::take_over(Catalog&& successor) {
+  std::swap(routes_, successor.routes_);
+  std::swap(tenants_, successor.tenants_);
+  std::swap(quotas_per_s_, successor.quotas_per_s_);
+  std::swap(importance_, successor.importance_);
+  version_ = successor.version_;
+  history_ = successor.history_;
+}
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/catalog.h
@@ -0,0 +1,88 @@
+// The routes (op types) and tenants (customers) that are in force: look-ups by name and by position, and the
+// sums over all of them, which follow each change. Pure policy: no I/O, no clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "catalog/change.h"
+#include "catalog/table.h"
+#include "catalog/version.h"
+#include "decide.h"
+#include "settings/settings.h"
+
+namespace damsonspoke::catalog {
+
+struct CatalogLimits {
+  std::size_t routes = 0;
+  std::size_t tenants = 0;
+  bool keyed_routes = true;  // whether keys can be remembered here
+};
+
+class Catalog final : public Directory {
+ public:
+  // `key`: of the names' hash, drawn by chance.
+  Catalog(const CatalogLimits& limits, std::uint64_t key, HashFunction hash = keyed_hash);
+  // What the platform's settings name, at version 0. Positions are those of the settings. The limits are at
+  // least what it takes.
+  static std::unique_ptr<Catalog> of_settings(const StartSettings& site, CatalogLimits limits,
+                                              std::uint64_t key);
+
+  // ---- Look-ups.
+  int find_route(std::string_view name) const { return routes_.find(name); }  // position; -1: unknown
+  int find_tenant(std::string_view name) const { return tenants_.find(name); }
+  std::string_view route_name(int position) const { return routes_.name_of(position); }
+  const OpType& op_type(int position) const override { return routes_.at(position); }
+  Customer customer(int position) const override { return tenants_.at(position); }
+  std::size_t op_types() const override { return routes_.size(); }
+  std::size_t customers() const override { return tenants_.size(); }
+  std::size_t customer_positions() const override { return tenants_.most_positions(); }
+  double quotas_per_s() const override { return quotas_per_s_; }
+  double most_important() const override { return importance_.empty() ? 0 : importance_.rbegin()->first; }
+
+  Version version() const { return version_; }
+  HistoryDigest history() const { return history_; }
+  std::size_t bytes() const { return routes_.bytes() + tenants_.bytes(); }
+  const NameIndex& route_names() const { return routes_.names(); }
+  const NameIndex& tenant_names() const { return tenants_.names(); }
+  const CatalogLimits& limits() const { return limits_; }
+
+  // ---- Changes.
+  // Empty: in force, in one step. Else why it is refused, in plain words; then nothing has changed.
+  std::string apply(const Change& change);
+  void set_version(Version version, HistoryDigest history) { version_ = version, history_ = history; }
+
+  // ---- Replacement of everything by a snapshot, while this one stays in force.
+  // A catalog without entries; those that it is given have the positions that this one gave them.
+  std::unique_ptr<Catalog> successor() const;
+  // Entries of a successor. Empty: taken; else why not: then the whole successor is of no use.
+  std::string add(const Change& entry, const Catalog& predecessor);
+  // Of a successor that has all entries: prepares so many more positions. False when it is ready to take
+  // over.
+  bool prepare(std::size_t positions);
+  // In force in one step, of constant time.
+  void take_over(Catalog&& successor);
+
+ private:
+  std::string refusal(const Change& change) const;
+  void put(const PutRoute& route, const Catalog* predecessor);
+  void put(const PutTenant& tenant, const Catalog* predecessor);
+  void remove(const RemoveRoute& route);
+  void remove(const RemoveTenant& tenant);
+  void count(double importance, int by);
+
+  CatalogLimits limits_;
+  std::uint64_t key_;
+  HashFunction hash_;
+  Table<OpType> routes_;
+  Table<Customer> tenants_;
+  double quotas_per_s_ = 0;
+  std::map<double, std::size_t> importance_;  // how many routes have it
+  Version version_;
+  HistoryDigest history_ = 0;
+};
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/change.h
@@ -0,0 +1,27 @@
+// Changes of the catalog, as values.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "decide.h"
+
+namespace damsonspoke::catalog {
+
+struct PutRoute {
+  std::string name;
+  OpType type;
+};
+struct PutTenant {
+  std::string name;
+  Customer customer;
+};
+struct RemoveRoute {
+  std::string name;
+};
+struct RemoveTenant {
+  std::string name;
+};
+using Change = std::variant<PutRoute, PutTenant, RemoveRoute, RemoveTenant>;
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/codec.cpp
@@ -0,0 +1,192 @@
+#include "catalog/codec.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "settings/settings.h"
+#include "store/sealed_file.h"
+
+namespace damsonspoke::catalog {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr double kMsPerSecond = 1000;
+
+Json object_in(std::string_view line) {
+  Json object = Json::parse(line, nullptr, false);
+  if (!object.is_object()) throw CodecError("it is no JSON object");
+  return object;
+}
+
+// The name in that member; empty: there is no such member.
+std::string name_in(const Json& object, const char* member) {
+  const auto at = object.find(member);
+  if (at == object.end()) return {};
+  if (!at->is_string() || at->get_ref<const std::string&>().empty())
+    throw CodecError(fmt::format("'{}' is no name", member));
+  return at->get<std::string>();
+}
+
+std::uint64_t number_in(const Json& object, const char* member) {
+  const auto at = object.find(member);
+  if (at == object.end() || !at->is_number_unsigned())
+    throw CodecError(fmt::format("'{}' is no whole number", member));
+  return at->get<std::uint64_t>();
+}
+
+HistoryDigest digest_in(const Json& object, const char* member) {
+  const auto at = object.find(member);
+  HistoryDigest digest = 0;
+  if (at == object.end() || !at->is_string()) throw CodecError(fmt::format("'{}' is no digest", member));
+  const auto& text = at->get_ref<const std::string&>();
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), digest, 16);
+  if (error != std::errc() || stop != text.data() + text.size())
+    throw CodecError(fmt::format("'{}' is no digest", member));
+  return digest;
+}
+
+OpType route_in(const Json& object) {
+  OpType type = read_op_type(object);
+  if (const auto calls = object.find("calls"); calls != object.end()) {
+    if (!calls->is_boolean()) throw CodecError("bad value of 'calls'");
+    type.calls = calls->get<bool>();
+  }
+  if (const auto without = object.find("worth-without"); without != object.end()) {
+    if (!without->is_number()) throw CodecError("bad value of 'worth-without'");
+    type.worth_without = without->get<double>();
+    if (!(type.worth_without >= 0 && type.worth_without <= 1))
+      throw CodecError("bad value of 'worth-without'");
+  }
+  return type;
+}
+
+// What `read` reads; an error names the entry too.
+template <typename Read>
+auto settings_of(const char* kind, const std::string& name, Read&& read) {
+  try {
+    return read();
+  } catch (const std::runtime_error& error) {
+    throw CodecError(fmt::format("{} '{}': {}", kind, name, error.what()));
+  }
+}
+
+const char* text_of(Effect effect) {
+  switch (effect) {
+    case Effect::kRetryable: return "retryable";
+    case Effect::kKeyed: return "dedup";
+    case Effect::kNonRetryable: return "fragile";
+  }
+  return "";
+}
+
+struct Encoder {
+  std::string operator()(const PutRoute& route) const {
+    const OpType& type = route.type;
+    Json object = {{"route", route.name},
+                   {"target", type.target_latency * kMsPerSecond},
+                   {"give-up", type.op_timeout * kMsPerSecond},
+                   {"worth", type.importance},
+                   {"semantics", text_of(type.effect)}};
+    if (type.window > 0) object["window"] = type.window * kMsPerSecond;
+    if (type.late_worth > 0) object["late-worth"] = type.late_worth;
+    if (type.calls) object["calls"] = true;
+    if (type.worth_without > 0) object["worth-without"] = type.worth_without;
+    return object.dump() + "\n";
+  }
+  std::string operator()(const PutTenant& tenant) const {
+    return Json{{"tenant", tenant.name}, {"quota-per-s", tenant.customer.quota_per_s}}.dump() + "\n";
+  }
+  std::string operator()(const RemoveRoute& route) const {
+    return Json{{"remove-route", route.name}}.dump() + "\n";
+  }
+  std::string operator()(const RemoveTenant& tenant) const {
+    return Json{{"remove-tenant", tenant.name}}.dump() + "\n";
+  }
+};
+
+}  // namespace
+
+Change decode_change(std::string_view line) {
+  if (line.size() > kLongestLine) throw CodecError(fmt::format("it has more than {} bytes", kLongestLine));
+  const Json object = object_in(line);
+  if (std::string name = name_in(object, "tenant"); !name.empty()) {
+    const Customer customer = settings_of("tenant", name, [&] { return read_customer(object); });
+    return PutTenant{std::move(name), customer};
+  }
+  if (std::string name = name_in(object, "route"); !name.empty()) {
+    const OpType type = settings_of("route", name, [&] { return route_in(object); });
+    return PutRoute{std::move(name), type};
+  }
+  if (std::string name = name_in(object, "remove-tenant"); !name.empty())
+    return RemoveTenant{std::move(name)};
+  if (std::string name = name_in(object, "remove-route"); !name.empty()) return RemoveRoute{std::move(name)};
+  throw CodecError("it names neither a route nor a tenant");
+}
+
+std::string encode_change(const Change& change) { return std::visit(Encoder{}, change); }
+
+std::string describe(const Change& change) {
+  const bool route = std::holds_alternative<PutRoute>(change) || std::holds_alternative<RemoveRoute>(change);
+  return std::visit(
+      [&](const auto& one) { return fmt::format("{} '{}'", route ? "route" : "tenant", one.name); }, change);
+}
+
+HistoryDigest extend(HistoryDigest history, std::string_view line) {
+  return XXH3_64bits_withSeed(line.data(), line.size(), history);
+}
+
+SnapshotHeader decode_snapshot_header(std::string_view line) {
+  const Json object = object_in(line);
+  return {{number_in(object, "epoch"), number_in(object, "sequence")},
+          digest_in(object, "history"),
+          number_in(object, "routes"),
+          number_in(object, "tenants")};
+}
+
+SpanHeader decode_span_header(std::string_view line) {
+  const Json object = object_in(line);
+  SpanHeader header{number_in(object, "epoch"), number_in(object, "first"), number_in(object, "last"),
+                    digest_in(object, "before"), digest_in(object, "after")};
+  if (header.first == 0 || header.last < header.first) throw CodecError("its numbers are out of order");
+  return header;
+}
+
+std::string encode_header(const SnapshotHeader& header) {
+  return Json{{"epoch", header.version.epoch},
+              {"sequence", header.version.sequence},
+              {"history", fmt::format("{:x}", header.history)},
+              {"routes", header.routes},
+              {"tenants", header.tenants}}
+             .dump() +
+         "\n";
+}
+
+std::string encode_header(const SpanHeader& header) {
+  return Json{{"epoch", header.epoch},
+              {"first", header.first},
+              {"last", header.last},
+              {"before", fmt::format("{:x}", header.before)},
+              {"after", fmt::format("{:x}", header.after)}}
+             .dump() +
+         "\n";
+}
+
+std::string seal_span(std::uint64_t epoch, std::uint64_t first, HistoryDigest& history,
+                      const std::string& lines) {
+  SpanHeader header{epoch, first, first - 1, history, history};
+  for (std::size_t from = 0; from < lines.size();) {
+    const std::size_t end = lines.find('\n', from);
+    header.after = extend(header.after, std::string_view(lines).substr(from, end - from));
+    ++header.last;
+    from = end + 1;
+  }
+  history = header.after;
+  return store::seal(kSpanForm, encode_header(header) + lines);
+}
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/follower.cpp
@@ -0,0 +1,341 @@
+#include "catalog/follower.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace damsonspoke::catalog {
+namespace {
+
+constexpr std::size_t kHeadBytes = 4 * 1024;    // of a snapshot, to know whether it is new
+constexpr std::size_t kPieceBytes = 64 * 1024;  // of a file at once
+constexpr int kEntriesBetweenLooks = 16;        // at the clock
+constexpr std::size_t kPositionsAtOnce = 4096;  // of a successor that is prepared
+constexpr std::size_t kMostRefusals = 32;       // that are kept to be told
+constexpr std::size_t kMostMessages = 64;       // between two calls that take them
+constexpr std::size_t kMostHistories = 256;     // spans whose ends are known
+
+std::string text_of(Version version) { return fmt::format("{}.{}", version.epoch, version.sequence); }
+
+// The next line without its end; false where there is no whole one.
+bool next_line(const std::string& text, std::size_t& used, std::string_view& line) {
+  const std::size_t end = text.find('\n', used);
+  if (end == std::string::npos) return false;
+  line = std::string_view(text).substr(used, end - used);
+  used = end + 1;
+  return true;
+}
+
+}  // namespace
+
+Follower::Follower(Catalog& catalog, Source& source, Clock clock)
+    : catalog_(catalog), source_(source), clock_(std::move(clock)), in_force_since_(clock_()) {}
+
+void Follower::follow() {
+  if (stage_ != Stage::kIdle) {
+    again_ = true;
+    return;
+  }
+  again_ = false;
+  ask(Stage::kSnapshotHead, kSnapshotFile, 0, kHeadBytes);
+}
+
+Follower::State Follower::state() const {
+  if (stage_ == Stage::kIdle) return State::kIdle;
+  return waiting_ ? State::kWaiting : State::kWorking;
+}
+
+Follower::State Follower::step(double seconds) {
+  const double end = clock_() + seconds;
+  while (stage_ != Stage::kIdle) {
+    if (!work()) return State::kWaiting;
+    if (clock_() >= end) break;
+  }
+  return state();
+}
+
+// A little of what is to be done; false where it waits for a piece.
+bool Follower::work() {
+  if (waiting_) {
+    std::optional<Piece> piece = source_.take();
+    if (!piece) return false;
+    waiting_ = false;
+    on_piece(std::move(*piece));
+    return true;
+  }
+  for (int i = 0; i < kEntriesBetweenLooks && !waiting_; ++i) {
+    if (stage_ == Stage::kSnapshotEntries) {
+      take_snapshot_entry();
+    } else if (stage_ == Stage::kPrepare) {
+      if (!successor_->prepare(kPositionsAtOnce)) end_snapshot();
+      return true;
+    } else if (stage_ == Stage::kSpan) {
+      take_change();
+    } else {
+      return true;
+    }
+  }
+  return true;
+}
+
+void Follower::ask(Stage stage, const char* file, std::uint64_t offset, std::size_t most) {
+  stage_ = stage;
+  waiting_ = true;
+  source_.request(file, offset, most);
+}
+
+void Follower::on_piece(Piece piece) {
+  switch (stage_) {
+    case Stage::kSnapshotHead: return on_snapshot_head(piece);
+    case Stage::kSnapshotEntries: return on_snapshot_piece(piece);
+    case Stage::kChanges: return on_changes(piece);
+    default: return;
+  }
+}
+
+void Follower::end() {
+  stage_ = Stage::kIdle;
+  if (again_) follow();
+}
+
+void Follower::in_force(Version version, HistoryDigest history) {
+  catalog_.set_version(version, history);
+  in_force_since_ = clock_();
+}
+
+void Follower::say(bool trouble, std::string text) {
+  if (messages_.size() < kMostMessages) messages_.push_back({trouble, std::move(text)});
+}
+
+void Follower::refuse(Version version, std::string what, std::string why) {
+  ++counts_.refused;
+  say(true, fmt::format("{} refused, {} stays in force: {}", what, text_of(catalog_.version()), why));
+  refusals_.push_back({version, std::move(what), std::move(why)});
+  if (refusals_.size() > kMostRefusals) refusals_.pop_front();
+}
+
+// ---- The snapshot.
+
+void Follower::refuse_snapshot(const std::string& why) {
+  successor_.reset();
+  check_.reset();
+  refuse({}, kSnapshotFile, why);
+  read_changes();
+}
+
+void Follower::on_snapshot_head(const Piece& piece) {
+  if (!piece.there && piece.why.empty()) return read_changes();
+  if (!piece.there) return refuse_snapshot(piece.why);
+  const store::SealHead head = store::read_seal_head(piece.bytes, kSnapshotForm);
+  if (head.problem != store::SealProblem::kNone) return refuse_snapshot(std::string(text_of(head.problem)));
+  if (head.form != kSnapshotForm) return refuse_snapshot("it is no snapshot");
+  if (head.length > kMostSnapshot)
+    return refuse_snapshot(fmt::format("it holds {} bytes, {} at most", head.length, kMostSnapshot));
+  if (piece.size != head.length + store::kSealHeadBytes)
+    return refuse_snapshot(fmt::format("it has {} bytes and should have {}: torn or damaged", piece.size,
+                                       head.length + store::kSealHeadBytes));
+  text_ = piece.bytes.substr(store::kSealHeadBytes);
+  used_ = 0;
+  std::string_view line;
+  if (!next_line(text_, used_, line)) return refuse_snapshot("it has no header");
+  try {
+    snapshot_ = decode_snapshot_header(line);
+  } catch (const CodecError& error) {
+    return refuse_snapshot(fmt::format("line 1: {}", error.what()));
+  }
+  const Version now = catalog_.version();
+  if (snapshot_.version.epoch < now.epoch)
+    return refuse_snapshot(fmt::format("its epoch is {}", snapshot_.version.epoch));
+  if (snapshot_.version == now && snapshot_.history != catalog_.history())
+    return refuse_snapshot(fmt::format("version {} has another history here", text_of(now)));
+  if (snapshot_.version <= now) return read_changes();
+  if (snapshot_.routes > catalog_.limits().routes || snapshot_.tenants > catalog_.limits().tenants)
+    return refuse_snapshot(fmt::format("it has {} routes and {} tenants, {} and {} at most", snapshot_.routes,
+                                       snapshot_.tenants, catalog_.limits().routes,
+                                       catalog_.limits().tenants));
+  successor_ = catalog_.successor();
+  check_ = std::make_unique<store::SealCheck>(head);
+  check_->add(text_);
+  snapshot_file_ = piece.file;
+  snapshot_end_ = piece.size;
+  snapshot_offset_ = piece.bytes.size();
+  line_ = 1;
+  stage_ = Stage::kSnapshotEntries;
+}
+
+void Follower::on_snapshot_piece(const Piece& piece) {
+  if (!piece.there || piece.file != snapshot_file_ || piece.size != snapshot_end_ || piece.bytes.empty())
+    return refuse_snapshot("it was replaced while it was read");
+  check_->add(piece.bytes);
+  snapshot_offset_ += piece.bytes.size();
+  text_.erase(0, used_);
+  used_ = 0;
+  text_ += piece.bytes;
+  if (text_.find('\n') == std::string::npos)
+    refuse_snapshot(fmt::format("line {}: it has more than {} bytes", line_ + 1, text_.size()));
+}
+
+void Follower::take_snapshot_entry() {
+  std::string_view line;
+  if (!next_line(text_, used_, line)) {
+    if (snapshot_offset_ < snapshot_end_)
+      return ask(Stage::kSnapshotEntries, kSnapshotFile, snapshot_offset_, kPieceBytes);
+    if (used_ != text_.size() || !check_->sound()) return refuse_snapshot("torn or damaged");
+    if (successor_->op_types() != snapshot_.routes || successor_->customers() != snapshot_.tenants)
+      return refuse_snapshot(fmt::format("its header tells {} routes and {} tenants, it has {} and {}",
+                                         snapshot_.routes, snapshot_.tenants, successor_->op_types(),
+                                         successor_->customers()));
+    if (snapshot_.routes == 0) return refuse_snapshot("it has no route");
+    stage_ = Stage::kPrepare;
+    return;
+  }
+  ++line_;
+  try {
+    const Change entry = decode_change(line);
+    const std::string why = successor_->add(entry, catalog_);
+    if (!why.empty()) refuse_snapshot(fmt::format("line {}: {}: {}", line_, describe(entry), why));
+  } catch (const CodecError& error) {
+    refuse_snapshot(fmt::format("line {}: {}", line_, error.what()));
+  }
+}
+
+void Follower::end_snapshot() {
+  catalog_.take_over(std::move(*successor_));
+  in_force(snapshot_.version, snapshot_.history);
+  histories_.clear();
+  ++counts_.snapshots;
+  say(false, fmt::format("version {} in force by a snapshot: {} routes, {} tenants",
+                         text_of(snapshot_.version), catalog_.op_types(), catalog_.customers()));
+  successor_.reset();
+  check_.reset();
+  text_.clear();
+  text_.shrink_to_fit();
+  read_changes();
+}
+
+// ---- Changes.
+
+void Follower::read_changes() { ask(Stage::kChanges, kChangesFile, offset_, kPieceBytes); }
+
+void Follower::on_changes(const Piece& piece) {
+  if (!piece.there) {
+    if (!piece.why.empty()) refuse({}, kChangesFile, piece.why);
+    offset_ = 0;
+    return end();
+  }
+  if (piece.file != changes_file_ ||
+      piece.size < offset_) {  // another file: what is known of it is passed over
+    const bool from_start = offset_ == 0;
+    changes_file_ = piece.file;
+    offset_ = 0;
+    if (!from_start) return read_changes();
+  }
+  if (piece.bytes.empty()) return end();
+  const store::SealHead head = store::read_seal_head(piece.bytes, kSpanForm);
+  const std::uint64_t whole = store::kSealHeadBytes + head.length;
+  const bool known = head.problem == store::SealProblem::kNone;
+  if (head.problem == store::SealProblem::kTorn || (known && offset_ + whole > piece.size)) {
+    say(true, fmt::format("{}: the last span is not whole, {} bytes at {}", kChangesFile,
+                          piece.size - offset_, offset_));
+    return end();
+  }
+  if (!known) return refuse_span(std::string(text_of(head.problem)));
+  if (head.form != kSpanForm) return refuse_span("it is no span of changes");
+  if (head.length > kMostSpan)
+    return refuse_span(fmt::format("it holds {} bytes, {} at most", head.length, kMostSpan));
+  if (piece.bytes.size() < whole)
+    return ask(Stage::kChanges, kChangesFile, offset_, static_cast<std::size_t>(whole));
+  const store::Sealed span =
+      store::unseal(std::string_view(piece.bytes).substr(0, static_cast<std::size_t>(whole)), kSpanForm);
+  if (span.problem != store::SealProblem::kNone) return refuse_span(std::string(text_of(span.problem)));
+  span_bytes_ = whole;
+  begin_span(span.content);
+}
+
+// Nothing behind it is read before it has gone: the changes there build on it.
+void Follower::refuse_span(const std::string& why) {
+  refuse({}, fmt::format("{}: span at byte {}", kChangesFile, offset_), why);
+  end();
+}
+
+void Follower::begin_span(const std::string& content) {
+  std::size_t used = 0;
+  std::string_view line;
+  changes_.clear();
+  if (!next_line(content, used, line)) return refuse_span("it has no header");
+  try {
+    span_ = decode_span_header(line);
+  } catch (const CodecError& error) {
+    return refuse_span(error.what());
+  }
+  while (next_line(content, used, line)) changes_.emplace_back(line);
+  if (used != content.size()) return refuse_span("its last line has no end");
+  const std::string why = span_refusal(span_, changes_);
+  if (!why.empty()) return refuse_span(why);
+  const std::uint64_t now = catalog_.version().sequence;
+  next_change_ = static_cast<std::size_t>(now >= span_.first ? now - span_.first + 1 : 0);
+  if (next_change_ >= changes_.size()) {  // all of it is in force already
+    offset_ += span_bytes_;
+    return read_changes();
+  }
+  stage_ = Stage::kSpan;
+}
+
+std::string Follower::span_refusal(const SpanHeader& header, const std::vector<std::string>& lines) {
+  const Version now = catalog_.version();
+  if (lines.size() != header.last - header.first + 1)
+    return fmt::format("it has {} changes for the numbers {} to {}", lines.size(), header.first, header.last);
+  if (header.last > now.sequence && header.epoch < now.epoch)
+    return fmt::format("its epoch is {}", header.epoch);
+  if (header.first > now.sequence + 1)
+    return fmt::format("a gap: it begins with {}, {} is next", header.first, now.sequence + 1);
+  return history_refusal(header, lines);
+}
+
+bool Follower::known_otherwise(std::uint64_t sequence, HistoryDigest history) const {
+  if (sequence == catalog_.version().sequence) return history != catalog_.history();
+  const auto known = histories_.find(sequence);
+  return known != histories_.end() && known->second != history;
+}
+
+// Its history must be ours wherever we know ours, and what its header says that it is.
+std::string Follower::history_refusal(const SpanHeader& header, const std::vector<std::string>& lines) const {
+  HistoryDigest history = header.before;
+  std::uint64_t sequence = header.first - 1;
+  bool differs = known_otherwise(sequence, history);
+  for (const std::string& line : lines) {
+    if (differs) break;
+    history = extend(history, line);
+    ++sequence;
+    const bool looked_at = sequence == catalog_.version().sequence || sequence == header.last;
+    differs = looked_at && known_otherwise(sequence, history);
+  }
+  if (differs) return fmt::format("change {} has another history here", sequence);
+  return history == header.after ? "" : "its changes are not those that its header tells";
+}
+
+void Follower::take_change() {
+  const std::string& line = changes_[next_change_];
+  const Version version{span_.epoch, span_.first + next_change_};
+  try {
+    const Change change = decode_change(line);
+    const std::string why = catalog_.apply(change);
+    if (why.empty()) {
+      ++counts_.applied;
+    } else {
+      refuse(version, fmt::format("change {}, {}", text_of(version), describe(change)), why);
+    }
+  } catch (const CodecError& error) {
+    refuse(version, fmt::format("change {}", text_of(version)), error.what());
+  }
+  in_force(version, extend(catalog_.history(), line));
+  if (++next_change_ < changes_.size()) return;
+  ++counts_.spans;
+  histories_[version.sequence] = catalog_.history();
+  if (histories_.size() > kMostHistories) histories_.erase(histories_.begin());
+  offset_ += span_bytes_;
+  changes_.clear();
+  read_changes();
+}
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/follower.h
@@ -0,0 +1,119 @@
+// Follows the catalog's files: a snapshot of everything, and a file of changes that is read on from where it
+// was. Decides what is taken and what is refused; pure but for the pieces of files that a Source hands it.
+//
+// A snapshot is built beside what is in force and takes over in one step. A span of changes is checked whole,
+// then its changes come in force one after another, each in one step; a bad one is refused alone. Work comes
+// in steps that end in time, so that whoever serves meanwhile is held for a bounded time.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "catalog/codec.h"
+#include "catalog/source.h"
+#include "store/sealed_file.h"
+
+namespace damsonspoke::catalog {
+
+struct Refusal {
+  Version version;   // of the change; 0.0: of a whole file
+  std::string what;  // entry, file or span
+  std::string why;
+};
+
+// What became known, for the log.
+struct FollowerMessage {
+  bool trouble = false;  // something was refused or is damaged
+  std::string text;
+};
+
+struct FollowerCounts {
+  std::uint64_t snapshots = 0;  // taken over
+  std::uint64_t spans = 0;      // taken
+  std::uint64_t applied = 0;    // changes in force
+  std::uint64_t refused = 0;    // entries, spans and snapshots
+};
+
+class Follower {
+ public:
+  using Clock = std::function<double()>;  // s, monotonic
+  // `catalog`: in force; it is changed here and nowhere else.
+  Follower(Catalog& catalog, Source& source, Clock clock);
+
+  // Reads on; while it does, once more afterwards.
+  void follow();
+  enum class State { kIdle, kWaiting, kWorking };
+  // Works for at most about `seconds`. kWaiting: for a piece of a file; kWorking: there is more to do at
+  // once.
+  State step(double seconds);
+  State state() const;
+
+  // What was refused lately, the newest last, and what became known of the files since the last call.
+  const std::deque<Refusal>& refusals() const { return refusals_; }
+  std::vector<FollowerMessage> take_messages() { return std::exchange(messages_, {}); }
+  const FollowerCounts& counts() const { return counts_; }
+  double in_force_since() const { return in_force_since_; }  // by the clock; the version that is in force
+  std::uint64_t changes_offset() const { return offset_; }   // bytes of the file of changes that are read
+
+ private:
+  enum class Stage { kIdle, kSnapshotHead, kSnapshotEntries, kPrepare, kChanges, kSpan };
+
+  bool work();
+  void ask(Stage stage, const char* file, std::uint64_t offset, std::size_t most);
+  void on_piece(Piece piece);
+  void on_snapshot_head(const Piece& piece);
+  void on_snapshot_piece(const Piece& piece);
+  void take_snapshot_entry();
+  void end_snapshot();
+  void refuse_snapshot(const std::string& why);
+  void read_changes();
+  void on_changes(const Piece& piece);
+  void begin_span(const std::string& content);
+  std::string span_refusal(const SpanHeader& header, const std::vector<std::string>& lines);
+  std::string history_refusal(const SpanHeader& header, const std::vector<std::string>& lines) const;
+  bool known_otherwise(std::uint64_t sequence, HistoryDigest history) const;
+  void take_change();
+  void refuse_span(const std::string& why);
+  void say(bool trouble, std::string text);
+  void refuse(Version version, std::string what, std::string why);
+  void end();
+  void in_force(Version version, HistoryDigest history);
+
+  Catalog& catalog_;
+  Source& source_;
+  const Clock clock_;
+  Stage stage_ = Stage::kIdle;
+  bool again_ = false;    // follow() was called meanwhile
+  bool waiting_ = false;  // for a piece
+
+  // The snapshot that is read.
+  std::unique_ptr<Catalog> successor_;
+  std::unique_ptr<store::SealCheck> check_;
+  SnapshotHeader snapshot_;
+  std::uint64_t snapshot_file_ = 0, snapshot_end_ = 0, snapshot_offset_ = 0, line_ = 0;
+  std::string text_;      // read and not taken yet
+  std::size_t used_ = 0;  // of it
+
+  // The file of changes.
+  std::uint64_t changes_file_ = 0, offset_ = 0;
+  SpanHeader span_;
+  std::vector<std::string> changes_;  // the lines of a span
+  std::size_t next_change_ = 0;
+  std::uint64_t span_bytes_ = 0;
+  std::map<std::uint64_t, HistoryDigest> histories_;  // at the ends of the last spans, by sequence number
+
+  double in_force_since_ = 0;
+  std::deque<Refusal> refusals_;
+  std::vector<FollowerMessage> messages_;
+  FollowerCounts counts_;
+};
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/source.h
@@ -0,0 +1,39 @@
+// Where the catalog's files are read from, piece by piece. What waits for a file does so without blocking.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace damsonspoke::catalog {
+
+struct Piece {
+  bool there = false;      // there is such a file, and it could be read
+  std::string why;         // else why not; empty: there is no such file
+  std::uint64_t file = 0;  // changes when another file takes its name
+  std::uint64_t size = 0;  // bytes of the whole file
+  std::string bytes;       // fewer than asked for where the file ends
+};
+
+class Source {
+ public:
+  virtual ~Source() = default;
+  // Asks for at most `most` bytes from `offset` on. One request at a time.
+  virtual void request(const std::string& name, std::uint64_t offset, std::size_t most) = 0;
+  // What was asked for; nothing as long as it has not come.
+  virtual std::optional<Piece> take() = 0;
+};
+
+// Reads from a folder at once, on the caller's thread.
+class FolderSource final : public Source {
+ public:
+  explicit FolderSource(std::string folder) : folder_(std::move(folder)) {}
+  void request(const std::string& name, std::uint64_t offset, std::size_t most) override;
+  std::optional<Piece> take() override { return std::move(piece_); }
+
+ private:
+  const std::string folder_;
+  std::optional<Piece> piece_;
+};
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/table.h
@@ -0,0 +1,114 @@
+// Named entries at stable positions. An entry keeps its position while it exists, also over the change to a
+// successor of the table; a position that another entry takes later is told apart by the entry's life.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <memory>
+#include <new>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+#include "catalog/names.h"
+
+namespace damsonspoke::catalog {
+
+// Value: a plain type with a member `std::uint32_t life`; 0, as in memory that is all zero, marks a position
+// that nobody has.
+template <typename Value>
+class Table {
+  static_assert(std::is_trivially_copyable_v<Value> && std::is_trivially_destructible_v<Value>);
+
+ public:
+  // At most `most` entries. Two generations may have names of their own, hence twice as many positions.
+  Table(std::size_t most, std::uint64_t key, HashFunction hash = keyed_hash)
+      : names_(most, key, hash), slots_(static_cast<Slot*>(std::calloc(2 * most + 1, sizeof(Slot)))) {
+    if (slots_ == nullptr) throw std::bad_alloc();
+  }
+
+  int find(std::string_view name) const { return names_.find(name); }
+  const Value& at(int position) const { return slots_[static_cast<std::size_t>(position)].value; }
+  // Of an entry that is there.
+  std::string_view name_of(int position) const {
+    return names_.name(slots_[static_cast<std::size_t>(position)].name);
+  }
+  std::size_t size() const { return names_.size(); }
+  bool full() const { return names_.size() >= names_.most(); }
+  std::size_t most_positions() const { return 2 * names_.most(); }
+  std::size_t bytes() const {
+    return names_.bytes() + positions_ * sizeof(Slot) + free_.capacity() * sizeof(int);
+  }
+  const NameIndex& names() const { return names_; }
+
+  // Adds an entry, or gives one that is there another value. A new one must find room (see full()). Where
+  // this table is to succeed another one, an entry of the same name there has its position and life.
+  int put(std::string_view name, Value value, const Table* predecessor = nullptr) {
+    int position = names_.find(name);
+    if (position >= 0) {
+      value.life = at(position).life;
+      slots_[static_cast<std::size_t>(position)].value = value;
+      return position;
+    }
+    if (const int before = predecessor != nullptr ? predecessor->find(name) : -1; before >= 0) {
+      position = before;
+      value.life = predecessor->at(before).life;
+    } else {
+      position = new_position(predecessor);
+      value.life = ++last_life_;
+    }
+    positions_ = std::max(positions_, static_cast<std::size_t>(position) + 1);
+    slots_[static_cast<std::size_t>(position)] = {value, names_.add(name, position)};
+    return position;
+  }
+
+  void remove(std::string_view name) {
+    const int position = names_.find(name);
+    if (position < 0) return;
+    names_.remove(name);
+    slots_[static_cast<std::size_t>(position)].value.life = 0;
+    free_.push_back(position);
+  }
+
+  // Of a successor, before its first entry: the lives that its predecessor has given are not given again.
+  void begin_after(const Table& predecessor) { last_life_ = predecessor.last_life_; }
+  // Of a successor that is complete: looks at `count` more positions for those that nobody has. False when
+  // all are known.
+  bool note_free(std::size_t count) {
+    const std::size_t end = std::min(positions_, free_noted_ + count);
+    for (; free_noted_ < end; ++free_noted_) {
+      if (slots_[free_noted_].value.life == 0) free_.push_back(static_cast<int>(free_noted_));
+    }
+    return free_noted_ < positions_;
+  }
+
+ private:
+  struct Slot {
+    Value value;
+    NameArena::Reference name;
+  };
+  struct Free {
+    void operator()(Slot* slots) const { std::free(slots); }
+  };
+  // While a predecessor is in force, positions that it uses are left alone.
+  int new_position(const Table* predecessor) {
+    const std::vector<int>& free = predecessor != nullptr ? predecessor->free_ : free_;
+    if (predecessor != nullptr && taken_ < free.size()) return free[taken_++];
+    if (predecessor != nullptr) return static_cast<int>(std::max(positions_, predecessor->positions_));
+    if (free.empty()) return static_cast<int>(positions_);
+    const int position = free_.back();
+    free_.pop_back();
+    return position;
+  }
+
+  NameIndex names_;
+  std::unique_ptr<Slot[], Free> slots_;  // by position
+  std::size_t positions_ = 0;            // so many were ever in use
+  std::vector<int> free_;                // of them
+  std::size_t taken_ = 0;                // of the free positions of a predecessor
+  std::size_t free_noted_ = 0;
+  std::uint32_t last_life_ = 0;
+};
+
+}  // namespace damsonspoke::catalog
--- /dev/null
+++ b/src/catalog/threaded_source.cpp
@@ -0,0 +1,83 @@
+#include "catalog/threaded_source.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+
+namespace damsonspoke::catalog {
+namespace {
+
+constexpr std::chrono::milliseconds kLastWords{200};
+
+struct Request {
+  std::string name;
+  std::uint64_t offset = 0;
+  std::size_t most = 0;
+};
+
+}  // namespace
+
+struct ThreadedSource::Shared {
+  std::unique_ptr<Source> source;
+  std::function<void()> on_ready;
+  std::mutex lock;  // of what follows
+  std::condition_variable changed;
+  std::optional<Request> request;
+  std::optional<Piece> piece;
+  bool closing = false, ended = false;
+
+  void run() {
+    std::unique_lock guard(lock);
+    for (;;) {
+      changed.wait(guard, [this] { return closing || request; });
+      if (closing) break;
+      const Request wanted = *std::exchange(request, std::nullopt);
+      guard.unlock();
+      source->request(wanted.name, wanted.offset, wanted.most);
+      std::optional<Piece> read = source->take();
+      guard.lock();
+      piece = std::move(read);
+      changed.notify_all();
+      if (!closing) on_ready();
+    }
+    ended = true;
+    changed.notify_all();
+  }
+};
+
+ThreadedSource::ThreadedSource(std::unique_ptr<Source> source, std::function<void()> on_ready)
+    : shared_(std::make_shared<Shared>()) {
+  shared_->source = std::move(source);
+  shared_->on_ready = std::move(on_ready);
+  thread_ = std::thread([shared = shared_] { shared->run(); });
+}
+
+ThreadedSource::~ThreadedSource() {
+  std::unique_lock guard(shared_->lock);
+  shared_->closing = true;
+  shared_->changed.notify_all();
+  const bool ended = shared_->changed.wait_for(guard, kLastWords, [this] { return shared_->ended; });
+  guard.unlock();
+  ended ? thread_.join() : thread_.detach();
+}
+
+void ThreadedSource::request(const std::string& name, std::uint64_t offset, std::size_t most) {
+  const std::lock_guard guard(shared_->lock);
+  shared_->piece.reset();
+  shared_->request = Request{name, offset, most};
+  shared_->changed.notify_all();
+}
+
+std::optional<Piece> ThreadedSource::take() {
+  const std::lock_guard guard(shared_->lock);
+  return std::exchange(shared_->piece, std::nullopt);
+}
+
+bool ThreadedSource::wait(double seconds) {
+  std::unique_lock guard(shared_->lock);
+  return shared_->changed.wait_for(guard, std::chrono::duration<double>(seconds),
+                                   [this] { return shared_->piece.has_value(); });
+}
+
+}  // namespace damsonspoke::catalog
--- a/src/peers/callers.cpp
+++ b/src/peers/callers.cpp
@@ -27,9 +27,10 @@
 
 }  // namespace
 
-Callers::Callers(net::Reactor& reactor, const std::string& listen, const Names& names, Marks marks,
-                 Limits limits, CallerEvents& events, Counters& counters, Logger& log)
+Callers::Callers(net::Reactor& reactor, const std::string& listen, const catalog::Catalog& catalog,
+                 Marks marks, Limits limits, CallerEvents& events, Counters& counters, Logger& log)
     : reactor_(reactor),
+      catalog_(catalog),
       marks_(std::move(marks)),
       limits_(limits),
       events_(events),
@@ -50,9 +51,6 @@
         [](double come_back_in) { return wire::encode_nack(0, come_back_in / kSecondsPerMs, false); });
   }
   look_over();
-  for (const std::string& name : names.types) types_.emplace(name, static_cast<int>(types_.size()));
-  for (const std::string& name : names.customers)
-    customers_.emplace(name, static_cast<int>(customers_.size()));
 }
 
 Callers::~Callers() {
@@ -249,21 +247,20 @@
 }
 
 void Callers::take_op(Caller& caller, std::uint64_t tag, wire::RpcRequest& request) {
-  const auto type = types_.find(request.method);
-  if (type == types_.end()) {
+  const int type = catalog_.find_route(request.method);
+  if (type < 0) {
     counters_.add(Count::kBadTypes);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kMethod, "unknown op type"));
   }
-  const auto at = static_cast<std::size_t>(type->second);
   const bool sound = request.has_mark && !request.mark.empty() && request.mark.size() <= marks_.longest;
-  if (at < marks_.needed.size() && marks_.needed[at] && !sound) {
+  if (needs_mark(request, type) && !sound) {
     counters_.add(Count::kBadParams);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kParams,
                                           request.has_mark ? "bad key" : "no key"));
   }
   // Guards against an op whose share nobody could count: it would use another customer's.
-  const auto customer = customers_.find(request.customer);
-  if (!customers_.empty() && customer == customers_.end()) {
+  const int customer = catalog_.find_tenant(request.customer);
+  if (catalog_.customers() > 0 && customer < 0) {
     counters_.add(Count::kBadParams);
     return put(caller, wire::encode_error(request.id, wire::RpcError::kParams,
                                           request.customer.empty() ? "no customer" : "unknown customer"));
@@ -274,8 +271,8 @@
   }
   IncomingOp op;
   op.id = request.txn;
-  op.type = type->second;
-  if (customer != customers_.end()) op.customer = customer->second;
+  op.type = type;
+  op.customer = std::max(customer, 0);
   op.caller = request.caller;
   op.again = request.again;
   op.key = request.has_item ? request.item : 0;
@@ -293,6 +290,12 @@
   events_.on_op_read(std::move(op));
 }
 
+// Whether its repeats are told by the member that operators name.
+bool Callers::needs_mark(const wire::RpcRequest& request, int type) const {
+  return !marks_.field.empty() && catalog_.op_type(type).effect == Effect::kKeyed &&
+         !marks_.by_digest.contains(request.method);
+}
+
 void Callers::put(Caller& caller, const std::string& text) {
   if (!caller.connection->open()) return;
   caller.connection->send(text);
--- a/src/peers/callers.h
+++ b/src/peers/callers.h
@@ -6,8 +6,10 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include "catalog/catalog.h"
 #include "conns/share.h"
 #include "net/connection.h"
 #include "peers/door.h"
@@ -31,17 +33,14 @@
   };
   // The member of a request's params that tells a repeat, for op types that need it.
   struct Marks {
-    std::string field;         // empty: none is read
-    std::size_t longest = 0;   // bytes
-    std::vector<bool> needed;  // by op type
+    std::string field;        // empty: none is read
+    std::size_t longest = 0;  // bytes
+    // Op types whose repeats are told by a digest instead; other keyed ones need the member.
+    std::unordered_set<std::string> by_digest;
   };
-  // What ops and customers are called; their positions are what the stages know them by.
-  struct Names {
-    std::vector<std::string> types;
-    std::vector<std::string> customers;  // none: ops name no customer
-  };
-  Callers(net::Reactor& reactor, const std::string& listen, const Names& names, Marks marks, Limits limits,
-          CallerEvents& events, Counters& counters, Logger& log);
+  // `catalog`: what ops and customers are called; their positions are what the stages know them by.
+  Callers(net::Reactor& reactor, const std::string& listen, const catalog::Catalog& catalog, Marks marks,
+          Limits limits, CallerEvents& events, Counters& counters, Logger& log);
   ~Callers() override;
 
   void answer_acked(Ticket ticket, std::string_view result) override;
@@ -88,6 +87,7 @@
   void look_at(Caller& caller, double now);
   void take(Caller& caller, std::uint64_t tag, std::string_view text);
   void take_op(Caller& caller, std::uint64_t tag, wire::RpcRequest& request);
+  bool needs_mark(const wire::RpcRequest& request, int type) const;
   void answer(Ticket ticket, const std::string& text, bool acked = false);
   void put(Caller& caller, const std::string& text);
   void traffic(Caller& caller);
@@ -103,7 +103,7 @@
   bool hold_reading(Caller& caller);
 
   net::Reactor& reactor_;
-  std::unordered_map<std::string, int> types_, customers_;
+  const catalog::Catalog& catalog_;
   const Marks marks_;
   Limits limits_;
   CallerEvents& events_;
--- a/src/results/recovery.cpp
+++ b/src/results/recovery.cpp
@@ -1,6 +1,7 @@
 #include "results/recovery.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damsonspoke::results {
 namespace {
@@ -11,11 +12,8 @@
 
 }  // namespace
 
-Recovery::Recovery(const std::vector<std::string>& type_names, const std::vector<OpType>& types) {
-  for (std::size_t i = 0; i < types.size() && i < type_names.size(); ++i) {
-    windows_[type_names[i]] = types[i].window;
-    longest_ = std::max(longest_, types[i].window);
-  }
+Recovery::Recovery(std::unordered_map<std::string, double> windows) : windows_(std::move(windows)) {
+  for (const auto& [type, window] : windows_) longest_ = std::max(longest_, window);
 }
 
 Recovered Recovery::read(const Row& row, std::int64_t now_unix_ms) const {
--- a/src/results/recovery.h
+++ b/src/results/recovery.h
@@ -17,7 +17,8 @@
 
 class Recovery {
  public:
-  Recovery(const std::vector<std::string>& type_names, const std::vector<OpType>& types);
+  // `windows`: s in which repeats may come, by op type; of those that are not there, none.
+  explicit Recovery(std::unordered_map<std::string, double> windows);
 
   // Windows are written by the Unix clock, which may have been set since. One that was set back must not make
   // a window longer than its op type's; one that was set forward ends windows early, which can't be told from
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -1,11 +1,14 @@
 #include "settings/config.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
+#include <string_view>
+#include <unordered_map>
 
 namespace damsonspoke {
 namespace {
@@ -15,9 +18,13 @@
 constexpr double kSecondsPerMs = 0.001;
 constexpr int kLeastSockets = 64;      // below, peers and the listener alone would leave no room for callers
 constexpr double kLeastMemoryMb = 16;  // the program and its buffers at rest
-constexpr std::size_t kMostBytes = std::size_t{4} << 20;  // a longer file is no configuration
+// A longer file is refused: 44,000 op types take 4 MB as the platform writes them, and parsed JSON takes some
+// ten times its text. More than that belongs into a catalog (src/catalog).
+constexpr std::size_t kMostBytes = std::size_t{16} << 20;
+constexpr std::size_t kLongestName = 1024;      // bytes; as the catalog keeps them
+constexpr std::size_t kReadAtOnce = 16 * 1024;  // bytes
 
-[[noreturn]] void bad(const std::string& key, const char* what) {
+[[noreturn]] void bad(const std::string& key, const std::string& what) {
   throw SettingsError("configuration: '" + key + "' " + what);
 }
 
@@ -55,14 +62,19 @@
   return value;
 }
 
-// Ops name their type and their customer by one word, so each is told apart by it.
+// Ops name their type and their customer by one word, so each is told apart by it. Time linear in the names.
 void names_apart(const std::vector<std::string>& names, const std::string& key) {
+  std::unordered_map<std::string_view, std::size_t> positions;
+  positions.reserve(names.size());
   for (std::size_t i = 0; i < names.size(); ++i) {
     if (names[i].empty() || names[i].find_first_of(" \t\r\n") != std::string::npos)
-      bad(key, "has an entry without a 'name' of one word");
-    if (std::find(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(i), names[i]) !=
-        names.begin() + static_cast<std::ptrdiff_t>(i))
-      bad(key, "has two entries of one name");
+      bad(key, fmt::format("has an entry without a 'name' of one word: entry {}", i + 1));
+    if (names[i].size() > kLongestName)
+      bad(key, fmt::format("has a name of more than {} bytes: entry {}", kLongestName, i + 1));
+    const auto [first, added] = positions.emplace(names[i], i);
+    if (!added)
+      bad(key, fmt::format("has two entries of one name: '{}', entries {} and {}", names[i],
+                           first->second + 1, i + 1));
   }
 }
 
@@ -106,11 +118,15 @@
 Config read_config(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw SettingsError("configuration: cannot read '" + path + "'");
-  std::ostringstream all;
-  all << file.rdbuf();
-  if (file.bad() || all.str().size() > kMostBytes)
-    throw SettingsError("configuration: cannot read '" + path + "'");
-  return parse_config(all.str());
+  std::string text;
+  char piece[kReadAtOnce];
+  while (file.read(piece, sizeof piece), file.gcount() > 0) {
+    text.append(piece, static_cast<std::size_t>(file.gcount()));
+    if (text.size() > kMostBytes)
+      throw SettingsError(fmt::format("configuration: '{}' holds more than {} bytes", path, kMostBytes));
+  }
+  if (file.bad()) throw SettingsError("configuration: cannot read '" + path + "'");
+  return parse_config(text);
 }
 
 namespace {
@@ -197,6 +213,10 @@
   if (!lacking.empty()) return lacking;
   lacking = unserved_ajp(config, options.ajp);
   if (!lacking.empty()) return lacking;
+  if (!options.catalog.folder.empty() && !options.ajp.listen.empty())
+    return "catalog: has a folder, but AJP callers go by the op types of the settings alone";
+  if (!options.catalog.folder.empty() && options.knowledge.enabled)
+    return "catalog: has a folder, but knowledge is kept by the op types of the settings alone";
   if (options.knowledge.enabled && options.knowledge.folder.empty())
     return "knowledge: enabled, but no folder is named";
   // The new shape counts worth by work that the ops tell; counted so without hints, it would be blind.
--- a/src/settings/operator_file.cpp
+++ b/src/settings/operator_file.cpp
@@ -262,6 +262,9 @@
     const auto group = read_gate_group(line);
     if (const auto* good = std::get_if<conns::GateGroup>(&group)) g.terms.groups.push_back(*good);
   }
+  o.catalog.folder = read.text("catalog", "folder");
+  o.catalog.routes = read.whole("catalog", "routes");
+  o.catalog.tenants = read.whole("catalog", "tenants");
   MembersOptions& m = o.members;
   m.bind = read.text("members", "bind");
   m.face = read.text("members", "face");
--- a/src/settings/operator_file.h
+++ b/src/settings/operator_file.h
@@ -100,7 +100,14 @@
   bool enabled() const { return !bind.empty(); }
 };
 
+// Routes and tenants that change while they serve; see src/catalog.
+struct CatalogOptions {
+  std::string folder;                   // of the snapshot and the changes; empty: off
+  std::size_t routes = 0, tenants = 0;  // at most
+};
+
 struct OperatorOptions {
+  CatalogOptions catalog;
   MembersOptions members;
   GateOptions gate;
   ControlOptions control;
--- a/src/settings/operator_schema.cpp
+++ b/src/settings/operator_schema.cpp
@@ -138,6 +138,11 @@
      "A name, a percentage and addresses or networks: the most connections that they have together; the caps "
      "of "
      "client and network do not hold for them. Any number of lines."},
+    {"catalog", "folder", Type::kText, "", 0, 4096, "",
+     "The folder with a snapshot of all routes and tenants and the changes since, read at the start and on "
+     "SIGHUP; none: those of the settings."},
+    {"catalog", "routes", Type::kCount, "50000", 1, 1e6, "", "Routes that it may have at most."},
+    {"catalog", "tenants", Type::kCount, "1000000", 1, 4e6, "", "Tenants that it may have at most."},
     {"members", "bind", Type::kText, "", 0, 64, "",
      "Address (address:port, a private one) on which this instance hears other members, by datagrams and "
      "streams; none: off."},
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -78,6 +78,26 @@
 
 }  // namespace
 
+OpType read_op_type(const Json& entry) {
+  OpType type;
+  type.target_latency = needed(entry, "target", 0) * kSecondsPerMs;
+  type.op_timeout = needed(entry, "give-up", 0) * kSecondsPerMs;
+  if (type.op_timeout <= 0) bad("give-up");
+  type.window = seconds(entry, "window");
+  type.importance = number(entry, "worth", 1);
+  type.late_worth = share(entry, "late-worth", 0);
+  type.effect = word<Effect>(
+      entry, "semantics",
+      {{"retryable", Effect::kRetryable}, {"dedup", Effect::kKeyed}, {"fragile", Effect::kNonRetryable}});
+  return type;
+}
+
+Customer read_customer(const Json& entry) {
+  Customer customer;
+  customer.quota_per_s = number(entry, "quota-per-s", 0);
+  return customer;
+}
+
 StartSettings read_settings(std::string_view text) {
   return read_settings(Json::parse(text, nullptr, false));
 }
@@ -95,17 +115,8 @@
   const Json& calls = array(family, "calls-by-class");
   const Json& without = array(family, "worth-without");
   for (const Json& entry : array(top, "request-classes")) {
-    OpType type;
+    OpType type = read_op_type(entry);
     const std::size_t at = s.op_types.size();
-    type.target_latency = needed(entry, "target", 0) * kSecondsPerMs;
-    type.op_timeout = needed(entry, "give-up", 0) * kSecondsPerMs;
-    if (type.op_timeout <= 0) bad("give-up");
-    type.window = seconds(entry, "window");
-    type.importance = number(entry, "worth", 1);
-    type.late_worth = share(entry, "late-worth", 0);
-    type.effect = word<Effect>(
-        entry, "semantics",
-        {{"retryable", Effect::kRetryable}, {"dedup", Effect::kKeyed}, {"fragile", Effect::kNonRetryable}});
     if (at < calls.size()) {
       if (!calls[at].is_boolean()) bad("calls-by-class");
       type.calls = calls[at].get<bool>();
@@ -122,7 +133,7 @@
   }
   if (s.op_types.empty()) bad("request-classes");
   for (const Json& entry : array(top, "customers")) {
-    s.customers.push_back({number(entry, "quota-per-s", 0)});
+    s.customers.push_back(read_customer(entry));
     const Json& name = find(entry, "name");
     if (!name.is_null() && !name.is_string()) bad("name");
     start.customer_names.push_back(name.is_null() ? std::string() : name.get<std::string>());
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,6 +28,10 @@
   std::vector<Gauge> gauges;  // in the order in which a wake conveys them
 };
 
+// One op type as the platform writes it (an entry of "request-classes"), but for its name and its calls.
+OpType read_op_type(const nlohmann::json& entry);
+Customer read_customer(const nlohmann::json& entry);
+
 StartSettings read_settings(std::string_view text);
 StartSettings read_settings(const nlohmann::json& top);
 
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -13,10 +13,11 @@
 
 }  // namespace
 
-Admit::Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route, Learn& learn,
-             const peers::Ports& peers, Counters& counters)
+Admit::Admit(net::Reactor& reactor, const StartSettings& site, const catalog::Catalog& catalog,
+             std::uint64_t seed, Route& route, Learn& learn, const peers::Ports& peers, Counters& counters)
     : reactor_(reactor),
       settings_(site.settings),
+      catalog_(catalog),
       seed_(seed),
       route_(route),
       learn_(learn),
@@ -28,7 +29,7 @@
 void Admit::begin(bool cold, double ago) {
   settings_.cold = cold;
   decider_ = std::make_unique<Decider>(settings_, seed_, route_, net::monotonic_now() - (cold ? ago : 0),
-                                       learn_.prior());
+                                       learn_.prior(), &catalog_);
 }
 
 void Admit::wake_at(double time, std::uint64_t token) {
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "catalog/catalog.h"
 #include "decide.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
@@ -17,8 +18,8 @@
 
 class Admit {
  public:
-  Admit(net::Reactor& reactor, const StartSettings& site, std::uint64_t seed, Route& route, Learn& learn,
-        const peers::Ports& peers, Counters& counters);
+  Admit(net::Reactor& reactor, const StartSettings& site, const catalog::Catalog& catalog, std::uint64_t seed,
+        Route& route, Learn& learn, const peers::Ports& peers, Counters& counters);
 
   // Its life starts with the runtime's, which came up this long ago.
   void begin(bool cold, double ago);
@@ -39,6 +40,7 @@
 
   net::Reactor& reactor_;
   Settings settings_;
+  const catalog::Catalog& catalog_;
   std::uint64_t seed_;
   Route& route_;
   Learn& learn_;
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -6,6 +6,18 @@
 #include "watch/invariants.h"
 
 namespace damsonspoke::stages {
+namespace {
+
+const char* text_of(Count answer) {
+  switch (answer) {
+    case Count::kOpsAcked: return "acked";
+    case Count::kOpsNacked: return "rejected";
+    case Count::kOpsFailed: return "failed";
+    default: return "gone";
+  }
+}
+
+}  // namespace
 
 OpenOp& Book::enter(OpenOp op) {
   const OpId id = op.id;
@@ -26,6 +38,10 @@
   must_hold(unanswered_ > 0, counters_);
   --unanswered_;
   counters_.add(as);
+  if (log_ != nullptr) {
+    log_->debug("op", "{:016x} {} by version {}.{}, route {}", op.id, text_of(as), op.version.epoch,
+                op.version.sequence, op.type_name);
+  }
   if (as != Count::kOpsGone && net::unix_now() > op.due) counters_.add(Count::kOpsOverdue);
   return true;
 }
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -7,8 +7,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "catalog/version.h"
 #include "peers/ports.h"
 #include "watch/counters.h"
+#include "watch/logger.h"
 
 namespace damsonspoke::stages {
 
@@ -17,6 +19,9 @@
 struct OpenOp {
   OpId id = 0;
   int type = 0;
+  std::string type_name;     // its op type, as it was when the op was read: it ends under what it began with
+  OpType settings;           // of that
+  catalog::Version version;  // of the catalog, by which it was decided
   peers::Ticket ticket;
   std::string body;       // a dropped run starts with it again
   double due = 0;         // Unix s
@@ -42,6 +47,8 @@
   void caller_gone(OpenOp& op);
   // Lets go of an op that is answered and whose run is over. To be called last: the reference ends here.
   void settle(OpenOp& op);
+  // Each answer as a line of the log at level debug, with the version of the catalog that it was decided by.
+  void log_answers(Logger& log) { log_ = &log; }
   // Told of each op that the book lets go of, before it does.
   void on_closed(std::function<void(const OpenOp&)> tell) { on_closed_ = std::move(tell); }
 
@@ -56,6 +63,7 @@
 
   const peers::Ports& peers_;
   Counters& counters_;
+  Logger* log_ = nullptr;
   std::unordered_map<OpId, OpenOp> open_;
   std::function<void(const OpenOp&)> on_closed_;
   std::size_t unanswered_ = 0;
--- a/src/stages/recall.cpp
+++ b/src/stages/recall.cpp
@@ -31,10 +31,22 @@
 
 std::int64_t unix_ms() { return static_cast<std::int64_t>(net::unix_now() * kMsPerSecond); }
 
+// How long repeats may come, by op type.
+std::unordered_map<std::string, double> windows_of(const catalog::Catalog& catalog) {
+  std::unordered_map<std::string, double> windows;
+  const catalog::NameIndex& names = catalog.route_names();
+  names.visit(0, names.cells(), [&](std::string_view name, int position) {
+    const double window = catalog.op_type(position).window;
+    if (window > 0) windows[std::string(name)] = window;
+  });
+  return windows;
+}
+
 }  // namespace
 
 Recall::Recall(net::Reactor& reactor, Book& book, Send& send, Admit& admit, const StartSettings& site,
-               const ResultsOptions& options, Counters& counters, Logger& log)
+               const catalog::Catalog& catalog, const ResultsOptions& options, Counters& counters,
+               Logger& log)
     : reactor_(reactor),
       book_(book),
       send_(send),
@@ -45,13 +57,9 @@
       log_(log),
       keys_(options.enabled ? any_seed() : 0),
       table_(bounds_of(options, site)),
-      recovery_(site.type_names, site.settings.op_types),
-      by_digest_(site.type_names.size(), false) {
+      recovery_(windows_of(catalog)),
+      by_digest_(options.digest.begin(), options.digest.end()) {
   if (!on()) return;
-  for (std::size_t i = 0; i < by_digest_.size(); ++i) {
-    const auto& named = options_.digest;
-    by_digest_[i] = std::find(named.begin(), named.end(), site.type_names[i]) != named.end();
-  }
   if (!options_.store.empty()) {
     results::Store::Options how;
     how.path = options_.store;
@@ -120,16 +128,17 @@
 }
 
 // ---- As ops come.
-bool Recall::identify(const Op& op, const peers::IncomingOp& in, Candidate& out) const {
-  const auto type = static_cast<std::size_t>(op.type);
-  const OpType& settings = site_.settings.op_types[type];
-  const std::string& name = site_.type_names[type];
+bool Recall::identify(const Op& op, const peers::IncomingOp& in, const OpenOp& entered,
+                      Candidate& out) const {
+  const OpType& settings = entered.settings;
+  const std::string& name = entered.type_name;
   out.id = op.id;
   if (settings.effect == Effect::kKeyed) {
     out.kind = Kind::kKeyed;
     out.fingerprint = keys_.fingerprint(in.body);
-    out.key = by_digest_[type] ? keys_.digest(name, options_.digest_by_caller ? in.caller : 0, in.body)
-                               : keys_.marked(name, in.mark);
+    out.key = by_digest_.contains(name)
+                  ? keys_.digest(name, options_.digest_by_caller ? in.caller : 0, in.body)
+                  : keys_.marked(name, in.mark);
     return true;
   }
   if (settings.effect == Effect::kRetryable && site_.settings.fresh > 0 && op.key != 0 && !op.write) {
@@ -143,10 +152,10 @@
 bool Recall::meet(Op& op, const peers::IncomingOp& in, OpenOp& entered) {
   candidate_ = {};
   if (!on()) return false;
-  const bool keyed = site_.settings.op_types[static_cast<std::size_t>(op.type)].effect == Effect::kKeyed;
+  const bool keyed = entered.settings.effect == Effect::kKeyed;
   const double now = net::monotonic_now();
   Candidate candidate;
-  if (!identify(op, in, candidate)) return false;
+  if (!identify(op, in, entered, candidate)) return false;
   if (std::vector<results::Key> over = table_.age(now, kAgedOnArrival); store_)
     store_->erase(std::move(over));
   const results::Met met = table_.meet(now, candidate.key, candidate.fingerprint, candidate.kind);
@@ -225,7 +234,7 @@
   if (!on()) return false;
   const OpId id = op.id;
   const results::Table::Entry* entry = table_.entry_of(id);
-  const bool keyed = site_.settings.op_types[static_cast<std::size_t>(op.type)].effect == Effect::kKeyed;
+  const bool keyed = op.settings.effect == Effect::kKeyed;
   if (entry == nullptr) {
     // Guards against a keyed run that nobody would remember.
     if (must_hold(!keyed, counters_)) return false;
@@ -240,7 +249,7 @@
   results::Row row;
   row.key = key;
   row.op = id;
-  row.type = site_.type_names[static_cast<std::size_t>(op.type)];
+  row.type = op.type_name;
   row.fingerprint = entry->fingerprint;
   row.until_ms = unix_ms() + static_cast<std::int64_t>((entry->until - net::monotonic_now()) * kMsPerSecond);
   op.run = Run::kRecording;
--- a/src/stages/recall.h
+++ b/src/stages/recall.h
@@ -7,8 +7,10 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include "catalog/catalog.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
 #include "results/recovery.h"
@@ -28,7 +30,7 @@
 class Recall : private results::StoreEvents {
  public:
   Recall(net::Reactor& reactor, Book& book, Send& send, Admit& admit, const StartSettings& site,
-         const ResultsOptions& options, Counters& counters, Logger& log);
+         const catalog::Catalog& catalog, const ResultsOptions& options, Counters& counters, Logger& log);
   ~Recall() override;
 
   bool on() const { return options_.enabled; }
@@ -72,7 +74,7 @@
   void on_store_state(results::StoreState state, const std::string& why) override;
   void on_drops_wanted(const std::vector<results::Key>& keys) override;
 
-  bool identify(const Op& op, const peers::IncomingOp& in, Candidate& out) const;
+  bool identify(const Op& op, const peers::IncomingOp& in, const OpenOp& entered, Candidate& out) const;
   void nack(OpenOp& op, double come_back_in);
   void not_known(OpenOp& op, bool certain, double now);
   void on_intent(OpId id, const results::Key& key, bool durable);
@@ -95,8 +97,8 @@
   results::KeyMaker keys_;
   results::Table table_;
   results::Recovery recovery_;
-  std::vector<bool> by_digest_;  // by op type
-  Candidate candidate_;          // between meeting an op and the module's act on it
+  const std::unordered_set<std::string> by_digest_;  // op types
+  Candidate candidate_;                              // between meeting an op and the module's act on it
   std::unordered_map<OpId, net::Reactor::TimerId> recording_;  // whose intent is on its way
   std::unordered_map<OpId, Pending> pending_;
   net::Reactor::TimerId look_timer_;
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -6,7 +6,7 @@
   counters_.add(Count::kRunsStarted);
   op.run = Run::kOnCores;
   op.started = true;
-  peers_.runtime->start(op.id, site_.type_names[static_cast<std::size_t>(op.type)], op.body);
+  peers_.runtime->start(op.id, op.type_name, op.body);
 }
 
 void Send::resume(OpenOp& op) {
@@ -23,8 +23,7 @@
 }
 
 void Send::call(OpenOp& op, double patience) {
-  const double most = site_.settings.op_types[static_cast<std::size_t>(op.type)].op_timeout;
-  peers_.below->call(op.id, patience > 0 ? patience : most, op.call_body);
+  peers_.below->call(op.id, patience > 0 ? patience : op.settings.op_timeout, op.call_body);
 }
 
 void Send::give(OpenOp& op, std::string_view reply) {
--- a/src/stages/take_in.cpp
+++ b/src/stages/take_in.cpp
@@ -24,7 +24,7 @@
 
 void TakeIn::on_op_read(peers::IncomingOp in) {
   const double now = net::unix_now();
-  const OpType& type = site_.settings.op_types[static_cast<std::size_t>(in.type)];
+  const OpType& type = catalog_.op_type(in.type);
   Op op;
   op.id = in.id;
   op.type = in.type;
@@ -44,6 +44,9 @@
   OpenOp open;
   open.id = in.id;
   open.type = in.type;
+  open.type_name = catalog_.route_name(in.type);
+  open.settings = type;
+  open.version = catalog_.version();
   open.ticket = in.ticket;
   if (!stages_.recall.on()) {
     open.body = std::move(in.body);
--- a/src/stages/take_in.h
+++ b/src/stages/take_in.h
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "catalog/catalog.h"
 #include "net/reactor.h"
 #include "peers/ports.h"
 #include "stages/admit.h"
@@ -22,8 +23,13 @@
     Recall& recall;
   };
   TakeIn(net::Reactor& reactor, Stages stages, const peers::Ports& peers, const StartSettings& site,
-         Counters& counters)
-      : reactor_(reactor), stages_(stages), peers_(peers), site_(site), counters_(counters) {}
+         const catalog::Catalog& catalog, Counters& counters)
+      : reactor_(reactor),
+        stages_(stages),
+        peers_(peers),
+        site_(site),
+        catalog_(catalog),
+        counters_(counters) {}
   ~TakeIn() override;
 
   bool in_use(OpId id) const override { return stages_.book.holds(id); }
@@ -43,6 +49,7 @@
   Stages stages_;
   const peers::Ports& peers_;
   const StartSettings& site_;
+  const catalog::Catalog& catalog_;
   Counters& counters_;
   std::unordered_map<std::uint64_t, Check> checks_;  // that wait for a self test, by its tag
   std::uint64_t next_check_ = 1;
--- a/src/store/sealed_file.cpp
+++ b/src/store/sealed_file.cpp
@@ -3,13 +3,14 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <new>
 
 namespace damsonspoke::store {
 namespace {
 
 // "DSPKFILE", the form, the length and the checksum of form, length and content; numbers as little endian.
 constexpr std::string_view kMark = "DSPKFILE";
-constexpr std::size_t kHead = 8 + 4 + 8 + 8;
+constexpr std::size_t kHead = kSealHeadBytes;
 
 void put(std::string& out, std::uint64_t value, int bytes) {
   for (int i = 0; i < bytes; ++i) out += static_cast<char>(value >> (8 * i));
@@ -20,8 +21,11 @@
     value = value << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
   return value;
 }
+std::uint64_t seed_of(std::uint32_t form, std::uint64_t length) {
+  return form * 0x9e3779b97f4a7c15ULL + length;
+}
 std::uint64_t sum_of(std::uint32_t form, std::string_view content) {
-  return XXH3_64bits_withSeed(content.data(), content.size(), form * 0x9e3779b97f4a7c15ULL + content.size());
+  return XXH3_64bits_withSeed(content.data(), content.size(), seed_of(form, content.size()));
 }
 
 }  // namespace
@@ -46,20 +50,57 @@
   return out;
 }
 
+SealHead read_seal_head(std::string_view bytes, std::uint32_t known) {
+  SealHead head;
+  const std::size_t shown = std::min(bytes.size(), kMark.size());
+  if (bytes.substr(0, shown) != kMark.substr(0, shown)) head.problem = SealProblem::kForeign;
+  if (head.problem == SealProblem::kForeign || bytes.size() < kHead) return head;
+  head.form = static_cast<std::uint32_t>(take(bytes, 8, 4));
+  head.length = take(bytes, 12, 8);
+  head.checksum = take(bytes, 20, 8);
+  head.problem = head.form > known ? SealProblem::kNewer : SealProblem::kNone;
+  return head;
+}
+
 Sealed unseal(std::string_view bytes, std::uint32_t known) {
   Sealed out;
-  out.problem = SealProblem::kTorn;
-  const std::size_t shown = std::min(bytes.size(), kMark.size());
-  if (bytes.substr(0, shown) != kMark.substr(0, shown)) out.problem = SealProblem::kForeign;
-  if (out.problem == SealProblem::kForeign || bytes.size() < kHead) return out;
-  out.form = static_cast<std::uint32_t>(take(bytes, 8, 4));
+  const SealHead head = read_seal_head(bytes, known);
+  out.problem = head.problem;
+  out.form = head.form;
+  if (head.problem == SealProblem::kForeign || head.problem == SealProblem::kTorn) return out;
   const std::string_view content = bytes.substr(kHead);
-  if (take(bytes, 12, 8) != content.size() || take(bytes, 20, 8) != sum_of(out.form, content)) return out;
-  out.problem = out.form > known ? SealProblem::kNewer : SealProblem::kNone;
+  if (head.length != content.size() || head.checksum != sum_of(head.form, content)) {
+    out.problem = SealProblem::kTorn;
+    return out;
+  }
   if (out.problem == SealProblem::kNone) out.content = content;
   return out;
 }
 
+// ---- SealCheck.
+
+struct SealCheck::State {
+  SealHead head;
+  XXH3_state_t* sum = nullptr;
+  std::uint64_t length = 0;  // bytes so far
+};
+
+SealCheck::SealCheck(const SealHead& head) : state_(std::make_unique<State>()) {
+  state_->head = head;
+  state_->sum = XXH3_createState();
+  if (state_->sum == nullptr) throw std::bad_alloc();
+  XXH3_64bits_reset_withSeed(state_->sum, seed_of(head.form, head.length));
+}
+SealCheck::~SealCheck() { XXH3_freeState(state_->sum); }
+
+void SealCheck::add(std::string_view piece) {
+  state_->length += piece.size();
+  XXH3_64bits_update(state_->sum, piece.data(), piece.size());
+}
+bool SealCheck::sound() const {
+  return state_->length == state_->head.length && XXH3_64bits_digest(state_->sum) == state_->head.checksum;
+}
+
 SealedFile::Found SealedFile::read() {
   Found found;
   const auto look = [&](const std::string& name) {
--- a/src/store/sealed_file.h
+++ b/src/store/sealed_file.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,31 @@
 // Forms above `known` are kNewer: whole, and not for us.
 Sealed unseal(std::string_view bytes, std::uint32_t known);
 
+// The head of what is sealed, for who reads the content piece by piece.
+struct SealHead {
+  SealProblem problem = SealProblem::kTorn;  // kTorn also where there are fewer bytes than a head has
+  std::uint32_t form = 0;
+  std::uint64_t length = 0;  // bytes of content
+  std::uint64_t checksum = 0;
+};
+constexpr std::size_t kSealHeadBytes = 28;
+SealHead read_seal_head(std::string_view bytes, std::uint32_t known);
+
+// The checksum of content that is read piece by piece.
+class SealCheck {
+ public:
+  explicit SealCheck(const SealHead& head);
+  ~SealCheck();
+  SealCheck(const SealCheck&) = delete;
+  SealCheck& operator=(const SealCheck&) = delete;
+  void add(std::string_view piece);
+  bool sound() const;  // all of the content was added, and it is what was sealed
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
 class SealedFile {
  public:
   // `most`: bytes of content.
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -169,14 +169,16 @@
     for (const char c : key) item = item * 131 + static_cast<unsigned char>(c);
     more += fmt::format(R"(,"item":"{:016x}")", item);
   }
+  if (flow.tenant_of) more += fmt::format(R"(,"team":"{}")", flow.tenant_of(random_()));
+  const std::string type = flow.type_of ? flow.type_of(random_()) : flow.type;
   const std::string text = fmt::format(
       R"({{"jsonrpc":"2.0","id":{},"method":"{}","params":{{"txn":"{:016x}","door":{:.0f},"lb":{},"ram":10,"limit":{:.0f}{},"arg":"{}"}}}})",
-      number, flow.type, op, door * 1000, options_.hotels > 1 ? 1 + random_() % options_.hotels : 1,
+      number, type, op, door * 1000, options_.hotels > 1 ? 1 + random_() % options_.hotels : 1,
       flow.patience * 1000, more, base64(body));
   Try seen;
   seen.op = op;
   seen.key = key;
-  seen.type = flow.type;
+  seen.type = type;
   seen.life = servers_.at(static_cast<std::size_t>(server)).life;
   seen.sent = now();
   seen.due = seen.sent + flow.patience;
--- a/standins/callers.h
+++ b/standins/callers.h
@@ -27,6 +27,8 @@
   int retries = 0;       // further tries after a failure, a refusal or a lost connection
   double pause = 0.05;   // s before those, at least
   std::size_t body_bytes = 32;
+  // Of a load over many routes and tenants: what a try is sent as, by a number drawn for it.
+  std::function<std::string(std::uint64_t draw)> type_of = nullptr, tenant_of = nullptr;
 };
 
 class Callers {
--- /dev/null
+++ b/standins/decision_load.cpp
@@ -0,0 +1,104 @@
+#include "decision_load.h"
+
+#include <algorithm>
+#include <ctime>
+#include <pcg_random.hpp>
+#include <queue>
+
+namespace damsonspoke::standins {
+namespace {
+
+struct RunEnd {
+  double at = 0;
+  OpId id = 0;
+  bool operator>(const RunEnd& other) const { return at > other.at; }
+};
+
+// Runs what it is told to run, for a fixed time, and forgets the rest.
+class InstantHost : public Host {
+ public:
+  explicit InstantHost(double run_time) : run_time_(run_time) {}
+
+  void start(OpId id) override {
+    runs.push({now + run_time_, id});
+    ++result.started;
+  }
+  void nack(OpId, double, bool) override { ++result.rejected; }
+  void wake_at(double time, std::uint64_t token) override { wake_time = time, wake_token = token; }
+  void interrupt(OpId) override {}
+  void fail(OpId) override {}
+  void call(OpId, double) override {}
+  void skip_call(OpId) override {}
+  void remember(OpId, double) override {}
+  void forget(OpId) override {}
+  void join(OpId) override {}
+  void set_health(bool, bool) override {}
+  void announce(double) override {}
+  void close_idle(double) override {}
+  void log(const std::string&) override {}
+
+  double now = 0;
+  double wake_time = -1;
+  std::uint64_t wake_token = 0;
+  std::priority_queue<RunEnd, std::vector<RunEnd>, std::greater<>> runs;
+  DecisionLoadResult result;
+
+ private:
+  const double run_time_;
+};
+
+void catch_up(Decider& decider, InstantHost& host, double until) {
+  Gauges gauges;
+  gauges.cpu_busy = 0.7;
+  for (;;) {
+    const double wake = host.wake_time >= 0 ? host.wake_time : until + 1;
+    const double run_end = host.runs.empty() ? until + 1 : host.runs.top().at;
+    const double next = std::min(wake, run_end);
+    if (next > until) return;
+    host.now = std::max(host.now, next);
+    if (run_end <= wake) {
+      const OpId id = host.runs.top().id;
+      host.runs.pop();
+      decider.on_run_end(host.now, id, Outcome::kOk, 0);
+    } else {
+      host.wake_time = -1;
+      decider.on_wake(host.now, host.wake_token, gauges);
+    }
+  }
+}
+
+}  // namespace
+
+double thread_processor_time() {
+  timespec t{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+  return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
+}
+
+DecisionLoadResult play_decisions(const Settings& settings, const DecisionLoadOptions& options) {
+  InstantHost host(options.run_time);
+  Decider decider(settings, options.seed, host, 0, {}, options.directory);
+  pcg32 random(options.seed);
+  const Directory* told = options.directory;
+  const auto routes = static_cast<std::uint32_t>(told ? told->op_types() : settings.op_types.size());
+  const auto tenants = static_cast<std::uint32_t>(told ? told->customers() : settings.customers.size());
+  const double begin = thread_processor_time();
+  for (std::uint64_t i = 1; i <= options.requests; ++i) {
+    const double at = static_cast<double>(i) / options.per_second;
+    catch_up(decider, host, at);
+    host.now = at;
+    Op op;
+    op.id = i;
+    op.type = static_cast<int>(random(routes));
+    op.customer = tenants > 0 ? static_cast<int>(random(tenants)) : 0;
+    op.held_kb = 4;
+    op.caller = random(1000);
+    const double before = thread_processor_time();
+    decider.on_op(at, op);
+    host.result.longest_seconds = std::max(host.result.longest_seconds, thread_processor_time() - before);
+  }
+  host.result.processor_seconds = thread_processor_time() - begin;
+  return host.result;
+}
+
+}  // namespace damsonspoke::standins
--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -50,7 +50,10 @@
 Callers::Options callers_of(const RehearsalScript& script) {
   Callers::Options out;
   for (const LoadOp& op : script.ops) {
-    Flow flow{op.name, op.per_s, op.timeout};
+    Flow flow;
+    flow.type = op.name;
+    flow.per_s = op.per_s;
+    flow.patience = op.timeout;
     flow.marked = op.effect == "dedup";
     flow.retries = script.retries;
     flow.pause = script.pause;
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -33,7 +33,8 @@
 using Clock = std::chrono::steady_clock;
 inline constexpr double kPatience = 10;  // s; for whatever is expected, far above what it takes
 
-inline std::string binary;  // the program under test
+inline std::string binary;      // the program under test
+inline bool debug_log = false;  // it tells more, as at level debug
 
 inline int bound_socket(int kind, std::uint16_t& port) {
   const int fd = ::socket(AF_INET, kind | SOCK_CLOEXEC, 0);
@@ -96,7 +97,8 @@
     if (pid_ == 0) {
       ::dup2(log[1], STDERR_FILENO);
       if (!remembering_.operators.empty()) ::setenv("DAMSONSPOKE_OPERATOR", operators_path().c_str(), 1);
-      ::execl(binary.c_str(), binary.c_str(), "serve", "--config", config_path_.c_str(), nullptr);
+      ::execl(binary.c_str(), binary.c_str(), "serve", "--config", config_path_.c_str(), "--log-level",
+              debug_log ? "debug" : "info", nullptr);
       std::_Exit(127);
     }
     ::close(log[1]);
--- /dev/null
+++ b/tests/catalog_program.cpp
@@ -0,0 +1,248 @@
+// Routes and tenants that change while one process serves; CTest compares with
+// tests/traces/catalog_program_NAME.txt. usage: catalog_program BINARY SCENARIO
+#include "catalog/files.h"
+#include "scenarios.h"
+#include "scripted_site.h"
+
+using namespace damsonspoke;
+using namespace damsonspoke::catalog;
+using namespace damsonspoke::standins::scripted;
+
+namespace {
+
+constexpr CatalogLimits kLimits{1000, 10000, true};
+const char* const kOperators = "catalog\n    folder FOLDER\n";
+
+std::string txn(int id) {
+  char text[20];
+  std::snprintf(text, sizeof text, "%016x", id);
+  return text;
+}
+
+PutRoute route(const std::string& name, double timeout) {
+  PutRoute put{name, {}};
+  put.type.target_latency = timeout / 2;
+  put.type.op_timeout = timeout;
+  return put;
+}
+
+std::string lines_of_changes(std::initializer_list<Change> changes) {
+  std::string lines;
+  for (const Change& change : changes) lines += encode_change(change);
+  return lines;
+}
+
+// A site whose source writes to its folder.
+struct CatalogSite : Site {
+  CatalogSite() : Site("", "", {"", kOperators}) {}
+
+  void write(const std::string& lines) { append_changes(folder(), 1, lines, kLimits); }
+  void follow() {
+    signal(SIGHUP);
+    const std::string line = expect_log("after it was asked for");
+    const std::size_t at = line.find("version");
+    std::printf("log: %s\n", line.substr(at, line.find(" in force") - at).c_str());
+  }
+  void change(std::initializer_list<Change> changes) {
+    write(lines_of_changes(changes));
+    follow();
+  }
+  void log(const char* part) {
+    const std::string line = expect_log(part);
+    std::printf("log: %s\n", line.substr(std::min(line.size(), line.find("catalog: "))).c_str());
+  }
+  void run_ends(int id) {
+    runtime_says("end " + std::to_string(++notices_) + " " + txn(id) + " complete 20 6\r\nresult");
+  }
+  void start_again() {
+    kill_and_start();
+    notices_ = 0;
+  }
+
+ private:
+  int notices_ = 0;
+};
+
+// A route and tenants that come while it serves, and go again.
+void served() {
+  CatalogSite site;
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "extra");
+  site.caller_hears(caller);
+  site.change({route("extra", 3), PutTenant{"acme", {7, 0}}});
+  site.send_op(caller, 2, "extra", R"("ram":10,"limit":3000,"team":"acme")");
+  site.runtime_hears(2);
+  site.send_op(caller, 3, "extra");
+  site.caller_hears(caller);
+  site.send_op(caller, 4, "extra", R"("ram":10,"limit":3000,"team":"other")");
+  site.caller_hears(caller);
+  site.change({RemoveTenant{"acme"}, PutTenant{"other", {1, 0}}});
+  site.send_op(caller, 5, "extra", R"("ram":10,"limit":3000,"team":"acme")");
+  site.caller_hears(caller);
+  site.run_ends(2);  // its tenant has gone meanwhile
+  site.caller_hears(caller);
+  site.change({PutTenant{"acme", {7, 0}}, RemoveRoute{"extra"}});
+  site.send_op(caller, 6, "push", R"("ram":10,"limit":3000,"team":"acme")");
+  site.runtime_hears();
+  site.send_op(caller, 7, "extra", R"("ram":10,"limit":3000,"team":"acme")");
+  site.caller_hears(caller);
+  site.counters({"ops.read", "ops.acked", "bad.types", "bad.params", "catalog.applied", "catalog.refused"});
+}
+
+// Open ops end under what they began with: a timeout that shrinks, a route that goes, a name that comes back
+// as something else.
+void open() {
+  CatalogSite site;
+  site.comes_up();
+  const int caller = site.connect();
+  site.change({route("extra", 3)});
+  for (int id = 1; id <= 3; ++id) site.send_op(caller, id, "extra", R"("ram":10)");  // two run, one is held
+  site.runtime_hears(3);
+  site.change({route("extra", 0.3)});
+  site.pause(0.6);
+  site.run_ends(1);
+  site.caller_hears(caller);
+  site.runtime_hears();  // the held one
+  site.change({RemoveRoute{"extra"}, route("other", 0.2)});
+  site.run_ends(2);
+  site.caller_hears(caller);
+  site.change({route("extra", 0.3)});
+  site.send_op(caller, 4, "extra", R"("ram":10)");
+  site.runtime_hears();
+  const bool rejected = site.heard(caller).find("-32001") != std::string::npos;
+  std::printf("by its own timeout, before the one that began earlier: %s\n", rejected ? "rejected" : "NO");
+  site.run_ends(3);
+  site.caller_hears(caller);
+  site.counters({"ops.read", "ops.acked", "ops.nacked", "ops.failed", "ops.overdue"});
+}
+
+// A bad change amid good ones, a gap and a torn file: told in one line each; who serves notices nothing.
+void refused() {
+  CatalogSite site;
+  site.comes_up();
+  const int caller = site.connect();
+  site.write(lines_of_changes({route("one", 3)}) + "{\"route\":\"two\",\"target\":1}\n" +
+             lines_of_changes({route("three", 3), RemoveTenant{"nobody"}}));
+  site.signal(SIGHUP);
+  site.log("refused");
+  site.log("refused");
+  site.send_op(caller, 1, "three");
+  site.runtime_hears(2);
+  PutRoute keyed = route("keyed", 3);
+  keyed.type.effect = Effect::kKeyed;
+  site.write(lines_of_changes({keyed}));
+  site.signal(SIGHUP);
+  site.log("refused");
+  HistoryDigest history = 1;
+  std::ofstream(site.folder() + "/" + kChangesFile, std::ios::app)
+      << seal_span(1, 90, history, lines_of_changes({route("four", 3)}));
+  site.signal(SIGHUP);
+  site.log("refused");
+  std::ofstream(site.folder() + "/" + kSnapshotFile) << "DSPKFILE and then nothing of use";
+  site.signal(SIGHUP);
+  site.log("refused");
+  site.run_ends(1);
+  site.caller_hears(caller);
+  site.send_op(caller, 2, "four");
+  site.caller_hears(caller);
+  site.start_again();
+  site.comes_up();
+  site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
+  const int again = site.connect();
+  site.send_op(again, 3, "three");
+  site.runtime_hears(2);
+}
+
+// Asked again while it reads; everything written before the last asking is in force in the end.
+void asked_again() {
+  CatalogSite site;
+  site.comes_up();
+  std::string lines;
+  for (int i = 0; i < 5000; ++i) lines += encode_change(PutTenant{"tenant-" + std::to_string(i), {1, 0}});
+  site.write(lines);
+  for (int round = 0; round < 20; ++round) {
+    site.write(lines_of_changes({PutTenant{"late-" + std::to_string(round), {1, 0}}}));
+    site.signal(SIGHUP);
+    site.pause(0.005);
+  }
+  bool there = false;
+  for (int i = 0; i < 50 && !there; ++i) there = !site.expect_log("1.5020 in force").empty();
+  std::printf("all in force: %s\n", there ? "yes" : "NO");
+  site.counters({"catalog.sequence", "catalog.tenants", "catalog.applied", "catalog.refused"});
+}
+
+// Thousands of changes are read while it leaves: what it has read is answered, and it ends in time.
+void drained() {
+  CatalogSite site;
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push");
+  site.runtime_hears(2);
+  std::string lines;
+  for (int i = 0; i < 9000; ++i) lines += encode_change(PutTenant{"tenant-" + std::to_string(i), {1, 0}});
+  site.write(lines);
+  site.signal(SIGHUP);
+  site.signal(SIGTERM);
+  site.caller_hears(caller);  // no more
+  site.signal(SIGHUP);
+  site.run_ends(1);
+  site.caller_hears(caller);
+  site.hang_up(caller);
+  site.ends();
+}
+
+// Each answer's line tells the version that it was decided by.
+void versions() {
+  debug_log = true;
+  CatalogSite site;
+  site.comes_up();
+  const int caller = site.connect();
+  const auto answered = [&](int id) {
+    site.run_ends(id);
+    site.caller_hears(caller);
+    const std::string line = site.expect_log("op: " + txn(id));
+    std::printf("log: %s\n", line.substr(std::min(line.size(), line.find("op: "))).c_str());
+  };
+  site.send_op(caller, 1, "push");
+  site.runtime_hears(2);
+  site.change({route("extra", 3)});
+  site.send_op(caller, 2, "extra");
+  site.runtime_hears();
+  site.change({route("extra", 2)});
+  answered(1);
+  answered(2);
+}
+
+// The same from a file that a start finds torn: the one before, or what the settings name.
+void begins() {
+  CatalogSite site;
+  site.comes_up();
+  write_snapshot(site.folder(), {1, 7}, 3, lines_of_changes({route("push", 3), route("extra", 3)}));
+  site.start_again();
+  site.comes_up();
+  site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
+  const std::string file = site.folder() + "/" + kSnapshotFile;
+  std::filesystem::resize_file(file, std::filesystem::file_size(file) - 1);
+  site.start_again();
+  site.comes_up();
+  site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
+  const int caller = site.connect();
+  site.send_op(caller, 1, "extra");
+  site.caller_hears(caller);
+  site.send_op(caller, 2, "pull");
+  site.runtime_hears(2);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_scenario(argc, argv, damsonspoke::standins::scripted::binary,
+                      {{"served", served},
+                       {"open", open},
+                       {"refused", refused},
+                       {"asked_again", asked_again},
+                       {"drained", drained},
+                       {"versions", versions},
+                       {"begins", begins}});
+}
--- a/tests/results_store.cpp
+++ b/tests/results_store.cpp
@@ -428,7 +428,7 @@
 void clocks() {
   OpType push;
   push.window = 10;
-  const Recovery recovery({"push"}, {push});
+  const Recovery recovery({{"push", push.window}});
   const auto say = [&](const char* what, const Row& row, std::int64_t now_ms) {
     const Recovered r = recovery.read(row, now_ms);
     std::printf("%-34s %s, %.1f s left\n", what, r.keep ? "kept" : "over", r.left);
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -141,6 +141,7 @@
 
  private:
   StartSettings site_;
+  const std::unique_ptr<catalog::Catalog> catalog_ = catalog::Catalog::of_settings(site_, {}, 1);
   ResultsOptions options_;
   KnowledgeOptions knowledge_;
   Logger log_{Level::kError};
@@ -155,11 +156,11 @@
   Counters counters;
   stages::Book book{ports_, counters};
   stages::Send send{ports_, site_, counters};
-  stages::Recall recall{reactor_, book, send, admit, site_, options_, counters, log_};
+  stages::Recall recall{reactor_, book, send, admit, site_, *catalog_, options_, counters, log_};
   stages::Learn learn{reactor_, admit, site_, "n1", knowledge_, counters, log_};
   stages::Route route{book, send, recall, counters, log_};
-  stages::Admit admit{reactor_, site_, 7, route, learn, ports_, counters};
-  stages::TakeIn take_in{reactor_, {book, admit, send, recall}, ports_, site_, counters};
+  stages::Admit admit{reactor_, site_, *catalog_, 7, route, learn, ports_, counters};
+  stages::TakeIn take_in{reactor_, {book, admit, send, recall}, ports_, site_, *catalog_, counters};
   stages::Relay relay{book, send, recall, admit, take_in, site_.settings.halt, counters};
 };
 
