--- a/bench/scale_backend.cpp
+++ b/bench/scale_backend.cpp
@@ -64,7 +64,7 @@
 };
 
 struct Play {
-  std::vector<double> added;     // s of each acked request beyond its run's work
+  std::vector<double> added;     // s of each acked request beyond its time at the runtime
   std::vector<double> in_force;  // s from a change's writing until it is in force
   std::size_t wanted = 0, acked = 0, versionless = 0;
   double processor_share = 0;  // of a core
@@ -147,13 +147,15 @@
   out.overdue = counters["ops.overdue"];
   out.last_written = files.sequence();
   fleet.leave();
+  std::map<std::uint64_t, double> ran;  // s at the runtime, by request
+  for (const RunSeen& run : fleet.journal.runs) ran[run.op] = run.ended - run.began;
   for (const auto& [op, asked] : fleet.journal.tries) {
     if (asked.sent < begin) continue;
     ++out.wanted;
     for (const Answer& answer : asked.answers) {
       if (answer.kind != AnswerKind::kAcked) continue;
       ++out.acked;
-      out.added.push_back(answer.at - asked.sent - kWork);
+      out.added.push_back(answer.at - asked.sent - ran[op]);
     }
   }
   out.broken = check_rules(fleet.journal, fleet.limits()).broken.size();
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double kLongestTimeout = 3600;  // s
+constexpr std::size_t kPagesAtOnce = 8;   // given back; some microseconds
 constexpr double kMostQuota = 1e9;        // requests a second
 
 std::string unusable_name(const std::string& name) {
@@ -155,7 +156,7 @@
   return routes_.note_free(positions) || tenants_.note_free(positions);
 }
 
-void Catalog::take_over(Catalog&& successor) {
+void Catalog::take_over(Catalog& successor) {
   std::swap(routes_, successor.routes_);
   std::swap(tenants_, successor.tenants_);
   std::swap(quotas_per_s_, successor.quotas_per_s_);
@@ -164,4 +165,6 @@
   history_ = successor.history_;
 }
 
+bool Catalog::release() { return routes_.release(kPagesAtOnce) || tenants_.release(kPagesAtOnce); }
+
 }  // namespace damsonspoke::catalog
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -64,7 +64,9 @@
   // over.
   bool prepare(std::size_t positions);
   // In force in one step, of constant time.
-  void take_over(Catalog&& successor);
+  void take_over(Catalog& successor);
+  // Of one that is no longer in force: gives back a part of its memory. False when none is left.
+  bool release();
 
  private:
   std::string refusal(const Change& change) const;
--- a/src/catalog/follower.cpp
+++ b/src/catalog/follower.cpp
@@ -69,6 +69,9 @@
     } else if (stage_ == Stage::kPrepare) {
       if (!successor_->prepare(kPositionsAtOnce)) end_snapshot();
       return true;
+    } else if (stage_ == Stage::kRelease) {
+      release();
+      return true;
     } else if (stage_ == Stage::kSpan) {
       take_change();
     } else {
@@ -117,9 +120,16 @@
 // ---- The snapshot.
 
 void Follower::refuse_snapshot(const std::string& why) {
-  successor_.reset();
   check_.reset();
   refuse({}, kSnapshotFile, why);
+  release();
+}
+
+// The memory of what is not in force goes in steps, too.
+void Follower::release() {
+  stage_ = Stage::kRelease;
+  if (successor_ != nullptr && successor_->release()) return;
+  successor_.reset();
   read_changes();
 }
 
@@ -200,17 +210,15 @@
 }
 
 void Follower::end_snapshot() {
-  catalog_.take_over(std::move(*successor_));
+  catalog_.take_over(*successor_);
   in_force(snapshot_.version, snapshot_.history);
   histories_.clear();
   ++counts_.snapshots;
   say(false, fmt::format("version {} in force by a snapshot: {} routes, {} tenants",
                          text_of(snapshot_.version), catalog_.op_types(), catalog_.customers()));
-  successor_.reset();
   check_.reset();
   text_.clear();
-  text_.shrink_to_fit();
-  read_changes();
+  release();
 }
 
 // ---- Changes.
--- a/src/catalog/follower.h
+++ b/src/catalog/follower.h
@@ -64,7 +64,7 @@
   std::uint64_t changes_offset() const { return offset_; }   // bytes of the file of changes that are read
 
  private:
-  enum class Stage { kIdle, kSnapshotHead, kSnapshotEntries, kPrepare, kChanges, kSpan };
+  enum class Stage { kIdle, kSnapshotHead, kSnapshotEntries, kPrepare, kRelease, kChanges, kSpan };
 
   bool work();
   void ask(Stage stage, const char* file, std::uint64_t offset, std::size_t most);
@@ -73,6 +73,7 @@
   void on_snapshot_piece(const Piece& piece);
   void take_snapshot_entry();
   void end_snapshot();
+  void release();
   void refuse_snapshot(const std::string& why);
   void read_changes();
   void on_changes(const Piece& piece);
@@ -95,7 +96,7 @@
   bool waiting_ = false;  // for a piece
 
   // The snapshot that is read.
-  std::unique_ptr<Catalog> successor_;
+  std::unique_ptr<Catalog> successor_;  // or what it has taken over from
   std::unique_ptr<store::SealCheck> check_;
   SnapshotHeader snapshot_;
   std::uint64_t snapshot_file_ = 0, snapshot_end_ = 0, snapshot_offset_ = 0, line_ = 0;
--- a/src/catalog/names.cpp
+++ b/src/catalog/names.cpp
@@ -4,7 +4,6 @@
 
 #include <bit>
 #include <cstring>
-#include <new>
 
 namespace damsonspoke::catalog {
 namespace {
@@ -51,16 +50,15 @@
 
 std::size_t NameArena::bytes() const { return blocks_.size() * kBlockBytes; }
 
+bool NameArena::release(std::size_t blocks) {
+  for (; blocks > 0 && !blocks_.empty(); --blocks) blocks_.pop_back();
+  return !blocks_.empty();
+}
+
 // ---- NameIndex.
 
 NameIndex::NameIndex(std::size_t most, std::uint64_t key, HashFunction hash)
-    : most_(most),
-      cells_(std::bit_ceil(2 * most + 2)),
-      key_(key),
-      hash_(hash),
-      table_(static_cast<Cell*>(std::calloc(cells_, sizeof(Cell)))) {
-  if (table_ == nullptr) throw std::bad_alloc();
-}
+    : most_(most), cells_(std::bit_ceil(2 * most + 2)), key_(key), hash_(hash), table_(cells_) {}
 
 std::uint32_t NameIndex::hash_of(std::string_view name) const {
   return static_cast<std::uint32_t>(hash_(name, key_));
@@ -82,7 +80,7 @@
 NameArena::Reference NameIndex::add(std::string_view name, int position) {
   const std::uint32_t hash = hash_of(name);
   const NameArena::Reference reference = arena_.add(name);
-  table_[cell_of(name, hash)] = {hash, position + 1, reference};
+  table_.writable(cell_of(name, hash)) = {hash, position + 1, reference};
   ++size_;
   return reference;
 }
@@ -97,10 +95,10 @@
     const std::size_t home = table_[at].hash & (cells_ - 1);
     const std::size_t from_home = (at - home) & (cells_ - 1), from_gap = (at - gap) & (cells_ - 1);
     if (from_home < from_gap) continue;  // it may not stand before its home
-    table_[gap] = table_[at];
+    table_.writable(gap) = table_[at];
     gap = at;
   }
-  table_[gap] = {};
+  table_.writable(gap) = {};
 }
 
 }  // namespace damsonspoke::catalog
--- a/src/catalog/names.h
+++ b/src/catalog/names.h
@@ -3,12 +3,13 @@
 #pragma once
 
 #include <cstdint>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string_view>
 #include <vector>
 
+#include "catalog/paged_array.h"
+
 namespace damsonspoke::catalog {
 
 // A keyed hash. Callers draw the key, so that nobody can choose names that share a hash.
@@ -26,6 +27,7 @@
   void remove(Reference reference);
   std::string_view at(Reference reference) const;
   std::size_t bytes() const;
+  bool release(std::size_t blocks);  // at most so many; false when none are left
 
  private:
   static constexpr std::size_t kBlockBits = 16;
@@ -36,8 +38,8 @@
   std::map<std::size_t, std::vector<Reference>> removed_;  // by length
 };
 
-// Open addressing with linear probing; at most half of the cells are in use. The memory is of the size for
-// `most` names from the start, so that it never grows, but the system provides it only as it is used.
+// Open addressing with linear probing; at most half of the cells are in use. There are cells for `most` names
+// from the start, so that it never has to be built anew.
 class NameIndex {
  public:
   NameIndex(std::size_t most, std::uint64_t key, HashFunction hash = keyed_hash);
@@ -50,7 +52,7 @@
 
   std::size_t size() const { return size_; }
   std::size_t most() const { return most_; }
-  std::size_t bytes() const { return cells_ * sizeof(Cell) + arena_.bytes(); }
+  std::size_t bytes() const { return table_.bytes() + arena_.bytes(); }
   // Calls `visit` with the name and the position of each cell in use, from cell `from` on, at most `count`
   // cells; returns the next cell, or cells() at the end.
   template <typename Visit>
@@ -62,6 +64,8 @@
     return at;
   }
   std::size_t cells() const { return cells_; }
+  // For one that is no longer looked at: gives back at most so many pages. False when none are left.
+  bool release(std::size_t pages) { return table_.release(pages) || arena_.release(pages); }
 
  private:
   // All zero: not in use.
@@ -72,16 +76,13 @@
     bool used() const { return position_plus_1 != 0; }
     int position() const { return position_plus_1 - 1; }
   };
-  struct Free {
-    void operator()(Cell* cells) const { std::free(cells); }
-  };
   std::uint32_t hash_of(std::string_view name) const;
   std::size_t cell_of(std::string_view name, std::uint32_t hash) const;
 
   std::size_t most_, cells_, size_ = 0;
   std::uint64_t key_;
   HashFunction hash_;
-  std::unique_ptr<Cell[], Free> table_;
+  PagedArray<Cell> table_;
   NameArena arena_;
 };
 
--- a/src/catalog/table.h
+++ b/src/catalog/table.h
@@ -4,11 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstdlib>
-#include <memory>
-#include <new>
 #include <string_view>
-#include <type_traits>
 #include <vector>
 
 #include "catalog/names.h"
@@ -19,14 +15,10 @@
 // that nobody has.
 template <typename Value>
 class Table {
-  static_assert(std::is_trivially_copyable_v<Value> && std::is_trivially_destructible_v<Value>);
-
  public:
   // At most `most` entries. Two generations may have names of their own, hence twice as many positions.
   Table(std::size_t most, std::uint64_t key, HashFunction hash = keyed_hash)
-      : names_(most, key, hash), slots_(static_cast<Slot*>(std::calloc(2 * most + 1, sizeof(Slot)))) {
-    if (slots_ == nullptr) throw std::bad_alloc();
-  }
+      : names_(most, key, hash), slots_(2 * most + 1) {}
 
   int find(std::string_view name) const { return names_.find(name); }
   const Value& at(int position) const { return slots_[static_cast<std::size_t>(position)].value; }
@@ -37,9 +29,7 @@
   std::size_t size() const { return names_.size(); }
   bool full() const { return names_.size() >= names_.most(); }
   std::size_t most_positions() const { return 2 * names_.most(); }
-  std::size_t bytes() const {
-    return names_.bytes() + positions_ * sizeof(Slot) + free_.capacity() * sizeof(int);
-  }
+  std::size_t bytes() const { return names_.bytes() + slots_.bytes() + free_.capacity() * sizeof(int); }
   const NameIndex& names() const { return names_; }
 
   // Adds an entry, or gives one that is there another value. A new one must find room (see full()). Where
@@ -48,7 +38,7 @@
     int position = names_.find(name);
     if (position >= 0) {
       value.life = at(position).life;
-      slots_[static_cast<std::size_t>(position)].value = value;
+      slots_.writable(static_cast<std::size_t>(position)).value = value;
       return position;
     }
     if (const int before = predecessor != nullptr ? predecessor->find(name) : -1; before >= 0) {
@@ -59,7 +49,7 @@
       value.life = ++last_life_;
     }
     positions_ = std::max(positions_, static_cast<std::size_t>(position) + 1);
-    slots_[static_cast<std::size_t>(position)] = {value, names_.add(name, position)};
+    slots_.writable(static_cast<std::size_t>(position)) = {value, names_.add(name, position)};
     return position;
   }
 
@@ -67,7 +57,7 @@
     const int position = names_.find(name);
     if (position < 0) return;
     names_.remove(name);
-    slots_[static_cast<std::size_t>(position)].value.life = 0;
+    slots_.writable(static_cast<std::size_t>(position)).value.life = 0;
     free_.push_back(position);
   }
 
@@ -83,14 +73,14 @@
     return free_noted_ < positions_;
   }
 
+  // For one that is no longer looked at: gives back at most so many pages. False when none are left.
+  bool release(std::size_t pages) { return slots_.release(pages) || names_.release(pages); }
+
  private:
   struct Slot {
     Value value;
     NameArena::Reference name;
   };
-  struct Free {
-    void operator()(Slot* slots) const { std::free(slots); }
-  };
   // While a predecessor is in force, positions that it uses are left alone.
   int new_position(const Table* predecessor) {
     const std::vector<int>& free = predecessor != nullptr ? predecessor->free_ : free_;
@@ -103,10 +93,10 @@
   }
 
   NameIndex names_;
-  std::unique_ptr<Slot[], Free> slots_;  // by position
-  std::size_t positions_ = 0;            // so many were ever in use
-  std::vector<int> free_;                // of them
-  std::size_t taken_ = 0;                // of the free positions of a predecessor
+  PagedArray<Slot> slots_;     // by position
+  std::size_t positions_ = 0;  // so many were ever in use
+  std::vector<int> free_;      // of them
+  std::size_t taken_ = 0;      // of the free positions of a predecessor
   std::size_t free_noted_ = 0;
   std::uint32_t last_life_ = 0;
 };
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -38,7 +38,7 @@
   std::string key;
   std::string type;
   int life = 0;
-  double began = 0;
+  double began = 0, ended = 0;
   std::string result;  // what it was given to end with
   bool completed = false;
 };
--- a/standins/planner.cpp
+++ b/standins/planner.cpp
@@ -159,7 +159,7 @@
   }
   const std::string key = Runtime::key_of(op.body), result = fmt::format("{} made {}", key, ++made_);
   const int life = static_cast<int>(journal_.lives.size()) - 1;
-  journal_.runs.push_back({op.op, key, links_.at(fd).types.at(op.type), life, now(), result, true});
+  journal_.runs.push_back({op.op, key, links_.at(fd).types.at(op.type), life, now(), 0, result, true});
   loop_.after(options.takes, [this, here = here_, fd, serial, attempt, result] {
     if (*here) answer(fd, serial, attempt, wt::Result::kAcked, result);
   });
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -132,7 +132,7 @@
   if (runs_.contains(op)) return;  // it runs already
   std::string result = fmt::format("{} made {} ", key_of(body), ++made_);
   if (result.size() < options.result_bytes) result.resize(options.result_bytes, 'r');
-  journal_.runs.push_back({op, key_of(body), type, life_, now(), std::move(result), false});
+  journal_.runs.push_back({op, key_of(body), type, life_, now(), 0, std::move(result), false});
   const auto special = options.work_by_type.find(type);
   const double work = special == options.work_by_type.end() ? options.work : special->second;
   runs_[op] = {journal_.runs.size() - 1, work, work, false, false};
@@ -181,6 +181,7 @@
     RunSeen& seen = journal_.runs[runs_.at(op).record];
     const bool fails = static_cast<double>(op / 1000 % 1000) / 1000 < options.fails;
     seen.completed = !fails;
+    seen.ended = now();
     fails ? end(op, "error", "") : end(op, "complete", seen.result);
   }
   loop_.after(kStep, [this] { work(); });
