--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -56,15 +56,20 @@
       "fleets", "members of the fleets on sockets",
       cxxopts::value<std::vector<int>>()->default_value("100,300,1000,2300"))(
       "loss", "the largest of them that loses a sixth", cxxopts::value<int>()->default_value("300"))(
-      "parts", "which: decisions, catalog, backend, members, simulated",
+      "joins", "hollow members that come up a second", cxxopts::value<double>()->default_value("200"))(
+      "converge", "seconds until they should all see each other",
+      cxxopts::value<double>()->default_value("120"))(
+      "parts", "which: decisions, catalog, backend, connections, exchange, members, simulated, faults",
       cxxopts::value<std::vector<std::string>>()->default_value(
-          "decisions,catalog,backend,members,simulated"));
+          "decisions,catalog,backend,connections,exchange,members,simulated,faults"));
   const auto given = flags.parse(argc, argv);
   ScaleOptions options;
   options.seconds = given["seconds"].as<double>();
   options.seed = given["seed"].as<std::uint64_t>();
   options.rounds = given["rounds"].as<int>();
   options.fleets = given["fleets"].as<std::vector<int>>();
+  options.joins_per_s = given["joins"].as<double>();
+  options.converge = given["converge"].as<double>();
   options.largest_loss = given["loss"].as<int>();
   const auto parts = given["parts"].as<std::vector<std::string>>();
   const auto wanted = [&](const char* part) {
@@ -74,8 +79,11 @@
   if (wanted("decisions")) measure_decisions(options, figures);
   if (wanted("catalog")) measure_catalog(options, figures);
   if (wanted("backend")) measure_backend(options, figures);
+  if (wanted("connections")) measure_connections(options, figures);
+  if (wanted("exchange")) measure_exchange(figures);
   if (wanted("members")) measure_members(options, figures);
   if (wanted("simulated")) measure_simulated_members(options, figures);
+  if (wanted("faults")) measure_simulated_faults(options, figures);
   fmt::print("figures:");
   for (const auto& [name, value] : figures) fmt::print(" {}={:.6g}", name, value);
   fmt::print("\n");
--- a/bench/scale.h
+++ b/bench/scale.h
@@ -14,7 +14,9 @@
   std::uint64_t seed = 1;
   int rounds = 3;  // plays of each figure; the median is told
   std::vector<int> fleets = {100, 300, 1000, 2300};
-  int largest_loss = 300;  // members of the largest fleet on sockets that loses a sixth
+  double joins_per_s = 200;  // how fast hollow members come up
+  double converge = 120;     // s until all of them should see each other
+  int largest_loss = 300;    // members of the largest fleet on sockets that loses a sixth
 };
 
 using Figures = std::map<std::string, double>;
@@ -34,7 +36,10 @@
 void measure_decisions(const ScaleOptions& options, Figures& figures);
 void measure_catalog(const ScaleOptions& options, Figures& figures);
 void measure_backend(const ScaleOptions& options, Figures& figures);
+void measure_connections(const ScaleOptions& options, Figures& figures);
 void measure_members(const ScaleOptions& options, Figures& figures);
 void measure_simulated_members(const ScaleOptions& options, Figures& figures);
+void measure_simulated_faults(const ScaleOptions& options, Figures& figures);
+void measure_exchange(Figures& figures);
 
 }  // namespace damsonspoke::bench
--- a/bench/scale_backend.cpp
+++ b/bench/scale_backend.cpp
@@ -1,8 +1,7 @@
 // One real backend with the whole catalog, under the load of one backend at the peak: what changes and a
 // whole replacement cost the requests that it serves meanwhile.
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <sys/stat.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -223,4 +222,59 @@
   figures["control_core_share_changes"] = std::max(0.0, peak.processor_share - calm.processor_share);
 }
 
+// Connections that have asked once and rest: memory of the backend, and what it does for them.
+void measure_connections(const ScaleOptions& options, Figures& figures) {
+  fmt::print("Resting connections at one backend:\n");
+  std::vector<std::pair<double, double>> memory, share;
+  for (const int count : {250, 500, 1000, 4000}) {
+    SiteSpec site;
+    site.types = {{"first", "retryable", 0.2, 0.4, 0, 1}};
+    site.sockets = 8192;
+    site.memory_mb = 2048;  // its bound on connections follows from it
+    Fleet fleet(kBinary, site, {}, {});
+    if (!fleet.start()) return;
+    fleet.loop.run_for(1);
+    const long before = fleet.process->resident_kb();
+    std::vector<int> open;
+    int ended = 0;
+    for (int i = 0; i < count; ++i) {
+      const int fd = connected_socket(fleet.server.port(), fmt::format("127.9.{}.{}", i / 250, 1 + i % 250));
+      if (fd < 0) continue;
+      open.push_back(fd);
+      fleet.loop.watch(fd, [&fleet, &ended, fd] {
+        char bytes[512];
+        if (::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0) return;
+        ++ended;
+        fleet.loop.forget(fd);
+      });
+      const std::string check = R"({"jsonrpc":"2.0","id":1,"method":"health","params":{}})";
+      fleet.loop.send(fd, fmt::format("Content-Length: {}\r\n\r\n{}", check.size(), check));
+      if (i % 50 == 0) fleet.loop.run_for(0.02);
+    }
+    fleet.loop.run_for(0.5);
+    const double watched = options.seconds / 2;
+    const double cpu = fleet.process->processor_time();
+    const auto reports = fleet.process->counters()["roster.reports"];
+    fleet.loop.run_for(watched);
+    const double spent = (fleet.process->processor_time() - cpu) / watched;
+    const auto reported =
+        static_cast<double>(fleet.process->counters()["roster.reports"] - reports) / watched;
+    const auto kb = static_cast<double>(fleet.process->resident_kb() - before);
+    fmt::print(
+        "  {:>5} asked for, {} ended by it: {:.2f} KB each, {:.2f}% of a core, {:.1f} reports to the roster "
+        "a second\n",
+        count, ended, kb / count, 100 * spent, reported);
+    memory.emplace_back(count, kb);
+    share.emplace_back(count, 100 * spent);
+    figures["roster_reports_per_s"] = reported;
+    for (const int fd : open) {
+      fleet.loop.forget(fd);
+      ::close(fd);
+    }
+  }
+  print_forecast("kilobytes", "KB", memory);
+  print_forecast("share of a core", "%", share);
+  figures["kb_per_connection"] = forecast(memory).slope;
+}
+
 }  // namespace damsonspoke::bench
--- a/bench/scale_members.cpp
+++ b/bench/scale_members.cpp
@@ -13,6 +13,7 @@
 #include "process.h"
 #include "scale.h"
 #include "synthetic_site.h"
+#include "wire/members.h"
 
 namespace damsonspoke::bench {
 namespace {
@@ -20,9 +21,8 @@
 using namespace standins;
 
 const char* const kBinary = DAMSONSPOKE_BINARY;
-constexpr int kReal = 12;          // processes of the program
-constexpr double kConverge = 120;  // s
-constexpr double kLook = 5;        // s; of one look at bytes and time after a loss
+constexpr int kReal = 12;    // processes of the program
+constexpr double kLook = 5;  // s; of one look at bytes and time after a loss
 
 // Processes that serve nobody and take part in membership.
 class RealMembers {
@@ -117,12 +117,13 @@
   HollowMembers::Options hollow_options;
   hollow_options.count = members - kReal;
   hollow_options.seed = options.seed + static_cast<std::uint64_t>(members);
+  hollow_options.joins_per_s = options.joins_per_s;
   HollowMembers hollow(hollow_options);
   hollow.begin();
   RealMembers real(loop, hollow_options.seed, hollow.first_addresses());
   const double begin = now();
   HollowMembers::Sums sums;
-  while (now() - begin < kConverge) {
+  while (now() - begin < options.converge) {
     loop.run_for(1);
     sums = hollow.sums();
     if (hollow.all_up() && sums.least_there == static_cast<std::size_t>(members)) break;
@@ -136,7 +137,7 @@
       "  {:>4} members: {} see {} to {}{}; calm {:.0f} bytes/s a member, {:.3f}% of a core (real {:.3f}%), "
       "{:.1f} MB resident\n",
       members, sums.alive, sums.least_there, sums.most_there,
-      out.converged < 0 ? fmt::format(", not all of them within {:.0f} s", kConverge)
+      out.converged < 0 ? fmt::format(", not all of them within {:.0f} s", options.converge)
                         : fmt::format(", all of them after {:.0f} s", out.converged),
       out.calm.bytes, 100 * out.calm.hollow_share, 100 * out.calm.real_share, out.resident_kb / 1024);
   if (members <= options.largest_loss) lose_a_sixth(loop, hollow, real, members, figures);
@@ -193,6 +194,120 @@
   figures["real"] = kReal;
 }
 
+// What one full exchange holds, by the members that one knows.
+void measure_exchange(Figures& figures) {
+  fmt::print("One side of a full exchange:\n");
+  std::vector<std::pair<double, double>> points;
+  for (const int count : {100, 300, 1000, 1800}) {
+    std::vector<members::Record> records;
+    for (int i = 0; i < count; ++i) {
+      members::Record record;
+      record.name = fmt::format("backend-{:05}", i);
+      record.address = fmt::format("10.{}.{}.{}:7946", i % 3, i / 250, i % 250);
+      record.epoch = (1796000000000ULL + static_cast<std::uint64_t>(i) * 977) << 12;
+      record.incarnation = static_cast<std::uint32_t>(i % 7);
+      record.told.role = "relay";
+      record.told.zone = fmt::format("region-{}/zone-{}", i % 3, i % 6);
+      record.told.build = "0.3.0";
+      record.told.serves = record.address;
+      record.told.serial = 7;
+      record.told.load = 400;
+      record.told.room = 12;
+      record.told_age_ms = 1500;
+      records.push_back(std::move(record));
+    }
+    const std::size_t bytes = wire::members::encode_exchange("fleet", records).size();
+    points.emplace_back(count, static_cast<double>(bytes));
+  }
+  print_forecast("bytes", "bytes", points);
+  const Forecast line = forecast(points);
+  const double fit = (static_cast<double>(wire::members::kMostExchange) - line.base) / line.slope;
+  fmt::print("  {:.0f} bytes a record; {:.0f} fit into the bound of {}\n", line.slope, fit,
+             wire::members::kMostExchange);
+  figures["bytes_per_record"] = line.slope;
+  figures["records_that_fit"] = fit;
+}
+
+namespace {
+
+constexpr int kFaultyFleet = 600;  // members
+
+std::unique_ptr<MembersSim> faulty_fleet(std::uint64_t seed) {
+  MembersSim::Options options;
+  options.count = kFaultyFleet, options.seed = seed, options.loss = 0.01, options.weigh_each = 200;
+  return std::make_unique<MembersSim>(options);
+}
+
+double bytes_over(MembersSim& sim, double seconds) {
+  sim.forget_bytes();
+  sim.run_until(sim.now() + seconds);
+  return sim.bytes_a_member_second();
+}
+
+void regions_apart(std::uint64_t seed, Figures& figures) {
+  const auto sim = faulty_fleet(seed);
+  bool apart = false;
+  sim->cut = [&](int a, int b) { return apart && (a % 3 == 0) != (b % 3 == 0); };
+  sim->begin(true);
+  sim->run_until(10);
+  const double calm = bytes_over(*sim, 10);
+  apart = true;
+  double most = 0, after = 0, again = -1;
+  for (int i = 0; i < 12; ++i) most = std::max(most, bytes_over(*sim, 10));
+  apart = false;
+  for (int i = 0; i < 24 && again < 0; ++i) {
+    after = std::max(after, bytes_over(*sim, 5));
+    if (sim->views_same()) again = 5 * (i + 1);
+  }
+  fmt::print(
+      "  a region of three apart for 120 s: calm {:.0f}, most {:.0f} apart, {:.0f} together again, one view "
+      "after "
+      "{:.0f} s\n",
+      calm, most, after, again);
+  figures["bytes_per_s_apart"] = most;
+  figures["bytes_per_s_together"] = after;
+  figures["one_view_s"] = again;
+}
+
+void third_paused(std::uint64_t seed, Figures& figures) {
+  const auto sim = faulty_fleet(seed);
+  sim->begin(true);
+  sim->run_until(10);
+  for (int i = 0; i < kFaultyFleet; i += 3) sim->pause(i, 2);
+  double most = 0;
+  for (int i = 0; i < 6; ++i) most = std::max(most, bytes_over(*sim, 5));
+  fmt::print("  a third paused for 2 s: most {:.0f}, {} called dead that were not\n", most,
+             sim->wrong().size());
+  figures["bytes_per_s_paused"] = most;
+  figures["dead_in_pauses"] = static_cast<double>(sim->wrong().size());
+}
+
+void one_in_twenty_restarted(std::uint64_t seed, Figures& figures) {
+  const auto sim = faulty_fleet(seed);
+  sim->begin(true);
+  sim->run_until(10);
+  double most = 0;
+  for (int i = 0; i < kFaultyFleet / 20; ++i) {
+    const int member = i * 7 % kFaultyFleet;
+    sim->kill(member);
+    most = std::max(most, bytes_over(*sim, 1));
+    sim->start(member);
+    most = std::max(most, bytes_over(*sim, 1));
+  }
+  fmt::print("  one in twenty restarted in a minute: most {:.0f} in a second, {} called dead that were not\n",
+             most, sim->wrong().size());
+  figures["bytes_per_s_restarts"] = most;
+}
+
+}  // namespace
+
+void measure_simulated_faults(const ScaleOptions& options, Figures& figures) {
+  fmt::print("{} members simulated, 1% of datagrams lost, bytes/s a member:\n", kFaultyFleet);
+  regions_apart(options.seed, figures);
+  third_paused(options.seed, figures);
+  one_in_twenty_restarted(options.seed, figures);
+}
+
 void measure_simulated_members(const ScaleOptions& options, Figures& figures) {
   fmt::print("Fleets simulated, 1% of datagrams lost:\n");
   for (const int members : {100, 300, 600, 1000, 2300}) simulated_loss(members, options.seed, figures);
--- a/src/catalog/codec.h
+++ b/src/catalog/codec.h
@@ -53,6 +53,8 @@
 // ---- Files. Content is sealed (store/sealed_file.h); a file of changes is sealed spans, one after another.
 constexpr std::uint32_t kSnapshotForm = 1, kSpanForm = 2;
 constexpr const char* kSnapshotFile = "catalog.snapshot";
+constexpr const char* kOlderSnapshotFile =
+    "catalog.snapshot.1";  // the one before, as store/sealed_file keeps it
 constexpr const char* kChangesFile = "catalog.changes";
 constexpr std::size_t kMostSnapshot = std::size_t{256} << 20;  // bytes: four times the size in two years
 constexpr std::size_t kMostSpan = std::size_t{256} << 10;      // bytes of one span: some 2,500 changes
--- a/src/catalog/follower.cpp
+++ b/src/catalog/follower.cpp
@@ -37,7 +37,7 @@
     return;
   }
   again_ = false;
-  ask(Stage::kSnapshotHead, kSnapshotFile, 0, kHeadBytes);
+  look_at(kSnapshotFile);
 }
 
 Follower::State Follower::state() const {
@@ -81,7 +81,7 @@
   return true;
 }
 
-void Follower::ask(Stage stage, const char* file, std::uint64_t offset, std::size_t most) {
+void Follower::ask(Stage stage, const std::string& file, std::uint64_t offset, std::size_t most) {
   stage_ = stage;
   waiting_ = true;
   source_.request(file, offset, most);
@@ -121,7 +121,7 @@
 
 void Follower::refuse_snapshot(const std::string& why) {
   check_.reset();
-  refuse({}, kSnapshotFile, why);
+  refuse({}, snapshot_name_, why);
   release();
 }
 
@@ -130,11 +130,18 @@
   stage_ = Stage::kRelease;
   if (successor_ != nullptr && successor_->release()) return;
   successor_.reset();
+  // Who has nothing in force yet takes the snapshot before a damaged one: better older than none.
+  if (catalog_.version() == Version{} && snapshot_name_ == kSnapshotFile) return look_at(kOlderSnapshotFile);
   read_changes();
 }
 
+void Follower::look_at(const char* snapshot) {
+  snapshot_name_ = snapshot;
+  ask(Stage::kSnapshotHead, snapshot_name_, 0, kHeadBytes);
+}
+
 void Follower::on_snapshot_head(const Piece& piece) {
-  if (!piece.there && piece.why.empty()) return read_changes();
+  if (!piece.there && piece.why.empty()) return release();
   if (!piece.there) return refuse_snapshot(piece.why);
   const store::SealHead head = store::read_seal_head(piece.bytes, kSnapshotForm);
   if (head.problem != store::SealProblem::kNone) return refuse_snapshot(std::string(text_of(head.problem)));
@@ -189,7 +196,7 @@
   std::string_view line;
   if (!next_line(text_, used_, line)) {
     if (snapshot_offset_ < snapshot_end_)
-      return ask(Stage::kSnapshotEntries, kSnapshotFile, snapshot_offset_, kPieceBytes);
+      return ask(Stage::kSnapshotEntries, snapshot_name_, snapshot_offset_, kPieceBytes);
     if (used_ != text_.size() || !check_->sound()) return refuse_snapshot("torn or damaged");
     if (successor_->op_types() != snapshot_.routes || successor_->customers() != snapshot_.tenants)
       return refuse_snapshot(fmt::format("its header tells {} routes and {} tenants, it has {} and {}",
--- a/src/catalog/follower.h
+++ b/src/catalog/follower.h
@@ -67,13 +67,14 @@
   enum class Stage { kIdle, kSnapshotHead, kSnapshotEntries, kPrepare, kRelease, kChanges, kSpan };
 
   bool work();
-  void ask(Stage stage, const char* file, std::uint64_t offset, std::size_t most);
+  void ask(Stage stage, const std::string& file, std::uint64_t offset, std::size_t most);
   void on_piece(Piece piece);
   void on_snapshot_head(const Piece& piece);
   void on_snapshot_piece(const Piece& piece);
   void take_snapshot_entry();
   void end_snapshot();
   void release();
+  void look_at(const char* snapshot);
   void refuse_snapshot(const std::string& why);
   void read_changes();
   void on_changes(const Piece& piece);
@@ -98,6 +99,7 @@
   // The snapshot that is read.
   std::unique_ptr<Catalog> successor_;  // or what it has taken over from
   std::unique_ptr<store::SealCheck> check_;
+  std::string snapshot_name_;
   SnapshotHeader snapshot_;
   std::uint64_t snapshot_file_ = 0, snapshot_end_ = 0, snapshot_offset_ = 0, line_ = 0;
   std::string text_;      // read and not taken yet
--- a/src/wire/tier.h
+++ b/src/wire/tier.h
@@ -53,12 +53,12 @@
 // Planner to forwarder.
 enum class Result : std::uint8_t {
   kAcked = 0,
-  kNacked = 1,    // never ran and never will
-  kFailed = 2,    // may have run
-  kUnknown = 3,   // it repeats one that ran, whose outcome is not known
-  kConflict = 4,  // its key belongs to another body
-  kNeverRan = 5,  // the proof that a fence asked for
-  kRunning = 6,   // no proof: it has run or runs; its end will be told
+  kNacked = 1,     // never ran and never will
+  kFailed = 2,     // may have run
+  kUnknown = 3,    // it repeats one that ran, whose outcome is not known
+  kConflict = 4,   // its key belongs to another body
+  kNeverRan = 5,   // the proof that a fence asked for
+  kRunning = 6,    // no proof: it has run or runs; its end will be told
   kForgotten = 7,  // it was known and has ended, and what came of it is no longer kept
   kNotKnown = 8    // to a submit that only asks: nothing of its key is remembered, nothing ran
 };
--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
@@ -51,9 +52,11 @@
   };
   std::map<std::string, File> files;
   std::size_t most_asked = 0, read = 0;  // bytes
+  std::function<void()> at_second;       // before the second piece of a file
 
   void request(const std::string& name, std::uint64_t offset, std::size_t most) override {
     Piece piece;
+    if (offset > 0 && at_second) std::exchange(at_second, nullptr)();
     most_asked = std::max(most_asked, most);
     const auto found = files.find(name);
     if (found != files.end()) {
@@ -379,6 +382,19 @@
   given("no end", snapshot_of({1, 20}, 5, entries + "{", 2, 2));
   given("a line without end", store::seal(kSnapshotForm, encode_header(SnapshotHeader{{1, 20}, 5, 2, 2}) +
                                                              entries + std::string(200000, 'x')));
+  // Replaced between two pieces: by another file, or by one of another size.
+  std::string many = entries;
+  for (int i = 0; i < 90; ++i)
+    many += encode_change(tenant("t" + std::to_string(i) + std::string(900, 'x'), 1));
+  const std::string long_one = snapshot_of({1, 20}, 5, many, 2, 92);
+  for (const bool other : {true, false}) {
+    f.source.files[kSnapshotFile].bytes = long_one;
+    f.source.at_second = [&] {
+      MemorySource::File& file = f.source.files[kSnapshotFile];
+      other ? void(++file.number) : file.bytes.push_back('x');
+    };
+    f.tell(other ? "replaced while it is read" : "longer while it is read");
+  }
   given("no header", store::seal(kSnapshotForm, "x\n"));
   given("a span in its place", store::seal(kSpanForm, "x\n"));
   given("nothing", "");
@@ -453,6 +469,69 @@
   say("pieces of files are small", source.most_asked <= kMostSpan + store::kSealHeadBytes);
 }
 
+// A host that only notes how each request was answered.
+struct NotingHost : Host {
+  std::map<OpId, std::string> answers;
+  void start(OpId) override {}
+  void interrupt(OpId) override {}
+  void nack(OpId id, double, bool) override { answers[id] = "rejected"; }
+  void fail(OpId id) override { answers[id] = "failed"; }
+  void call(OpId, double) override {}
+  void skip_call(OpId) override {}
+  void remember(OpId, double) override {}
+  void forget(OpId) override {}
+  void join(OpId) override {}
+  void set_health(bool, bool) override {}
+  void announce(double) override {}
+  void close_idle(double) override {}
+  void wake_at(double, std::uint64_t token) override { wake = token; }
+  void log(const std::string&) override {}
+  std::uint64_t wake = 0;
+};
+
+double values_learned(const Decider& decider, int position) {
+  const Knowledge learned = decider.learned();
+  double sum = 0;
+  for (const double bin : learned.types[static_cast<std::size_t>(position)].run.bins) sum += bin;
+  return sum;
+}
+
+// The decisions go by the route as it was when a request was read, and do not learn of one route for another.
+void decided() {
+  StartSettings site = standins::synthetic_site({2, 0}, 1);
+  Catalog catalog({10, 10, true}, 1);
+  PutRoute fragile = route("r", 1);
+  fragile.type.effect = Effect::kNonRetryable;
+  catalog.apply(route("other", 1));
+  catalog.apply(fragile);
+  NotingHost host;
+  Decider decider(site.settings, 1, host, 0, {}, &catalog);
+  const int position = catalog.find_route("r");
+  Op op;
+  op.type = position;
+  op.held_kb = 1;
+  for (op.id = 1; op.id <= 9; ++op.id) decider.on_op(0.1, op);  // eight run, the ninth is held
+  catalog.apply(route("r", 1));                                 // may be repeated, from now on
+  decider.on_wake(2, host.wake, {});
+  std::printf("a held one that was not to be repeated when it was read: %s\n", host.answers[9].c_str());
+  op.id = 10;
+  decider.on_op(2, op);
+  decider.on_wake(4, host.wake, {});
+  std::printf("one that came after the change: %s\n", host.answers[10].c_str());
+  catalog.apply(RemoveRoute{"r"});
+  catalog.apply(route("new", 1));
+  say("another route has its position", catalog.find_route("new") == position);
+  op.id = 11;
+  decider.on_op(4, op);
+  decider.on_run_end(4.1, 1, Outcome::kOk, 0);
+  decider.on_run_end(4.1, 2, Outcome::kOk, 0);
+  say("runs of the one that went teach nothing of it", values_learned(decider, position) == 0);
+  for (OpId id = 3; id <= 8; ++id) decider.on_run_end(4.2, id, Outcome::kOk, 0);
+  decider.on_run_end(4.3, 11, Outcome::kOk, 0);
+  say("its own do", values_learned(decider, position) == 1);
+  say("nothing is charged in the end", decider.pool_in_use() == 0);
+}
+
 // A tenant's bucket: bounded memory, the same decisions as one for each; who is pushed out begins anew.
 void quotas() {
   const StartSettings site = standins::synthetic_site({1, 200000}, 1);
@@ -601,6 +680,7 @@
                        {"replaced", replaced},
                        {"steps", steps},
                        {"quotas", quotas},
+                       {"decided", decided},
                        {"costs", costs},
                        {"folders", folders}});
 }
--- a/tests/catalog_program.cpp
+++ b/tests/catalog_program.cpp
@@ -214,7 +214,7 @@
   answered(2);
 }
 
-// The same from a file that a start finds torn: the one before, or what the settings name.
+// A start that finds a torn snapshot takes the one before it; without one, what the settings name is served.
 void begins() {
   CatalogSite site;
   site.comes_up();
@@ -222,11 +222,16 @@
   site.start_again();
   site.comes_up();
   site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
+  write_snapshot(site.folder(), {1, 9}, 4, lines_of_changes({route("push", 3), route("more", 3)}));
   const std::string file = site.folder() + "/" + kSnapshotFile;
   std::filesystem::resize_file(file, std::filesystem::file_size(file) - 1);
   site.start_again();
   site.comes_up();
   site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
+  std::filesystem::remove(file + ".1");
+  site.start_again();
+  site.comes_up();
+  site.counters({"catalog.epoch", "catalog.sequence", "catalog.routes", "catalog.refused"});
   const int caller = site.connect();
   site.send_op(caller, 1, "extra");
   site.caller_hears(caller);
