--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Short names for what one does here; each is one call of CMake, CTest or a tool.
-SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h' 'bench/*.cpp')
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h' 'bench/*.cpp' 'bench/*.h')
 CONFIG ?= docs/example.json
 
 .PHONY: build test lint format run demo bench rehearse
--- a/bench/scale_backend.cpp
+++ b/bench/scale_backend.cpp
@@ -87,10 +87,10 @@
   return site;
 }
 
-Callers::Options load_of(std::uint64_t seed) {
+Callers::Options load_of(std::uint64_t seed, double per_s) {
   Flow flow;
   flow.type = "any";
-  flow.per_s = kRequestsPerS;
+  flow.per_s = per_s;
   flow.patience = 0.4;
   flow.type_of = [](std::uint64_t draw) { return route_name(draw % kWhole.routes); };
   flow.tenant_of = [](std::uint64_t draw) { return tenant_name(draw % kWhole.tenants); };
@@ -101,12 +101,13 @@
   return load;
 }
 
-Play play(const std::string& folder, Files& files, const Timing& timing, const ScaleOptions& options) {
+Play play(const std::string& folder, Files& files, const Timing& timing, const ScaleOptions& options,
+          double per_s = kRequestsPerS) {
   Play out;
   Runtime::Options work;
   work.cores = kCores;
   work.work = kWork;
-  Fleet fleet(kBinary, site_of(folder), work, load_of(options.seed));
+  Fleet fleet(kBinary, site_of(folder), work, load_of(options.seed, per_s));
   if (!fleet.start()) return out;
   fleet.loop.run_for(2);
   std::map<std::uint64_t, double> written;  // number of a change, until it is in force
@@ -179,6 +180,14 @@
              kWhole.tenants, kRequestsPerS);
   const Folder folder;
   Files files(folder.path("."), kWhole);
+  std::vector<std::pair<double, double>> share;
+  for (const double per_s : {163.0, 326.0, 652.0, kRequestsPerS}) {
+    const Play p = play(folder.path("."), files, {}, options, per_s);
+    tell(fmt::format("{:.0f} a second", per_s).c_str(), p);
+    share.emplace_back(per_s, 100 * p.processor_share);
+  }
+  print_forecast("share of a core", "%", share);
+  figures["us_per_request_backend"] = 1e4 * forecast(share).slope;
   const Play calm = play(folder.path("."), files, {}, options);
   tell("no change", calm);
   const Play peak = play(folder.path("."), files, {1 / (kPeak * kChangesPerS), 1, false}, options);
--- a/src/catalog/threaded_source.cpp
+++ b/src/catalog/threaded_source.cpp
@@ -5,11 +5,11 @@
 #include <mutex>
 #include <utility>
 
+#include "store/side_thread.h"
+
 namespace damsonspoke::catalog {
 namespace {
 
-constexpr std::chrono::milliseconds kLastWords{200};
-
 struct Request {
   std::string name;
   std::uint64_t offset = 0;
@@ -18,14 +18,11 @@
 
 }  // namespace
 
-struct ThreadedSource::Shared {
+struct ThreadedSource::Shared : store::SideThreadState {
   std::unique_ptr<Source> source;
   std::function<void()> on_ready;
-  std::mutex lock;  // of what follows
-  std::condition_variable changed;
   std::optional<Request> request;
   std::optional<Piece> piece;
-  bool closing = false, ended = false;
 
   void run() {
     std::unique_lock guard(lock);
@@ -53,14 +50,7 @@
   thread_ = std::thread([shared = shared_] { shared->run(); });
 }
 
-ThreadedSource::~ThreadedSource() {
-  std::unique_lock guard(shared_->lock);
-  shared_->closing = true;
-  shared_->changed.notify_all();
-  const bool ended = shared_->changed.wait_for(guard, kLastWords, [this] { return shared_->ended; });
-  guard.unlock();
-  ended ? thread_.join() : thread_.detach();
-}
+ThreadedSource::~ThreadedSource() { store::end_side_thread(*shared_, thread_); }
 
 void ThreadedSource::request(const std::string& name, std::uint64_t offset, std::size_t most) {
   const std::lock_guard guard(shared_->lock);
--- a/src/knowledge/keeper.cpp
+++ b/src/knowledge/keeper.cpp
@@ -7,10 +7,11 @@
 #include <mutex>
 #include <utility>
 
+#include "store/side_thread.h"
+
 namespace damsonspoke::knowledge {
 namespace {
 
-constexpr auto kLastWords = std::chrono::milliseconds(200);  // at the end, for the write in hand
 constexpr const char* kTrial = "knowledge.trial";  // how many lives began with it and have not come through
 
 }  // namespace
@@ -49,14 +50,12 @@
 }
 
 // ---- The thread.
-struct Keeper::Shared {
-  std::mutex lock;
-  std::condition_variable changed;
+struct Keeper::Shared : store::SideThreadState {
   std::optional<Reading> reading;
   std::optional<std::string> to_write;
   std::optional<int> to_begin;
   bool to_come_through = false;
-  bool busy = true, closing = false, ended = false;
+  bool busy = true;
   std::optional<std::string> trouble;  // not told yet
   std::string last_trouble;
   std::uint64_t written = 0;
@@ -104,14 +103,7 @@
   });
 }
 
-Keeper::~Keeper() {
-  std::unique_lock guard(shared_->lock);
-  shared_->closing = true;
-  shared_->changed.notify_all();
-  const bool ended = shared_->changed.wait_for(guard, kLastWords, [this] { return shared_->ended; });
-  guard.unlock();
-  ended ? thread_.join() : thread_.detach();
-}
+Keeper::~Keeper() { store::end_side_thread(*shared_, thread_); }
 
 void Keeper::wait_for_reading(double seconds) {
   std::unique_lock guard(shared_->lock);
--- a/src/store/kept_file.cpp
+++ b/src/store/kept_file.cpp
@@ -6,20 +6,13 @@
 #include <mutex>
 #include <utility>
 
-namespace damsonspoke::store {
-namespace {
-
-constexpr auto kLastWords = std::chrono::milliseconds(200);  // at the end, for the write in hand
+#include "store/side_thread.h"
 
-}  // namespace
-
-struct KeptFile::Shared {
-  std::mutex lock;
-  std::condition_variable changed;
+namespace damsonspoke::store {
+struct KeptFile::Shared : SideThreadState {
   std::optional<Sealed> found;
   std::optional<std::string> to_write, trouble;
   std::string last_trouble;
-  bool closing = false, ended = false;
   std::uint64_t written = 0;
 
   void run(const MakeDisk& make_disk, const std::string& name, std::uint32_t form, std::size_t most) {
@@ -61,14 +54,7 @@
   });
 }
 
-KeptFile::~KeptFile() {
-  std::unique_lock guard(shared_->lock);
-  shared_->closing = true;
-  shared_->changed.notify_all();
-  const bool ended = shared_->changed.wait_for(guard, kLastWords, [this] { return shared_->ended; });
-  guard.unlock();
-  ended ? thread_.join() : thread_.detach();
-}
+KeptFile::~KeptFile() { end_side_thread(*shared_, thread_); }
 
 std::optional<Sealed> KeptFile::read(double seconds) {
   std::unique_lock guard(shared_->lock);
--- a/standins/decision_load.cpp
+++ b/standins/decision_load.cpp
@@ -5,6 +5,8 @@
 #include <pcg_random.hpp>
 #include <queue>
 
+#include "silent_host.h"
+
 namespace damsonspoke::standins {
 namespace {
 
@@ -15,7 +17,7 @@
 };
 
 // Runs what it is told to run, for a fixed time, and forgets the rest.
-class InstantHost : public Host {
+class InstantHost : public SilentHost {
  public:
   explicit InstantHost(double run_time) : run_time_(run_time) {}
 
@@ -25,18 +27,6 @@
   }
   void nack(OpId, double, bool) override { ++result.rejected; }
   void wake_at(double time, std::uint64_t token) override { wake_time = time, wake_token = token; }
-  void interrupt(OpId) override {}
-  void fail(OpId) override {}
-  void call(OpId, double) override {}
-  void skip_call(OpId) override {}
-  void remember(OpId, double) override {}
-  void forget(OpId) override {}
-  void join(OpId) override {}
-  void set_health(bool, bool) override {}
-  void announce(double) override {}
-  void close_idle(double) override {}
-  void log(const std::string&) override {}
-
   double now = 0;
   double wake_time = -1;
   std::uint64_t wake_token = 0;
--- a/standins/hollow.h
+++ b/standins/hollow.h
@@ -19,7 +19,7 @@
  public:
   struct Options {
     int count = 100;
-    int threads = 4;
+    int threads = 5;
     std::uint64_t seed = 1;
     std::string cluster = "hollow";
     double joins_per_s = 200;        // how fast they come up
--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -19,6 +19,7 @@
 #include "decision_load.h"
 #include "quota.h"
 #include "scenarios.h"
+#include "silent_host.h"
 #include "synthetic_site.h"
 
 using namespace damsonspoke;
@@ -470,22 +471,12 @@
 }
 
 // A host that only notes how each request was answered.
-struct NotingHost : Host {
-  std::map<OpId, std::string> answers;
-  void start(OpId) override {}
-  void interrupt(OpId) override {}
+struct NotingHost : standins::SilentHost {
   void nack(OpId id, double, bool) override { answers[id] = "rejected"; }
   void fail(OpId id) override { answers[id] = "failed"; }
-  void call(OpId, double) override {}
-  void skip_call(OpId) override {}
-  void remember(OpId, double) override {}
-  void forget(OpId) override {}
-  void join(OpId) override {}
-  void set_health(bool, bool) override {}
-  void announce(double) override {}
-  void close_idle(double) override {}
   void wake_at(double, std::uint64_t token) override { wake = token; }
-  void log(const std::string&) override {}
+
+  std::map<OpId, std::string> answers;
   std::uint64_t wake = 0;
 };
 
--- a/tests/cold_calls.cpp
+++ b/tests/cold_calls.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "decide.h"
+#include "silent_host.h"
 
 using namespace damsonspoke;
 
@@ -51,7 +52,7 @@
 };
 
 // One life of a backend: ops come, run, want a call, and go on.
-class Life : public Host {
+class Life : public standins::SilentHost {
  public:
   Life(int of, bool cold, double now, std::uint64_t seed) : settings_(settings(of, cold)), now_(now) {
     decider_ = std::make_unique<Decider>(settings_, seed, *this, now);
@@ -124,7 +125,6 @@
   void interrupt(OpId id) override {
     if (runs_.erase(id) + rests_.erase(id) > 0) later_.push_back(id);
   }
-  void nack(OpId, double, bool) override {}
   void fail(OpId id) override {
     give_up(id);
     later_.push_back(id);
@@ -143,14 +143,7 @@
       calls.push_back({now_, now_ + takes + (outcome == Outcome::kTimeout ? kLinger : 0), id, false});
   }
   void skip_call(OpId id) override { rests_.emplace(id, now_ + 0.01); }
-  void remember(OpId, double) override {}
-  void forget(OpId) override {}
-  void join(OpId) override {}
-  void set_health(bool, bool) override {}
-  void announce(double) override {}
-  void close_idle(double) override {}
   void wake_at(double time, std::uint64_t token) override { wakes_.emplace(time, token); }
-  void log(const std::string&) override {}
 
   // Runs that were stopped or stood at a call end on the next step.
   void settle(double now) {
