Names of the field in the decisions: reject, retry, queue, unhealthy

Host::nack is Host::reject; in the module's text nack, further try, line and ailing are reject, retry, queue and unhealthy. Log lines, counters and wire names stay as published. The bench plays fleets of strangers in simulation.

--- a/bench/scale_members.cpp
+++ b/bench/scale_members.cpp
@@ -299,6 +299,23 @@
   figures["bytes_per_s_restarts"] = most;
 }
 
+// A fleet that comes up at once and knows three seeds.
+void strangers(int members, std::uint64_t seed, Figures& figures) {
+  MembersSim::Options options;
+  options.count = members, options.seed = seed, options.loss = 0.01, options.weigh_each = 200;
+  MembersSim sim(options);
+  sim.begin(false);
+  double most = 0;
+  bool same = false;
+  while (sim.now() < 300 && !same) {
+    most = std::max(most, bytes_over(sim, 10));
+    same = sim.views_same();
+  }
+  fmt::print("  {} strangers that come up at once: {} after {:.0f} s, most {:.0f}\n", members,
+             same ? "one view" : "not one view", sim.now(), most);
+  figures[fmt::format("strangers_one_view_s_{}", members)] = same ? sim.now() : -1;
+}
+
 }  // namespace
 
 void measure_simulated_faults(const ScaleOptions& options, Figures& figures) {
@@ -306,6 +323,7 @@
   regions_apart(options.seed, figures);
   third_paused(options.seed, figures);
   one_in_twenty_restarted(options.seed, figures);
+  for (const int members : {300, 1000, 2300}) strangers(members, options.seed, figures);
 }
 
 void measure_simulated_members(const ScaleOptions& options, Figures& figures) {
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -54,7 +54,7 @@
 
   void start(OpId id) override { about(kProcess, id); }
   void interrupt(OpId id) override { about(kInterrupt, id); }
-  void nack(OpId id, double come_back_in, bool no_retry) override {
+  void reject(OpId id, double come_back_in, bool no_retry) override {
     about(kPushBack, id);
     out_.put(come_back_in * kMsPerSecond);
     out_.put(static_cast<std::uint8_t>(no_retry));
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,20 +30,20 @@
 constexpr double kLeastShare = 0.5;    // of that for the least important: with plenty of room they still pass
 constexpr double kLeastWorth = 1e-3;   // importance counted at least in the order: a free op waits, finitely
 constexpr double kLateMatters = 0.5;   // late worth under which the target counts as the end of the wait
-constexpr double kAgainSpent = 0.4;    // of the target, gone before a marked further try comes
+constexpr double kAgainSpent = 0.4;    // of the target, gone before a marked retry comes
 constexpr double kPaceMemory = 1.5;    // s; a slow spell shows within two or three runs
 constexpr double kPacePrior = 0.1;     // core s at normal pace: nothing measured reads as normal
 constexpr double kPaceLeast = 0.02;    // a standstill still gives a finite prediction
 constexpr double kPaceMost = 3;        // a backend that warms up outruns what it learned cold
 constexpr double kHintSpread = 8;      // x the type's mean run: past it a told work is not believed
 constexpr double kOverdue = 2;         // x mean run; a run past this is no longer taken as progress
-constexpr double kAilingEnter = 0.9;   // predicted bare run over target: nothing would be in time
-constexpr double kAilingLeave = 0.6;   // and back only when clearly better, so that it does not flap
-constexpr double kErrorsEnter = 0.35;  // share of failed runs; a sound backend fails a few in a thousand
-constexpr double kErrorMemory = 12;    // runs; a dozen tell a failing backend from bad luck
-constexpr int kSoundRuns = 6;          // good runs in a row that end a failing spell
-constexpr int kProbesPerCore = 1;  // ops that an ailing backend takes: what it has cores for, nothing waits
-constexpr double kHealthPatience = 0.5;  // s of ailing before health says so: one odd second is no illness
+constexpr double kUnhealthyEnter = 0.9;  // predicted bare run over target: nothing would be in time
+constexpr double kUnhealthyLeave = 0.6;  // and back only when clearly better, so that it does not flap
+constexpr double kErrorsEnter = 0.35;    // share of failed runs; a sound backend fails a few in a thousand
+constexpr double kErrorMemory = 12;      // runs; a dozen tell a failing backend from bad luck
+constexpr int kSoundRuns = 6;            // good runs in a row that end a failing spell
+constexpr int kProbesPerCore = 1;        // ops that an unhealthy backend takes: what it has cores for
+constexpr double kHealthPatience = 0.5;  // s of unhealthy before health says so: one odd second is no illness
 constexpr double kSilence = 2;           // s without an op read; a list and its callers follow within 2
 constexpr double kLagEnter = 1;          // age at reading over target: nothing read can still be in time
 constexpr double kLagLeave = 0.3;        // and back when most of the target is left again
@@ -72,28 +72,28 @@
 constexpr double kCallBackoff = 0.05;   // s; doubled a try, by chance up to twice as long
 constexpr double kHeavyPart = 0.5;      // of the pool in use by one caller or subject: it loses room first
 constexpr double kShortageMemory = 30;  // ops read; long enough to tell a storm from a cluster
-constexpr double kStorm = 0.5;          // share of newcomers nacked; over it most of what is read are repeats
-constexpr double kStormAlone = 0.35;    // that share in a large tier where no further tries are seen
-constexpr double kRepeats = 0.05;       // share of further tries; with room elsewhere hardly any come here
-constexpr double kWaitFade = 0.98;      // an op of the type; a habit is told by some fifty
-constexpr double kWaitWidth = 0.015;    // of the wait; what clocks and the way add to a habitual one
-constexpr double kWaitsSeen = 10;       // ops; before, none is unusual
-constexpr double kUsualWait = 0.1;      // share of ops that tell about the same; fewer are no habit
-constexpr double kWalkTier = 25;   // backends; a larger tier has callers walk on over more of its backends
-constexpr double kStayDown = 0.1;  // share of the longest advice, a tick with idle cores; gone in a second
-constexpr double kStayUp = 0.02;   // a tick with full cores; slower, or callers would come and go together
+constexpr double kStorm = 0.5;        // share of newcomers rejected; over it most of what is read are repeats
+constexpr double kStormAlone = 0.35;  // that share in a large tier where no retries are seen
+constexpr double kRepeats = 0.05;     // share of retries; with room elsewhere hardly any come here
+constexpr double kWaitFade = 0.98;    // an op of the type; a habit is told by some fifty
+constexpr double kWaitWidth = 0.015;  // of the wait; what clocks and the way add to a habitual one
+constexpr double kWaitsSeen = 10;     // ops; before, none is unusual
+constexpr double kUsualWait = 0.1;    // share of ops that tell about the same; fewer are no habit
+constexpr double kWalkTier = 25;      // backends; a larger tier has callers walk on over more of its backends
+constexpr double kStayDown = 0.1;     // share of the longest advice, a tick with idle cores; gone in a second
+constexpr double kStayUp = 0.02;      // a tick with full cores; slower, or callers would come and go together
 constexpr double kAnnounceStep = 0.02;   // smallest change that is worth announcing
-constexpr double kLevelUp = 0.04;        // a tick with nacks; the callers hear within a second
+constexpr double kLevelUp = 0.04;        // a tick with rejections; the callers hear within a second
 constexpr double kLevelDown = 0.008;     // a tick without; slower, so that the level settles
 constexpr double kLevelIdle = 0.02;      // a tick in which cores idle; less than the rise, or it would swing
 constexpr double kLevelMost = 0.9;       // of the least important op type: no type is asked away altogether
-constexpr double kLevelAway = 0.98;      // ailing or leaving: a few still come as probes
-constexpr double kIdleConnection = 0.3;  // s; least idle time: a try after a nack still finds its connection
+constexpr double kLevelAway = 0.98;      // unhealthy or leaving: a few still come as probes
+constexpr double kIdleConnection = 0.3;  // s; least idle time: a retry still finds its connection
 constexpr double kIdleUp = 2;            // x idle time a tick of falling behind: all stay within a second
 constexpr double kIdleDown = 0.95;       // a tick with room; slower, or all callers would come in at once
 constexpr double kIdleStep = 0.2;        // of the idle time; a smaller change is not worth telling
 constexpr double kUnreadPerCore = 6;     // wanting a core beside the runs: a fraction of a second of reading
-constexpr double kRoomAgain = 0.3;       // share of newcomers nacked under which there is room for callers
+constexpr double kRoomAgain = 0.3;       // share of newcomers rejected under which there is room for callers
 constexpr double kReturns = 0.5;         // share of ops whose connection was worth keeping
 constexpr double kWorthKeeping = 1.0 / 6;   // of the callers' idle time; open that long costs as much as new
 constexpr std::size_t kCallersKept = 1024;  // entries; beyond what one backend meets in that time
@@ -319,7 +319,7 @@
 
   double predicted_wait() {
     double ahead = 0;
-    for (const OpId id : line_) ahead += run_of(ops_.at(id));
+    for (const OpId id : queue_) ahead += run_of(ops_.at(id));
     for (const auto& [id, s] : ops_)
       if (s.stage == Stage::kRunning) ahead += run_of(s) / 2;
     return ahead / (run_limit_ * pace_);
@@ -330,11 +330,11 @@
     if (away > 0 && calls_.learned() && type_of(s).worth_without <= 0) {
       if (calls_slow()) return run_of(s) / pace_ + slow_calls(s);
       away *= std::max(1.0, recent_call_ / calls_.mean());
-      away += static_cast<double>(call_line_.size()) * recent_call_ / call_bound_;
+      away += static_cast<double>(call_queue_.size()) * recent_call_ / call_bound_;
     }
     return run_of(s) / pace_ + away;
   }
-  bool work_waits() const { return !line_.empty() || !call_line_.empty() || running_ >= limit(); }
+  bool work_waits() const { return !queue_.empty() || !call_queue_.empty() || running_ >= limit(); }
   int limit() const { return static_cast<int>(std::min(run_limit_, survivable() * kCrowdShare)); }
 
   bool fits(const Op& op) const { return op.held_kb * set_.run_factor <= set_.memory_kb * kMemoryShare; }
@@ -380,8 +380,8 @@
     if (at == ops_.end()) return;
     charge(at->second, 0);
     due_.erase({at->second.due, id});
-    std::erase(line_, id);
-    std::erase(call_line_, id);
+    std::erase(queue_, id);
+    std::erase(call_queue_, id);
     ops_.erase(at);
     if (ops_.empty()) pool_used_ = 0;  // no drift of sums
   }
@@ -390,15 +390,15 @@
   double advice(double wait) {
     if (!set_.retry_after) return 0;
     if (shortage_ > kStorm) wait = std::max(wait, stay_away_ * shortage_ * set_.max_retry_after);
-    if (ailing_ || leaving()) wait = set_.max_retry_after;
+    if (unhealthy_ || leaving()) wait = set_.max_retry_after;
     wait *= 0.75 + chance_.chance() / 2;  // callers that come back do not come back together
     return wait < kLeastAdvice ? 0 : std::min(wait, set_.max_retry_after);
   }
-  void nack(OpId id, double wait, bool no_retry = false) {
+  void reject(OpId id, double wait, bool no_retry = false) {
     const auto at = ops_.find(id);
     if (at != ops_.end() && at->second.key_until > last_) drop_key(at->second);
-    // Ailing is this backend's own trouble: others may well have room.
-    host_.nack(id, advice(wait), !ailing_ && (no_retry || storming()));
+    // Unhealthy is this backend's own trouble: others may well have room.
+    host_.reject(id, advice(wait), !unhealthy_ && (no_retry || storming()));
     erase(id);
   }
   void fail(OpId id) {
@@ -410,7 +410,7 @@
   void stop_unwanted(OpId id, Slot& s) {
     s.answered = true;
     due_.erase({s.due, id});
-    std::erase(call_line_, id);  // a call for it would take a place below for nobody
+    std::erase(call_queue_, id);  // a call for it would take a place below for nobody
     if (s.stage == Stage::kHeld || s.stage == Stage::kPaused || s.stage == Stage::kJoining) return erase(id);
     // A keyed run goes on for the repeats that will come: stopped half way, its key could never be answered.
     const bool stops = set_.halt != Halt::kOff && type_of(s).effect != Effect::kKeyed;
@@ -439,14 +439,14 @@
   bool heavy(const Op& op) const {
     double of_caller = 0, of_key = 0, all = 0;
     bool others = false;
-    for (const OpId id : line_) {
+    for (const OpId id : queue_) {
       const Op& other = ops_.at(id).op;
       all += other.held_kb;
       if (other.caller == op.caller) of_caller += other.held_kb;
       if (other.caller != op.caller) others = true;
       if (op.key != 0 && other.key == op.key) of_key += other.held_kb;
     }
-    if (line_.size() < static_cast<std::size_t>(set_.cores)) return false;
+    if (queue_.size() < static_cast<std::size_t>(set_.cores)) return false;
     return (others && of_caller > all * kHeavyPart) || of_key > all * kHeavyPart;
   }
 
@@ -496,7 +496,7 @@
       // A repeat never runs beside its original: it waits for that one's outcome in held memory.
       s.stage = Stage::kJoining;
       admit(s);
-      if (pool_used_ > budget()) return fail(op.id);  // its original may have run: failed, never nacked
+      if (pool_used_ > budget()) return fail(op.id);  // its original may have run: failed, never rejected
       host_.join(op.id);
       return;
     }
@@ -508,8 +508,8 @@
     const bool shortage = why == "busy" || why == "due" || lag_ > kLagLeave;
     if (in_quota) shortage_ += ((shortage ? 1 : 0) - shortage_) / kShortageMemory;
     if (!why.empty()) {
-      if (why == "busy") nacked_since_tick_ += 1;
-      return nack(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
+      if (why == "busy") rejected_since_tick_ += 1;
+      return reject(op.id, in_quota ? wait : 0, !in_quota && why == "busy");
     }
     if (quotas_.on() && in_quota) quotas_.spend(op.customer);
     Slot& kept = admit(s);
@@ -517,7 +517,7 @@
     // Reads may share an answer where the site allows it: a hot key then costs one run, not many.
     const bool shares = set_.fresh > 0 && type.effect == Effect::kRetryable && !op.write && op.key != 0;
     if (shares && key_room()) keep_key(op.id, kept, set_.fresh + own_time(kept));
-    line_.push_back(op.id);
+    queue_.push_back(op.id);
     start_more();
   }
   Slot& admit(const Slot& s) {
@@ -528,7 +528,7 @@
     return kept;
   }
 
-  // Why a newcomer is nacked, or nothing.
+  // Why a newcomer is rejected, or nothing.
   std::string refusal(const Slot& s, double arrival, double wait, bool in_quota) {
     const OpType& type = type_of(s);
     if (leaving() && arrival > leave_at_ + set_.drain_grace) return "leaving";
@@ -536,15 +536,15 @@
     if (!fits(s.op)) return "size";
     if (pool_used_ >= budget() || held() >= kHeldPerCore * set_.cores) return "busy";
     if (type.effect == Effect::kKeyed && !key_room()) return "keys";
-    // Ailing: what runs does not get done in time or fails, whatever the cause. Take a probe for each core.
-    if (ailing_ && running_ + at_calls() + held() >= kProbesPerCore * set_.cores) return "ailing";
+    // What runs does not get done in time or fails, whatever the cause: a probe for each core.
+    if (unhealthy_ && running_ + at_calls() + held() >= kProbesPerCore * set_.cores) return "ailing";
     if (!work_waits()) return {};
     if (heavy(s.op)) return "busy";
     // The finish check; ops of types with nothing learned are held.
     if (!row_of(s).run.learned()) return {};
     if (!in_quota) return "busy";  // over its quota an op takes idle room only
-    // The less an op is worth against the most important, the shorter the line it may join. One measure of
-    // line for all, or types with short targets would pay alone.
+    // The less an op is worth against the most important, the shorter the queue it may join. One measure
+    // for all, or types with short targets would pay alone.
     return wait > room_for(s) ? "busy" : "";
   }
   double room_for(const Slot& s) {
@@ -553,12 +553,12 @@
         kLeastShare + (1 - kLeastShare) * type_of(s).importance / directory_.most_important();
     return kFinishShare * (share < 1 ? share * std::min(room, common_room()) : room);
   }
-  // A newcomer that finds the line too long takes the places of held ops that are worth less, even together:
+  // A newcomer that finds the queue too long takes the places of held ops that are worth less, even together:
   // the least first, of those the last to come. Guards against a crowd of cheap ops that was there first.
   bool displaces(const Slot& s, double wait) {
     if (pool_used_ >= budget() || !row_of(s).run.learned() || heavy(s.op)) return false;
     std::vector<const Slot*> cheap;
-    for (const OpId id : line_) {
+    for (const OpId id : queue_) {
       const Slot& other = ops_.at(id);
       if (other.stage == Stage::kHeld && !other.has_run && type_of(other).importance < type_of(s).importance)
         cheap.push_back(&other);
@@ -579,7 +579,7 @@
       go.push_back(other->op.id);
     }
     if (wait > room || count >= kHeldPerCore * set_.cores) return false;
-    for (const OpId id : go) nack(id, predicted_wait());
+    for (const OpId id : go) reject(id, predicted_wait());
     return true;
   }
   // The time that the op type with the least of it has for waiting.
@@ -595,11 +595,11 @@
     }
     return least;
   }
-  double held() const { return static_cast<double>(line_.size()); }
-  int at_calls() const { return static_cast<int>(call_line_.size()) + calling_; }
+  double held() const { return static_cast<double>(queue_.size()); }
+  int at_calls() const { return static_cast<int>(call_queue_.size()) + calling_; }
 
   // ---- Starts. The held op goes first that has the least time left to start by, divided by its importance.
-  // Guards against a line of cheap ops behind which the few that matter are late by a little.
+  // Guards against a queue of cheap ops behind which the few that matter are late by a little.
   void start_more() {
     start_held();
     if (running_ < limit() || held() == 0) full_since_ = last_;
@@ -607,26 +607,26 @@
   void start_held() {
     while (running_ < limit() && running_ + at_calls() < survivable() * kCrowdShare) {
       const bool calls_full = at_calls() >= kAtCallsPerCore * set_.cores;
-      auto pick = line_.end();
+      auto pick = queue_.end();
       double least = 0;
-      for (auto it = line_.begin(); it != line_.end(); ++it) {
+      for (auto it = queue_.begin(); it != queue_.end(); ++it) {
         const Slot& s = ops_.at(*it);
         if (calls_full && type_of(s).calls) continue;
         const double urgency =
             (s.useful_by - last_ - run_of(s)) / std::max(type_of(s).importance, kLeastWorth);
-        if (pick == line_.end() || urgency < least) pick = it, least = urgency;
+        if (pick == queue_.end() || urgency < least) pick = it, least = urgency;
       }
-      if (pick == line_.end()) return;
+      if (pick == queue_.end()) return;
       const OpId id = *pick;
       Slot& s = ops_.at(id);
       if (s.stage == Stage::kHeld && !s.has_run && last_ + own_time(s) > s.useful_by && running_ > 0) {
         shortage_ += (1 - shortage_) / kShortageMemory;
-        nack(id, predicted_wait());  // given up: answered at once
+        reject(id, predicted_wait());  // given up: answered at once
         continue;
       }
       const double running_kb = s.op.held_kb * set_.run_factor;
       if (pool_used_ + running_kb - s.charge > budget() && running_ + at_calls() > 0) return;
-      line_.erase(pick);
+      queue_.erase(pick);
       charge(s, running_kb);
       s.stage = Stage::kRunning;
       s.has_run = true;
@@ -650,11 +650,11 @@
     if (s.stage == Stage::kCalling) end_call(s, true);
     if (s.stage == Stage::kJoining || outcome == Outcome::kMoot) return erase(id);
     if (outcome == Outcome::kCancelled && !s.answered) {
-      std::erase(call_line_, id);
+      std::erase(call_queue_, id);
       s.stage = set_.halt == Halt::kPause ? Stage::kPaused : Stage::kHeld;
       if (s.stage == Stage::kHeld && type_of(s).effect != Effect::kRetryable) return fail(id);
       if (s.stage == Stage::kHeld) charge(s, s.op.held_kb);
-      line_.push_front(id);
+      queue_.push_front(id);
       return start_more();
     }
     if (outcome == Outcome::kOk) {
@@ -697,7 +697,7 @@
       if (rows_[i] != nullptr) out.types[i] = {rows_[i]->run.told(), rows_[i]->away.told()};
     out.calls = calls_.told();
     out.returns = returns_;
-    out.troubled = ailing_ || cold(last_) || call_bound_ < call_ceiling_;
+    out.troubled = unhealthy_ || cold(last_) || call_bound_ < call_ceiling_;
     return out;
   }
 
@@ -713,7 +713,7 @@
     if (s.answered) return host_.fail(id);
     const bool may_call = set_.below != Below::kShared || set_.dep_share > 0;
     if (!may_call) return type_of(s).worth_without > 0 ? skip(id, s) : fail(id);
-    call_line_.push_back(id);
+    call_queue_.push_back(id);
     let_calls_out();
     start_more();
   }
@@ -753,19 +753,19 @@
     const bool shared = set_.below == Below::kShared;
     while (calling_ < static_cast<int>(call_bound_)) {
       if (calls_slow() && call_rest() > 0) {
-        if (!call_line_.empty()) wake(last_ + std::max(set_.resolution, call_rest()));
+        if (!call_queue_.empty()) wake(last_ + std::max(set_.resolution, call_rest()));
         break;
       }
-      auto pick = call_line_.end();
-      for (auto it = call_line_.begin(); it != call_line_.end(); ++it) {
+      auto pick = call_queue_.end();
+      for (auto it = call_queue_.begin(); it != call_queue_.end(); ++it) {
         if (ops_.at(*it).call_after > last_) continue;
-        if (pick == call_line_.end()) pick = it;
+        if (pick == call_queue_.end()) pick = it;
         // Of equals the one that has already had calls: they are spent in vain without this one.
         const Slot &one = ops_.at(*it), &other = ops_.at(*pick);
         const double gain = type_of(one).importance - type_of(other).importance;
         if (by_importance && (gain > 0 || (gain == 0 && one.calls > other.calls))) pick = it;
       }
-      if (pick == call_line_.end()) break;
+      if (pick == call_queue_.end()) break;
       const OpId id = *pick;
       Slot& s = ops_.at(id);
       double patience = s.due - last_;
@@ -785,7 +785,7 @@
         call_budget_ -= need;
         s.reserved = need;
       }
-      call_line_.erase(pick);
+      call_queue_.erase(pick);
       s.stage = Stage::kCalling;
       s.away += last_ - s.since;
       s.since = last_;
@@ -794,8 +794,8 @@
       call_at_ = last_;
       host_.call(id, patience);
     }
-    for (std::size_t i = 0; i < call_line_.size();) {
-      const OpId id = call_line_[i];
+    for (std::size_t i = 0; i < call_queue_.size();) {
+      const OpId id = call_queue_[i];
       Slot& s = ops_.at(id);
       // The mean of dozens of calls lags behind a layer that has just turned slow: the recent ones count too.
       double left = s.useful_by - last_ - (calls_.learned() ? std::max(calls_.mean(), recent_call_) : 0);
@@ -810,16 +810,16 @@
         ++i;
         continue;
       }
-      call_line_.erase(call_line_.begin() + static_cast<std::ptrdiff_t>(i));
+      call_queue_.erase(call_queue_.begin() + static_cast<std::ptrdiff_t>(i));
       skips ? skip(id, s) : fail(id);
     }
   }
-  // How many in the line go first when the more important do.
+  // How many in the queue go first when the more important do.
   double calls_before(std::size_t place) const {
-    const double importance = type_of(ops_.at(call_line_[place])).importance;
+    const double importance = type_of(ops_.at(call_queue_[place])).importance;
     double before = 0;
-    for (std::size_t i = 0; i < call_line_.size(); ++i) {
-      const double other = type_of(ops_.at(call_line_[i])).importance;
+    for (std::size_t i = 0; i < call_queue_.size(); ++i) {
+      const double other = type_of(ops_.at(call_queue_[i])).importance;
       if (other > importance || (other == importance && i < place)) before += 1;
     }
     return before;
@@ -877,7 +877,7 @@
       if (again) {
         s.call_after = last_ + pause;
         wake(s.call_after);
-        call_line_.push_back(id);
+        call_queue_.push_back(id);
       } else if (type_of(s).worth_without > 0) {
         skip(id, s);
       } else {
@@ -918,7 +918,7 @@
       if (s.has_run || s.stage == Stage::kJoining || type_of(s).effect != Effect::kRetryable)
         fail(id);
       else
-        nack(id, 0);
+        reject(id, 0);
     }
     if (last_ >= next_tick_) tick(gauges);
     let_calls_out();
@@ -981,18 +981,18 @@
       need += row.run.mean() / pace_ / row.type.target_latency;
       n += 1;
     }
-    const bool slow = !cold(last_) && n > 0 && need / n > (ailing_ ? kAilingLeave : kAilingEnter);
-    const bool drowning = lag_ > (ailing_ ? kLagLeave : kLagEnter);
+    const bool slow = !cold(last_) && n > 0 && need / n > (unhealthy_ ? kUnhealthyLeave : kUnhealthyEnter);
+    const bool drowning = lag_ > (unhealthy_ ? kLagLeave : kLagEnter);
     if (failing_ && sound_runs_ >= kSoundRuns) failing_ = false, errors_ = 0;
     if (errors_ > kErrorsEnter) failing_ = true;
-    const bool was = ailing_;
-    ailing_ = slow || failing_ || drowning;
-    if (ailing_ && !was) ailing_since_ = last_;
-    if (ailing_ != was) {
-      host_.log(!ailing_   ? "ailing: over"
-                : failing_ ? "ailing: runs fail"
-                : drowning ? "ailing: ops are stale when read"
-                           : "ailing: runs are too slow for their targets");
+    const bool was = unhealthy_;
+    unhealthy_ = slow || failing_ || drowning;
+    if (unhealthy_ && !was) unhealthy_since_ = last_;
+    if (unhealthy_ != was) {
+      host_.log(!unhealthy_ ? "ailing: over"
+                : failing_  ? "ailing: runs fail"
+                : drowning  ? "ailing: ops are stale when read"
+                            : "ailing: runs are too slow for their targets");
     }
     show_health();
   }
@@ -1000,23 +1000,23 @@
     // Where the list follows health, bad health ends the probes too. So after a silence it is good again
     // until some ops come and show it. Guards against staying away for ever; it costs the failing a few ops.
     const bool silent = last_ >= last_read_ + kSilence;
-    const bool good = !leaving() && !(ailing_ && !silent && last_ >= ailing_since_ + kHealthPatience);
+    const bool good = !leaving() && !(unhealthy_ && !silent && last_ >= unhealthy_since_ + kHealthPatience);
     if (good == healthy_) return;
     healthy_ = good;
     host_.log(good ? "health: good" : "health: bad");
     host_.set_health(good, set_.deep_checks);
   }
-  // Asks callers for less while newcomers are nacked for want of room, and for more again when none are.
+  // Asks callers for less while newcomers are rejected for want of room, and for more again when none are.
   void steer(double cpu_busy) {
     const bool idle = cpu_busy >= 0 && cpu_busy < kIdleCores;
     // Few callers that all heed long advice leave the cores idle between their returns: then it is shortened.
     stay_away_ = std::clamp(stay_away_ + (idle ? -kStayDown : kStayUp), 0.0, 1.0);
-    level_ += idle ? -kLevelIdle : nacked_since_tick_ > 0 ? kLevelUp : -kLevelDown;
+    level_ += idle ? -kLevelIdle : rejected_since_tick_ > 0 ? kLevelUp : -kLevelDown;
     const double most = kLevelMost / static_cast<double>(std::max<std::size_t>(1, directory_.op_types()));
     level_ = std::clamp(level_, 0.0, std::max(most, 1 - speed_floor()));
-    nacked_since_tick_ = 0;
+    rejected_since_tick_ = 0;
     if (set_.say == Say::kOff) return;
-    const double less = ailing_ || leaving() ? kLevelAway : level_;
+    const double less = unhealthy_ || leaving() ? kLevelAway : level_;
     if (std::abs(less - said_) < kAnnounceStep && said_ >= 0) return;
     said_ = less;
     double value = less;
@@ -1035,8 +1035,8 @@
   std::vector<int> recent_;                 // positions of those that learned lately
   Row former_;
   std::map<OpId, Slot> ops_;
-  std::deque<OpId> line_;  // held ops, in the order in which they came
-  std::deque<OpId> call_line_;
+  std::deque<OpId> queue_;  // held ops, in the order in which they came
+  std::deque<OpId> call_queue_;
   std::set<std::pair<double, OpId>> due_;
   std::set<std::pair<double, OpId>> key_ends_;
   double pool_used_ = 0, key_kb_ = 0, largest_kb_ = 0;
@@ -1052,13 +1052,13 @@
   double call_at_ = 0, call_credit_ = 0;     // call seconds; what the pace of slow calls has left
   double errors_ = 0, lag_ = 0;
   int sound_runs_ = 0;
-  bool failing_ = false, ailing_ = false, healthy_ = true, storm_ = false;
+  bool failing_ = false, unhealthy_ = false, healthy_ = true, storm_ = false;
   double idle_ = 0, said_idle_ = 0, returns_ = 1;
   std::vector<std::pair<std::uint32_t, double>> callers_;
-  double ailing_since_ = 0, last_read_ = 0;
-  double repeats_ = 0;  // share of the ops read that are further tries
+  double unhealthy_since_ = 0, last_read_ = 0;
+  double repeats_ = 0;  // share of the ops read that are retries
   double stay_away_ = 1, level_ = 0, said_ = -1, shortage_ = 0;
-  int nacked_since_tick_ = 0;
+  int rejected_since_tick_ = 0;
   double last_, created_;
   double leave_at_ = -1, stop_at_ = 0;
   double next_tick_ = 0, wake_at_ = -1;
--- a/src/decide.h
+++ b/src/decide.h
@@ -126,7 +126,7 @@
   virtual ~Host() = default;
   virtual void start(OpId id) = 0;
   virtual void interrupt(OpId id) = 0;
-  virtual void nack(OpId id, double come_back_in, bool no_retry) = 0;
+  virtual void reject(OpId id, double come_back_in, bool no_retry) = 0;
   virtual void fail(OpId id) = 0;
   virtual void call(OpId id, double patience) = 0;
   virtual void skip_call(OpId id) = 0;
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -22,7 +22,7 @@
   if (OpenOp* op = known(id)) send_.stop(*op);
 }
 
-void Route::nack(OpId id, double come_back_in, bool no_retry) {
+void Route::reject(OpId id, double come_back_in, bool no_retry) {
   OpenOp* op = known(id);
   if (op == nullptr) return;
   book_.nack(*op, come_back_in, no_retry);
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -21,7 +21,7 @@
 
   void start(OpId id) override;
   void interrupt(OpId id) override;
-  void nack(OpId id, double come_back_in, bool no_retry) override;
+  void reject(OpId id, double come_back_in, bool no_retry) override;
   void fail(OpId id) override;
   void call(OpId id, double patience) override;
   void skip_call(OpId id) override;
--- a/standins/decision_load.cpp
+++ b/standins/decision_load.cpp
@@ -25,7 +25,7 @@
     runs.push({now + run_time_, id});
     ++result.started;
   }
-  void nack(OpId, double, bool) override { ++result.rejected; }
+  void reject(OpId, double, bool) override { ++result.rejected; }
   void wake_at(double time, std::uint64_t token) override { wake_time = time, wake_token = token; }
   double now = 0;
   double wake_time = -1;
--- a/standins/silent_host.h
+++ b/standins/silent_host.h
@@ -11,7 +11,7 @@
  public:
   void start(OpId) override {}
   void interrupt(OpId) override {}
-  void nack(OpId, double, bool) override {}
+  void reject(OpId, double, bool) override {}
   void fail(OpId) override {}
   void call(OpId, double) override {}
   void skip_call(OpId) override {}
--- a/tests/backend.h
+++ b/tests/backend.h
@@ -108,7 +108,7 @@
 
   void start(OpId id) override { act("start", id); }
   void interrupt(OpId id) override { act("interrupt", id); }
-  void nack(OpId id, double come_back_in, bool no_retry) override {
+  void reject(OpId id, double come_back_in, bool no_retry) override {
     const char* when = come_back_in >= settings_.max_retry_after / 2 ? ", come back much later"
                        : come_back_in > 0                            ? ", come back later"
                                                                      : "";
--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -472,7 +472,7 @@
 
 // A host that only notes how each request was answered.
 struct NotingHost : standins::SilentHost {
-  void nack(OpId id, double, bool) override { answers[id] = "rejected"; }
+  void reject(OpId id, double, bool) override { answers[id] = "rejected"; }
   void fail(OpId id) override { answers[id] = "failed"; }
   void wake_at(double, std::uint64_t token) override { wake = token; }
 
