--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 	cmake -B build-lint -DCMAKE_BUILD_TYPE=Debug -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
-	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P4 -n2 clang-tidy -p build-lint --quiet
+	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P$$(nproc) -n1 clang-tidy -p build-lint --quiet
 
 format:
 	clang-format -i $(SOURCES)
--- a/src/app/conns_command.cpp
+++ b/src/app/conns_command.cpp
@@ -17,7 +17,7 @@
   if (flags.count("folder") > 0) return flags["folder"].as<std::string>();
   const std::string path = operator_path(flags);
   if (path.empty()) throw WrongUse("no folder: give --folder FOLDER, or an operators' file that names one");
-  const std::string folder = read_operator_file(path).options.control.folder;
+  std::string folder = read_operator_file(path).options.control.folder;
   if (folder.empty()) throw WrongUse(fmt::format("{} names no folder for control", path));
   return folder;
 }
--- a/src/app/results_command.cpp
+++ b/src/app/results_command.cpp
@@ -26,7 +26,7 @@
   if (flags.count("store") > 0) return flags["store"].as<std::string>();
   const std::string path = operator_path(flags);
   if (path.empty()) throw WrongUse("no store: give --store FILE, or an operators' file that names one");
-  const std::string store = read_operator_file(path).options.results.store;
+  std::string store = read_operator_file(path).options.results.store;
   if (store.empty()) throw WrongUse(fmt::format("{} names no store", path));
   return store;
 }
--- a/src/app/serve_command.cpp
+++ b/src/app/serve_command.cpp
@@ -24,7 +24,7 @@
 }
 
 std::string config_path(const cxxopts::ParseResult& flags) {
-  const std::string path = from_flag_or(flags, "config", kConfigVariable);
+  std::string path = from_flag_or(flags, "config", kConfigVariable);
   if (path.empty()) {
     throw WrongUse(fmt::format("no configuration: give --config FILE or set {}", kConfigVariable));
   }
--- a/src/catalog/follower.cpp
+++ b/src/catalog/follower.cpp
@@ -60,7 +60,7 @@
     std::optional<Piece> piece = source_.take();
     if (!piece) return false;
     waiting_ = false;
-    on_piece(std::move(*piece));
+    on_piece(*piece);
     return true;
   }
   for (int i = 0; i < kEntriesBetweenLooks && !waiting_; ++i) {
@@ -87,7 +87,7 @@
   source_.request(file, offset, most);
 }
 
-void Follower::on_piece(Piece piece) {
+void Follower::on_piece(const Piece& piece) {
   switch (stage_) {
     case Stage::kSnapshotHead: return on_snapshot_head(piece);
     case Stage::kSnapshotEntries: return on_snapshot_piece(piece);
--- a/src/catalog/follower.h
+++ b/src/catalog/follower.h
@@ -68,7 +68,7 @@
 
   bool work();
   void ask(Stage stage, const std::string& file, std::uint64_t offset, std::size_t most);
-  void on_piece(Piece piece);
+  void on_piece(const Piece& piece);
   void on_snapshot_head(const Piece& piece);
   void on_snapshot_piece(const Piece& piece);
   void take_snapshot_entry();
--- a/src/peers/ajp_callers.cpp
+++ b/src/peers/ajp_callers.cpp
@@ -558,18 +558,16 @@
     if (!connection.open()) continue;
     if (connection.waiting() == 0) caller.waiting_since = -1;
     if (connection.waiting() > 0 && caller.waiting_since < 0) caller.waiting_since = now;
-    if (caller.waiting_since >= 0 && now - caller.waiting_since > kTakeOutput) {
+    const bool untaken = caller.waiting_since >= 0 && now - caller.waiting_since > kTakeOutput;
+    if (untaken || too_slow(caller, now)) {
       wasted(caller, conns::Waste::kSlow);
       connection.close(net::End::kOverflow);
-    } else if (too_slow(caller, now)) {
-      wasted(caller, conns::Waste::kSlow);
-      connection.close(net::End::kOverflow);
-    } else if (caller.state == State::kClosing || caller.state == State::kOpen) {
       continue;
-    } else if (caller.began >= 0 &&
-               (now - caller.began > kWholeRequest ||
-                (door_ != nullptr &&
-                 caller.input_pace.too_slow(now, connection.bytes_in(), door_->input_terms())))) {
+    }
+    if (caller.state == State::kClosing || caller.state == State::kOpen) continue;
+    if (caller.began >= 0 && (now - caller.began > kWholeRequest ||
+                              (door_ != nullptr && caller.input_pace.too_slow(now, connection.bytes_in(),
+                                                                              door_->input_terms())))) {
       counters_.add(Count::kHalfClosed);
       wasted(caller, conns::Waste::kHalf);
       refuse(caller, 408, true);
--- a/src/settings/operator_schema.cpp
+++ b/src/settings/operator_schema.cpp
@@ -256,6 +256,7 @@
 
 std::string nearest_section(std::string_view name) {
   std::vector<std::string_view> known;
+  known.reserve(kDirectives.size());
   for (const Directive& one : kDirectives) known.push_back(one.section);
   return nearest(name, known);
 }
--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-Dispatch::Dispatch(DispatchTerms terms, std::size_t op_types, std::vector<std::string> planners,
+Dispatch::Dispatch(DispatchTerms terms, std::size_t op_types, const std::vector<std::string>& planners,
                    DispatchHost& host, std::function<double()> chance, double now)
     : terms_(terms),
       host_(host),
@@ -38,6 +38,7 @@
 
 void Dispatch::set_planners(const std::vector<std::string>& names, double now) {
   std::vector<std::pair<int, std::string>> list;
+  list.reserve(names.size());
   for (const std::string& name : names) list.emplace_back(position(name, now), name);
   for (std::size_t i = 0; i < picker_.size(); ++i) {
     const int planner = static_cast<int>(i);
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -77,8 +77,8 @@
 
 class Dispatch {
  public:
-  Dispatch(DispatchTerms terms, std::size_t op_types, std::vector<std::string> planners, DispatchHost& host,
-           std::function<double()> chance, double now);
+  Dispatch(DispatchTerms terms, std::size_t op_types, const std::vector<std::string>& planners,
+           DispatchHost& host, std::function<double()> chance, double now);
 
   void on_op(const ForwardOp& op, double now);
   void on_gone(OpId op, double now);
--- a/src/tier/line.cpp
+++ b/src/tier/line.cpp
@@ -26,7 +26,7 @@
     const std::deque<OpId>& ops = rank.by_caller.at(caller);
     if (most == nullptr || ops.size() >= most->size()) most = &ops;
   }
-  return most->back();
+  return most != nullptr ? most->back() : OpId{};  // a rank that is there has turns
 }
 
 std::optional<OpId> Line::next() const {
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -22,25 +22,22 @@
 
 // A request as callers write it. What was absent keeps its default.
 struct RpcRequest {
-  bool notification = true;  // no id at all: nothing is to be answered
-  bool has_id = false;
   std::uint64_t id = 0;
   std::string method;
   std::uint64_t txn = 0;
-  bool has_txn = false;
   double door_ms = 0;   // Unix, when it came to the machine; 0: not told
   double limit_ms = 0;  // from then on; 0: not told
   double work_ms = 0;   // the op's work on a standard core, as its caller estimates it; 0: not told
-  std::uint32_t caller = 0;
   double held_kb = 0;
-  bool has_item = false;
   std::uint64_t item = 0;
-  bool probe = false;
-  std::string mark;  // by which a repeat is known
-  bool has_mark = false;
+  std::string mark;      // by which a repeat is known
   std::string customer;  // its name; empty: not told
-  bool again = false;    // a further try, where callers mark those
   std::string body;
+  std::uint32_t caller = 0;
+  bool notification = true;  // no id at all: nothing is to be answered
+  bool has_id = false, has_txn = false, has_item = false, has_mark = false;
+  bool probe = false;
+  bool again = false;  // a retry, where callers mark those
 };
 
 // The member of the params that holds an op's mark, unless operators name another.
