Another changes file under the same number is read from its start

Cause (read): a file that takes the place of catalog.changes may have the inode number of the old one, and be longer than what was read of it: the follower stood in the middle of a span and refused until the next start. Where no span begins it reads the file from its start once, and passes over what it knows; what is damaged is refused as before. Test: catalog_changes.

--- a/src/catalog/follower.cpp
+++ b/src/catalog/follower.cpp
@@ -37,6 +37,7 @@
     return;
   }
   again_ = false;
+  from_start_ = offset_ == 0;
   look_at(kSnapshotFile);
 }
 
@@ -254,7 +255,7 @@
                           piece.size - offset_, offset_));
     return end();
   }
-  if (!known) return refuse_span(std::string(text_of(head.problem)));
+  if (!known) return refuse_bytes(head.problem);
   if (head.form != kSpanForm) return refuse_span("it is no span of changes");
   if (head.length > kMostSpan)
     return refuse_span(fmt::format("it holds {} bytes, {} at most", head.length, kMostSpan));
@@ -262,11 +263,20 @@
     return ask(Stage::kChanges, kChangesFile, offset_, static_cast<std::size_t>(whole));
   const store::Sealed span =
       store::unseal(std::string_view(piece.bytes).substr(0, static_cast<std::size_t>(whole)), kSpanForm);
-  if (span.problem != store::SealProblem::kNone) return refuse_span(std::string(text_of(span.problem)));
+  if (span.problem != store::SealProblem::kNone) return refuse_bytes(span.problem);
   span_bytes_ = whole;
   begin_span(span.content);
 }
 
+// No span begins here. Another file may have taken the place of the one that was read, under its number: then
+// all of it is read, and what is known passed over. Once: what is damaged there is damaged.
+void Follower::refuse_bytes(store::SealProblem problem) {
+  if (from_start_) return refuse_span(std::string(text_of(problem)));
+  from_start_ = true;
+  offset_ = 0;
+  read_changes();
+}
+
 // Nothing behind it is read before it has gone: the changes there build on it.
 void Follower::refuse_span(const std::string& why) {
   refuse({}, fmt::format("{}: span at byte {}", kChangesFile, offset_), why);
--- a/src/catalog/follower.h
+++ b/src/catalog/follower.h
@@ -84,6 +84,7 @@
   bool known_otherwise(std::uint64_t sequence, HistoryDigest history) const;
   void take_change();
   void refuse_span(const std::string& why);
+  void refuse_bytes(store::SealProblem problem);
   void say(bool trouble, std::string text);
   void refuse(Version version, std::string what, std::string why);
   void end();
@@ -107,6 +108,7 @@
 
   // The file of changes.
   std::uint64_t changes_file_ = 0, offset_ = 0;
+  bool from_start_ = false;  // this reading has begun at the file's start
   SpanHeader span_;
   std::vector<std::string> changes_;  // the lines of a span
   std::size_t next_change_ = 0;
--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -268,6 +268,23 @@
   f.tell("another file with the same history");
   f.append(lines_of_changes({tenant("e", 1)}), 2);
   f.tell("read on in it");
+  // Another file under the same number: one long span that tells the same history, then a new change.
+  HistoryDigest history = 0;
+  std::string all = lines_of_changes({route("r"), tenant("a", 10), tenant("b", 5)});
+  MemorySource::File& file = f.source.files[kChangesFile];
+  const std::size_t before = file.bytes.size();
+  file.bytes = seal_span(1, 1, history, all);
+  f.tell("shorter, and older");
+  const Version now = f.catalog.version();
+  HistoryDigest known = f.catalog.history();
+  const std::uint64_t written = f.written;
+  all.clear();
+  for (int i = 0; i < 40; ++i) all += encode_change(tenant("n" + std::to_string(i), 1));
+  file.bytes = seal_span(2, written + 1, known, all);
+  say("longer than what was read", file.bytes.size() > before && now.sequence == written);
+  f.written += 40;
+  f.history = known;
+  f.tell("changes that begin before the place where it was");
   say("every change was taken or refused, none twice",
       f.follower.counts().applied + 2 == f.written && f.follower.counts().refused == 2);
 }
