--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -219,6 +219,8 @@
   say("the sum of quotas", std::abs(catalog.quotas_per_s() - sum) < 1e-6 * sum);
   say("the most important", catalog.most_important() == most);
   say("how many", catalog.customers() == quotas.size() && catalog.op_types() == importance.size());
+  for (const auto& [name, quota] : quotas) catalog.apply(RemoveTenant{name});
+  say("nothing is left of the sum when all have gone", catalog.quotas_per_s() == 0);
 }
 
 void lines() {
@@ -391,9 +393,13 @@
   std::string flipped = newer;
   flipped[flipped.size() - 12] ^= 1;
   given("a flipped bit", flipped);
+  std::string other_value = newer;
+  other_value.replace(other_value.find("\"quota-per-s\":2"), 15, "\"quota-per-s\":7");
+  given("another value", other_value);
   given("other counts", snapshot_of({1, 20}, 5, entries, 1, 2));
   given("too many", snapshot_of({1, 20}, 5, entries, 101, 2));
   given("an entry twice", snapshot_of({1, 20}, 5, entries + entries, 4, 4));
+  given("a tenant twice", snapshot_of({1, 20}, 5, entries + encode_change(tenant("a", 3)), 2, 3));
   given("a bad entry", snapshot_of({1, 20}, 5, entries + "{\"tenant\":\"x\",\"quota-per-s\":-1}\n", 2, 3));
   given("a removal", snapshot_of({1, 20}, 5, entries + lines_of_changes({RemoveTenant{"a"}}), 2, 2));
   given("no route", snapshot_of({1, 20}, 5, lines_of_changes({tenant("a", 1)}), 0, 1));
