--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -354,6 +354,12 @@
     f->tell("a bad span");
   }
   f = begun();
+  HistoryDigest next = f->history;
+  const std::string whole_span = seal_span(1, 3, next, lines_of_changes({tenant("b", 1)}));
+  f->source.files[kChangesFile].bytes +=
+      store::seal(kSpanForm, whole_span.substr(store::kSealHeadBytes) + "{");
+  f->tell("a line without end");
+  f = begun();
   std::string changed = seal_span(1, 3, f->history, lines_of_changes({tenant("b", 1)}));
   changed = changed.substr(store::kSealHeadBytes);
   const std::size_t at = changed.find("\"b\"");
@@ -487,9 +493,14 @@
   while (follower.step(0.002) != Follower::State::kIdle) {
     most = std::max<std::size_t>(most, follower.counts().applied - before);
     before = follower.counts().applied;
-    if (steps++ == 600) follower.follow();  // while it reads: once more afterwards
   }
   say("a thousand changes, few in a step", follower.counts().applied == 1000 && most <= 64);
+  follower.follow();
+  follower.step(0);  // the end of the file is on its way, as it was
+  source.files[kChangesFile].bytes += seal_span(1, 1002, history, encode_change(tenant("tenant-1", 3)));
+  follower.follow();
+  while (follower.step(1) != Follower::State::kIdle) continue;
+  say("asked again while it reads: once more afterwards", follower.counts().applied == 1001);
   say("pieces of files are small", source.most_asked <= kMostSpan + store::kSealHeadBytes);
 }
 
