--- a/tests/catalog.cpp
+++ b/tests/catalog.cpp
@@ -326,6 +326,16 @@
   f->tell("one version with two histories");
   f = begun();
   f->append(lines_of_changes({tenant("b", 1)}));
+  f->append(lines_of_changes({tenant("c", 1)}));
+  f->read();
+  f->source.files[kChangesFile] = {2, ""};
+  f->written = 0;
+  f->history = 0;
+  f->append(first);
+  f->append(lines_of_changes({tenant("b", 2)}));
+  f->tell("an earlier version with two histories");
+  f = begun();
+  f->append(lines_of_changes({tenant("b", 1)}));
   std::string& bytes = f->source.files[kChangesFile].bytes;
   const std::string whole = bytes;
   bytes.pop_back();
