--- a/tests/catalog_program.cpp
+++ b/tests/catalog_program.cpp
@@ -144,7 +144,7 @@
       << seal_span(1, 90, history, lines_of_changes({route("four", 3)}));
   site.follow_with_refusals(1);
   std::ofstream(site.folder() + "/" + kSnapshotFile) << "DSPKFILE and then nothing of use";
-  site.follow_with_refusals(1);
+  site.follow_with_refusals(2);  // and the gap once more
   site.run_ends(1);
   site.caller_hears(caller);
   site.send_op(caller, 2, "four");
