Members: news is paced, comparisons are spread, deaths carry less: bytes after a great loss

Cause, measured in simulation by datagrams and exchanges apart: up to 1,000 members it is gossip (three datagrams each 0.1 s while there is any, each new witness beginning all passes anew); at 2,300 also full exchanges, which all members asked for in the same five seconds. Change: a token bucket of records (70 a second, 60 at once) for news of others and for corrections that tell a death; witnesses that shorten nothing are not passed on; each asks for an exchange at a moment of its own (0.06 s a member); a record of one that is not there carries nothing told. The wire is as it was. Tests: members_sixth (counts, the same bounds at 60, 120, 240 members), four cases in members_alone; each seen to fail without its defence. Tried and dropped: fewer receivers, fuller datagrams, a least number of records a datagram: no count changed.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -55,6 +55,8 @@
       "rounds", "plays of each figure", cxxopts::value<int>()->default_value("3"))(
       "fleets", "members of the fleets on sockets",
       cxxopts::value<std::vector<int>>()->default_value("100,300,1000,2300"))(
+      "simulate", "members of the simulated fleets",
+      cxxopts::value<std::vector<int>>()->default_value("100,300,600,1000,2300"))(
       "loss", "the largest of them that loses a sixth", cxxopts::value<int>()->default_value("300"))(
       "joins", "hollow members that come up a second", cxxopts::value<double>()->default_value("200"))(
       "converge", "seconds until they should all see each other",
@@ -68,6 +70,7 @@
   options.seed = given["seed"].as<std::uint64_t>();
   options.rounds = given["rounds"].as<int>();
   options.fleets = given["fleets"].as<std::vector<int>>();
+  options.simulated = given["simulate"].as<std::vector<int>>();
   options.joins_per_s = given["joins"].as<double>();
   options.converge = given["converge"].as<double>();
   options.largest_loss = given["loss"].as<int>();
--- a/bench/scale.h
+++ b/bench/scale.h
@@ -14,6 +14,7 @@
   std::uint64_t seed = 1;
   int rounds = 3;  // plays of each figure; the median is told
   std::vector<int> fleets = {100, 300, 1000, 2300};
+  std::vector<int> simulated = {100, 300, 600, 1000, 2300};
   double joins_per_s = 200;  // how fast hollow members come up
   double converge = 120;     // s until all of them should see each other
   int largest_loss = 300;    // members of the largest fleet on sockets that loses a sixth
--- a/bench/scale_members.cpp
+++ b/bench/scale_members.cpp
@@ -23,6 +23,7 @@
 const char* const kBinary = DAMSONSPOKE_BINARY;
 constexpr int kReal = 12;    // processes of the program
 constexpr double kLook = 5;  // s; of one look at bytes and time after a loss
+constexpr int kSimulatedLooks = 24;
 
 // Processes that serve nobody and take part in membership.
 class RealMembers {
@@ -159,16 +160,27 @@
   fmt::print("  {:>4} members, simulated: calm {:.0f} bytes/s a member, {:.0f} us a second;", members, calm,
              us);
   for (int i = 0; i < members; i += 6) sim.kill(i);
-  double most = 0;
-  for (int look = 1; look <= 8; ++look) {
+  double most = 0, one_view = -1;
+  for (int look = 1; look <= kSimulatedLooks; ++look) {
     sim.forget_bytes();
     sim.run_until(20 + 5 * look);
     // The dead send nothing, and are counted among the fleet.
     const double bytes = sim.bytes_a_member_second() * 6 / 5;
     most = std::max(most, bytes);
-    fmt::print(" {:.0f}", bytes);
+    fmt::print(" {:.0f} ({:.0f})", bytes, sim.exchange_bytes_a_member_second() * 6 / 5);
+    if (one_view < 0 && sim.views_same()) one_view = 5 * look;
   }
-  fmt::print(" bytes/s in each 5 s after a sixth ended\n");
+  std::vector<double> found;
+  for (const MembersSim::Death& death : sim.deaths())
+    found.insert(found.end(), death.found.begin(), death.found.end());
+  const double found_p50 = quantile(found, 0.5), found_p99 = quantile(found, 0.99);
+  fmt::print(
+      " bytes/s in each 5 s after a sixth ended (of them exchanges); a death is known after p50 {:.1f}, p99 "
+      "{:.1f} "
+      "s, one view after {:.0f} s, {} called dead that were not\n",
+      found_p50, found_p99, one_view, sim.wrong().size());
+  figures[fmt::format("death_known_s_p99_simulated_{}", members)] = found_p99;
+  figures[fmt::format("one_view_s_loss_simulated_{}", members)] = one_view;
   figures[fmt::format("bytes_per_s_calm_simulated_{}", members)] = calm;
   figures[fmt::format("bytes_per_s_loss_simulated_{}", members)] = most;
 }
@@ -328,7 +340,7 @@
 
 void measure_simulated_members(const ScaleOptions& options, Figures& figures) {
   fmt::print("Fleets simulated, 1% of datagrams lost:\n");
-  for (const int members : {100, 300, 600, 1000, 2300}) simulated_loss(members, options.seed, figures);
+  for (const int members : options.simulated) simulated_loss(members, options.seed, figures);
 }
 
 }  // namespace damsonspoke::bench
--- a/src/members/terms.cpp
+++ b/src/members/terms.cpp
@@ -10,6 +10,7 @@
 constexpr double kUnconfirmed = 3;     // x the least time, where nobody else has found it silent
 constexpr double kConfirmed = 3;       // witnesses beside the first that make the least time
 constexpr double kExchangeEach = 0.3;  // s a member: a full exchange holds all of them
+constexpr double kCompareEach = 0.06;  // s a member: a full exchange for a difference, likewise
 constexpr double kPasses = 3;          // x log2 of the size; then all have heard it but by great misfortune
 
 }  // namespace
@@ -26,6 +27,8 @@
   return std::max(terms.exchange, kExchangeEach * static_cast<double>(members));
 }
 
+double comparison_time(std::size_t members) { return kCompareEach * static_cast<double>(members); }
+
 int passes(std::size_t members) {
   return std::max(3, static_cast<int>(std::ceil(kPasses * std::log2(static_cast<double>(members) + 1) / 2)));
 }
--- a/src/members/terms.h
+++ b/src/members/terms.h
@@ -13,6 +13,8 @@
   double remember = 7200;  // s that the dead are remembered
   double old = 10;         // s after which what a member told is no value any more
   double exchange = 30;    // s between two full exchanges, longer in a large fleet
+  double news = 70;        // records of others a second that go along with what is sent, on the long run
+  double news_burst = 60;  // records; as many at once after a rest
 };
 
 // s in which a suspected member may refute: grows with the size of the fleet, shrinks with each one that has
@@ -22,6 +24,10 @@
 // s between two full exchanges: their bytes a second stay the same however many there are.
 double exchange_time(const Terms& terms, std::size_t members);
 
+// s in which a member that knows another set of members than others asks one of them for a full exchange, at
+// some moment drawn by chance: the bytes a second of a fleet that has lost many stay the same at any size.
+double comparison_time(std::size_t members);
+
 // How often a piece of news is passed on.
 int passes(std::size_t members);
 
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -14,10 +14,9 @@
 constexpr double kGossipEvery = 0.1;    // s, while there is news
 constexpr std::size_t kNewsAtOnce = 6;  // records of others in a datagram
 constexpr double kDiffers = 5;          // s that others know another set; news takes less
-constexpr double kCompareShare =
-    0.1;                        // of the time between exchanges, between two that such a difference asks for
-constexpr double kRecheck = 1;  // s between probes out of turn of members behind a cut link
-constexpr double kLinksKept = 30;  // s that an account of broken links counts
+constexpr double kLeastCompare = 3;     // s between two exchanges that such a difference asks for
+constexpr double kRecheck = 1;          // s between probes out of turn of members behind a cut link
+constexpr double kLinksKept = 30;       // s that an account of broken links counts
 
 std::uint64_t token_of(const std::string& name, std::uint64_t epoch) {
   return XXH64(name.data(), name.size(), epoch);
@@ -43,6 +42,7 @@
       seeds_(std::move(seeds)),
       random_(seed),
       port_(port),
+      news_pace_(terms.news, terms.news_burst),
       links_(kLinksKept) {}
 
 double View::chance() { return std::ldexp(static_cast<double>(random_()), -32); }
@@ -95,15 +95,21 @@
 
 // Who has known another set of members than this one for a while has missed something, or we have: a full
 // exchange with it tells. Guards against news that all its passes missed, until the next exchange by chance.
+// After a great loss all find a difference at once: each one's exchange comes at a moment of its own, and few
+// are still needed by then.
 void View::compare(const std::string& address, std::uint64_t theirs, double now) {
   if (theirs == 0) return;  // it does not tell
   if (theirs == sum()) {
     differs_since_ = -1;
     return;
   }
-  if (differs_since_ < 0) differs_since_ = now;
-  if (now - differs_since_ < kDiffers || now < compare_at_) return;
-  compare_at_ = now + kCompareShare * exchange_time(terms_, known()) * (0.75 + chance() / 2);
+  const double time = comparison_time(known());
+  if (differs_since_ < 0) {
+    differs_since_ = now;
+    compare_at_ = std::max(compare_at_, now + kDiffers + time * chance());
+  }
+  if (now < compare_at_) return;
+  compare_at_ = now + std::max(kLeastCompare, time) * (0.75 + chance() / 2);
   differs_since_ = -1;
   port_.exchange(address);
 }
@@ -145,7 +151,8 @@
   Record r = m.record;
   r.told_age_ms = static_cast<std::uint32_t>(std::max(0.0, now - m.told_at) * 1000);
   r.heard = 0;
-  if (now - m.told_at > terms_.old) r.told = {};  // worth nothing to anybody any more
+  const bool old = now - m.told_at > terms_.old;
+  if (old || r.condition != Condition::kThere) r.told = {};  // worth nothing to anybody any more
   if (r.condition == Condition::kSuspected && now - m.heard_at < kHeardCounts) r.heard = m.heard;
   return r;
 }
@@ -176,9 +183,11 @@
     const Member& to = members_[static_cast<std::size_t>(member)];
     if (to.record.condition != Condition::kThere) message.records.push_back(record_of(member, now));
   }
-  for (const int news : gossip_.take(kNewsAtOnce)) {
-    if (news != member && !members_[static_cast<std::size_t>(news)].record.name.empty())
-      message.records.push_back(record_of(news, now));
+  const std::vector<int> news = gossip_.take(std::min(kNewsAtOnce, news_pace_.available(now)));
+  news_pace_.spend(news.size());
+  for (const int of : news) {
+    if (of != member && !members_[static_cast<std::size_t>(of)].record.name.empty())
+      message.records.push_back(record_of(of, now));
   }
   // What is held against somebody goes along with everything, for who knows better to say so: news that it
   // has refuted may have missed us.
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -20,6 +20,7 @@
 
 #include "members/gossip.h"
 #include "members/links.h"
+#include "members/news_pace.h"
 #include "members/record.h"
 #include "members/terms.h"
 
@@ -143,12 +144,14 @@
   void heard(int member, std::uint32_t number, double now);
   void count_in(int member);
   std::uint64_t sum() const;
+  bool may_correct(int member, double now);
   void compare(const std::string& address, std::uint64_t theirs, double now);
 
   void start_probe(double now);
   void ask_helpers(double now);
   void judge_probe(double now);
   void accuse(int member, std::vector<std::string> witnesses, double now);
+  void confirm(int member);
   void look_at_suspicions(double now);
   enum class Silence { kFew, kMany, kMost };
   Silence silence(int also, double now) const;
@@ -191,6 +194,7 @@
   std::optional<Probe> probe_;
   std::vector<Errand> errands_;
   Gossip gossip_;
+  NewsPace news_pace_;
   Links links_;
   Fitness fitness_;
   double tick_at_ = 0, period_at_ = 0, gossip_at_ = 0, exchange_at_ = 0, seeds_at_ = 0, look_at_ = 0,
--- a/src/members/view_messages.cpp
+++ b/src/members/view_messages.cpp
@@ -74,10 +74,7 @@
   if (same) {
     heard(at, record.heard, now);
     const bool more = add_witnesses(m.record, record.by);
-    if (more) {
-      m.deadline = std::min(m.deadline, deadline_of(m, m.since));
-      gossip_.add(at, passes(known()));
-    }
+    if (more) confirm(at);
     return more;
   }
   if (record.rank() == m.record.rank() && record.incarnation == m.record.incarnation &&
@@ -179,6 +176,14 @@
   m.heard = number;
 }
 
+// A death counts as any news: answers to all who still suspect would be a flood of their own in a great loss.
+bool View::may_correct(int member, double now) {
+  if (members_[static_cast<std::size_t>(member)].record.condition != Condition::kDead) return true;
+  if (news_pace_.available(now) == 0) return false;
+  news_pace_.spend(1);
+  return true;
+}
+
 void View::on_message(const std::string& from_address, const Message& message, double now, bool stale) {
   if (message.from == self_.name) return;   // a clone, or a forged one: lives are sorted out by records
   if (!stale && now - tick_at_ > kPause) {  // nobody has woken us yet: this waited, too
@@ -197,7 +202,7 @@
   for (const Record& record : message.records) {
     take(record, now);
     const int of = record.condition == Condition::kThere ? -1 : find(record.name);
-    if (of >= 0 && supersedes(members_[static_cast<std::size_t>(of)].record, record))
+    if (of >= 0 && supersedes(members_[static_cast<std::size_t>(of)].record, record) && may_correct(of, now))
       better.records.push_back(record_of(of, now));
   }
   if (!better.records.empty()) send_to(from_address, std::move(better), now, -1);
--- a/src/members/view_probes.cpp
+++ b/src/members/view_probes.cpp
@@ -12,7 +12,7 @@
 constexpr double kCatchUp = 0.3;      // s after a pause in which nobody is accused
 constexpr double kPauseRoom = 1.5;    // x the longest pause told, beside the time of a suspicion
 constexpr double kMostPauseRoom = 5;  // s
-constexpr int kGossipTo = 3;
+constexpr std::size_t kGossipTo = 3;
 constexpr double kWitnessWait =
     1.5;  // s more for who has not found it silent itself: its accusers call it first
 constexpr double kSilentWindow = 10;  // s; silent at once
@@ -142,9 +142,7 @@
   if (m.record.condition == Condition::kSuspected) {
     m.accused_here = true;
     add_witnesses(m.record, witnesses);
-    m.deadline = std::min(m.deadline, deadline_of(m, m.since));
-    gossip_.add(member, passes(known()));
-    return;
+    return confirm(member);
   }
   ++counts_.suspicions;
   m.record.condition = Condition::kSuspected;
@@ -155,6 +153,16 @@
   gossip_.add(member, passes(known()));
 }
 
+// More witnesses of a suspicion, or this one itself: passed on only where that leaves it less time, so that
+// the news of a loss does not grow with the number of those who notice it.
+void View::confirm(int member) {
+  Member& m = members_[static_cast<std::size_t>(member)];
+  const double deadline = deadline_of(m, m.since);
+  if (deadline >= m.deadline) return;
+  m.deadline = deadline;
+  gossip_.add(member, passes(known()));
+}
+
 // Who has found it silent itself calls it dead first; the others wait a little for that. A member that is
 // known to stand still now and then gets that time on top.
 double View::deadline_of(const Member& m, double from) const {
@@ -284,7 +292,7 @@
 void View::gossip(double now) {
   if (gossip_.empty()) return;
   for (const int at : some(kGossipTo, [](const Member&) { return true; })) {
-    if (gossip_.empty()) return;
+    if (gossip_.empty() || news_pace_.available(now) == 0) return;
     send(at, Message(), now);
   }
 }
--- a/standins/members_sim.cpp
+++ b/standins/members_sim.cpp
@@ -13,15 +13,17 @@
 
 namespace {
 
-constexpr double kLate = 2;            // s; of datagrams that come late
-constexpr double kStreamPatience = 1;  // s; a paused peer does not answer a stream in time
-constexpr double kSpell = 5;           // s; one wrong death told by many is one
+constexpr double kLate = 2;                       // s; of datagrams that come late
+constexpr double kStreamPatience = 1;             // s; a paused peer does not answer a stream in time
+constexpr double kSpell = 5;                      // s; one wrong death told by many is one
+constexpr std::uint64_t kWeighExchangeEach = 50;  // exchanges; one of so many is encoded, to know its bytes
 
 }  // namespace
 
 void MembersSim::Node::send(const std::string& to, const Message& message) {
   const auto found = sim->by_address_.find(to);
   ++sim->sent_;
+  sim->sent_records_ += message.records.size();
   if (sim->options_.weigh_each > 0 &&
       sim->sent_ % static_cast<std::uint64_t>(sim->options_.weigh_each) == 0) {
     ++sim->weighed_;
@@ -43,7 +45,11 @@
     if (x.paused_until > s->now_ + kStreamPatience || y.paused_until > s->now_ + kStreamPatience) return;
     if (x.paused_until > s->now_ || y.paused_until > s->now_) return;
     const std::vector<Record> of_x = x.view->full(s->now_), of_y = y.view->full(s->now_);
-    s->exchange_bytes_ += 60 * (of_x.size() + of_y.size());
+    s->exchanged_records_ += of_x.size() + of_y.size();
+    if (s->options_.weigh_each > 0 && ++s->exchanges_ % kWeighExchangeEach == 1) {
+      s->weighed_records_ += of_x.size();
+      s->weighed_exchange_bytes_ += wire::members::encode_exchange("cluster", of_x).size();
+    }
     y.view->on_exchange(of_x, s->now_);
     x.view->on_exchange(of_y, s->now_);
   });
@@ -63,12 +69,21 @@
     }
     return;
   }
+  if (epoch_known(who) < sim->nodes_[static_cast<std::size_t>(of)]->view->self().epoch)
+    return;  // the life before this one, which did end
   const auto last = sim->wrong_since_.find(of);
   if (last == sim->wrong_since_.end() || sim->now_ - last->second > kSpell)
     sim->wrong_.push_back({sim->now_, number, of});
   sim->wrong_since_[of] = sim->now_;
 }
 
+std::uint64_t MembersSim::Node::epoch_known(const std::string& who) const {
+  for (const Seen& seen : view->members(sim->now_)) {
+    if (seen.name == who) return seen.epoch;
+  }
+  return 0;
+}
+
 void MembersSim::Node::noticed(const std::string& what) {
   if (sim->on_change) sim->on_change(number, what);
 }
@@ -214,12 +229,27 @@
   return State::kLeft;
 }
 
-double MembersSim::bytes_a_member_second() const {
+double MembersSim::a_member_second(double total) const {
   const double seconds = now_ - bytes_since_;
-  if (weighed_ == 0 || seconds <= 0) return 0;
+  return seconds > 0 ? total / seconds / options_.count : 0;
+}
+
+double MembersSim::datagram_bytes_a_member_second() const {
+  if (weighed_ == 0) return 0;
   const double mean = static_cast<double>(weighed_bytes_) / static_cast<double>(weighed_);
-  return (mean * static_cast<double>(sent_) + static_cast<double>(exchange_bytes_)) / seconds /
-         options_.count;
+  return a_member_second(mean * static_cast<double>(sent_));
+}
+
+double MembersSim::exchange_bytes_a_member_second() const {
+  if (weighed_records_ == 0) return 0;
+  const double mean = static_cast<double>(weighed_exchange_bytes_) / static_cast<double>(weighed_records_);
+  return a_member_second(mean * static_cast<double>(exchanged_records_));
+}
+
+void MembersSim::forget_bytes() {
+  weighed_ = weighed_bytes_ = sent_ = sent_records_ = exchanged_records_ =
+      0;  // a record's bytes in an exchange stay known
+  bytes_since_ = now_;
 }
 
 bool MembersSim::views_same(std::string* how_not) {
--- a/standins/members_sim.h
+++ b/standins/members_sim.h
@@ -60,11 +60,23 @@
     double at = 0;
     int by = 0, of = 0;
   };
-  // Called dead while it was up: each first teller counts once a spell.
+  // Called dead while that life of it was up: each first teller counts once a spell.
   const std::vector<Wrong>& wrong() const { return wrong_; }
   double member_seconds() const { return member_seconds_; }
-  double bytes_a_member_second() const;
-  void forget_bytes() { weighed_ = weighed_bytes_ = 0, sent_ = exchange_bytes_ = 0, bytes_since_ = now_; }
+  // Bytes that a member sent a second since forget_bytes(): in datagrams, with their IP and UDP heads; in
+  // full exchanges; in both. By encoding a sample, so none where `weigh_each` is 0.
+  double datagram_bytes_a_member_second() const;
+  double exchange_bytes_a_member_second() const;
+  double bytes_a_member_second() const {
+    return datagram_bytes_a_member_second() + exchange_bytes_a_member_second();
+  }
+  void forget_bytes();
+  // Counts since then, a member and second: datagrams, the records in them, records in full exchanges.
+  double datagrams_a_member_second() const { return a_member_second(static_cast<double>(sent_)); }
+  double records_a_member_second() const { return a_member_second(static_cast<double>(sent_records_)); }
+  double exchanged_records_a_member_second() const {
+    return a_member_second(static_cast<double>(exchanged_records_));
+  }
   // Every member that is up sees each other one that is up as there, and nobody else.
   bool views_same(std::string* how_not = nullptr);
   members::View::Counts counts() const;
@@ -84,6 +96,7 @@
     void exchange(const std::string& address) override;
     void changed(const std::string& name, members::State state, const std::string& why) override;
     void noticed(const std::string& what) override;
+    std::uint64_t epoch_known(const std::string& who) const;  // the life that it knows under this name
   };
   struct Event {
     double at = 0;
@@ -98,6 +111,7 @@
   void deliver(int from, int to, std::shared_ptr<const members::Message> message);
   void resume(Node& node);
   double chance();
+  double a_member_second(double total) const;
   bool is_cut(int from, int to) const { return cut && cut(from, to); }
   Node& add_node(const std::string& name);
 
@@ -112,7 +126,8 @@
   std::vector<Death> deaths_;
   std::vector<Wrong> wrong_;
   std::map<int, double> wrong_since_;
-  std::uint64_t sent_ = 0, weighed_ = 0, weighed_bytes_ = 0, exchange_bytes_ = 0;
+  std::uint64_t sent_ = 0, sent_records_ = 0, weighed_ = 0, weighed_bytes_ = 0;  // datagrams
+  std::uint64_t exchanges_ = 0, exchanged_records_ = 0, weighed_records_ = 0, weighed_exchange_bytes_ = 0;
 };
 
 }  // namespace damsonspoke::standins
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -159,6 +159,36 @@
   say("nobody else is called dead", sim.wrong().empty());
 }
 
+// The most that a member sends in a second: the same however many there are, when a sixth is lost as well.
+void sixth() {
+  for (const int count : {60, 120, 240}) {
+    MembersSim sim(of(count, 17, 0.01));
+    trace(sim);
+    sim.begin(true);
+    sim.run_until(5);
+    sim.forget_bytes();
+    sim.run_until(10);
+    const double calm = sim.records_a_member_second() + sim.exchanged_records_a_member_second();
+    for (int i = 0; i < count; i += 6) sim.kill(i);
+    double datagrams = 0, records = 0, exchanged = 0;
+    for (int second = 0; second < 15; ++second) {
+      sim.forget_bytes();
+      sim.run_until(sim.now() + 1);
+      datagrams = std::max(datagrams, sim.datagrams_a_member_second());
+      records = std::max(records, sim.records_a_member_second());
+      exchanged = std::max(exchanged, sim.exchanged_records_a_member_second());
+    }
+    if (std::getenv("MEMBERS_TRACE") != nullptr)
+      std::fprintf(stderr, "%d: calm %.1f; %.1f datagrams, %.1f records, %.1f exchanged\n", count, calm,
+                   datagrams, records, exchanged);
+    std::string how;
+    say(fmt::format("{} members: calm at most 18 records a second", count), calm <= 18);
+    say("a sixth lost: at most 25 datagrams, 130 records and 50 in exchanges in any second",
+        datagrams <= 25 && records <= 130 && exchanged <= 50);
+    say("all see it within 15 s, nobody else is called dead", sim.views_same(&how) && sim.wrong().empty());
+  }
+}
+
 void lossy() {
   MembersSim sim(of(30, 3, 0.2));
   sim.late = 0.2, sim.doubled = 0.2;
@@ -395,8 +425,8 @@
 // ---- One view alone, step by step, among members that answer as a case has it.
 
 struct Alone : Port {
-  explicit Alone(int others, std::vector<std::string> seeds = {})
-      : view(Terms(), {"v", "v:1", 100}, std::move(seeds), 3, *this) {
+  explicit Alone(int others, std::vector<std::string> seeds = {}, std::uint64_t chance = 3)
+      : view(Terms(), {"v", "v:1", 100}, std::move(seeds), chance, *this) {
     view.begin(0);
     std::vector<Record> all;
     for (int i = 0; i < others; ++i) all.push_back(of(fmt::format("m{}", i)));
@@ -418,8 +448,10 @@
   void exchange(const std::string& address) override { exchanged.push_back(address); }
   void changed(const std::string& name, State state, const std::string&) override { states[name] = state; }
   void noticed(const std::string&) override {}
-  void hear(const std::string& from, Kind kind, std::vector<Record> records, bool stale = false) {
+  void hear(const std::string& from, Kind kind, std::vector<Record> records, bool stale = false,
+            std::uint64_t sum = 0) {
     Message m;
+    m.sum = sum;
     m.kind = kind, m.from = from, m.epoch = 50, m.number = ++number, m.target = "v", m.serial = 1;
     records.insert(records.begin(), of(from, incarnations[from]));
     m.records = std::move(records);
@@ -530,15 +562,56 @@
     a.exchanged.clear();
     for (int i = 0; i < 80; ++i) {  // one that knows somebody whom it does not know
       a.run_until(a.now + 0.1);
-      Message m;
-      m.kind = Kind::kPing, m.from = "m3", m.epoch = 50, m.number = ++a.number, m.target = "v", m.serial = 1,
-      m.sum = 12345;
-      m.records = {Alone::of("m3")};
-      a.view.on_message("m3:1", m, a.now);
+      a.hear("m3", Kind::kPing, {}, false, 12345);
     }
     say("who knows another set for five seconds is asked for all that it knows",
         a.exchanged.size() == 1 && a.exchanged.front() == "m3:1");
   }
+  {
+    int early = 0, late = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Alone a(1000, {}, seed);
+      a.answers = [](const std::string&) { return true; };
+      a.run_until(1);
+      a.exchanged.clear();
+      while (a.now < 70 && a.exchanged.empty()) {
+        a.run_until(a.now + 0.1);
+        a.hear("m3", Kind::kPing, {}, false, 12345);
+      }
+      a.now < 16 ? ++early : a.now < 70 ? ++late : 0;
+    }
+    say("among 1000 each asks at a moment of its own within a minute", early <= 7 && early + late == 20);
+  }
+  {
+    Alone a(30);
+    a.answers = [](const std::string&) { return true; };
+    a.run_until(1);
+    Record r = Alone::of("m5", 0, Condition::kSuspected);
+    r.by = {"m1", "m2", "m3", "m4"};
+    a.hear("m1", Kind::kGossip, {r});
+    a.run_until(2.5);
+    a.sent.clear();
+    r.by = {"m6", "m7"};
+    a.hear("m1", Kind::kGossip, {r});
+    a.run_until(2.9);
+    say("witnesses that leave it no less time are not passed on", a.count(Kind::kGossip) == 0);
+  }
+  {
+    Alone a(400);
+    a.answers = [](const std::string&) { return true; };
+    a.run_until(1);
+    for (int i = 0; i < 200; ++i)
+      a.hear("m399", Kind::kGossip, {Alone::of(fmt::format("m{}", i), 0, Condition::kDead)});
+    a.run_until(3);
+    a.sent.clear();
+    for (int i = 0; i < 200; ++i)
+      a.hear("m399", Kind::kGossip, {Alone::of(fmt::format("m{}", i), 0, Condition::kSuspected)});
+    a.run_until(4);
+    std::size_t records = 0;
+    for (const auto& [address, message] : a.sent) records += message.records.size();
+    say("after 200 deaths, all of them told anew as suspicions: under 150 records in the next second",
+        records < 150);
+  }
   {
     Alone a(0, {"s:1"});
     a.run_until(15);
@@ -547,7 +620,14 @@
   {
     Alone a(3);
     a.answers = [](const std::string& name) { return name != "m1"; };
-    a.run_until(15);
+    while (a.now < 15 && a.states["m1"] != State::kSuspected) a.run_until(a.now + 0.1);
+    Record told_of = Alone::of("m1");
+    told_of.told.serial = 1, told_of.told.role = "relay";
+    a.hear("m2", Kind::kGossip, {told_of});
+    while (a.now < 25 && a.states["m1"] != State::kDead) a.run_until(a.now + 0.1);
+    bool told = false;
+    for (const Record& r : a.view.full(a.now)) told |= r.name == "m1" && r.told.serial != 0;
+    say("what a dead one told is not passed on", !told);
     const bool dead = a.states["m1"] == State::kDead;
     a.exchanged.clear();
     a.run_until(50);
@@ -688,6 +768,7 @@
                        {"histories_30", histories_30},
                        {"histories_300", histories_300},
                        {"third", third},
+                       {"sixth", sixth},
                        {"lossy", lossy},
                        {"pauses", pauses},
                        {"zones", zones},
