members_zones judges cut links over four fleets instead of one lucky draw

Cause: of a hundred links that a one-sided cut breaks, 90 had to show as cut in the one fleet of seed 7.

--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -237,6 +237,24 @@
       sim.wrong().size() == wrong && sim.views_same());
 }
 
+// Of the hundred links that a one-sided cut between two zones of three breaks: how many show as cut after
+// half a minute, to who does not hear. Each is found by a probe of its own, so one fleet alone is a draw of
+// chance.
+int links_shown_as_cut(std::uint64_t seed) {
+  MembersSim sim(of(30, seed));
+  bool on = false;
+  sim.cut = [&](int a, int b) { return on && a % 3 == 0 && b % 3 == 1; };
+  sim.begin(true);
+  sim.run_until(5);
+  on = true;
+  sim.run_until(35);
+  int cut = 0;
+  for (int a = 1; a < 30; a += 3) {
+    for (int b = 0; b < 30; b += 3) cut += sim.state(a, sim.name(b)) == State::kCut ? 1 : 0;
+  }
+  return cut;
+}
+
 void zones() {
   MembersSim sim(of(30, 7));
   int from = 0, to = 1;
@@ -248,13 +266,14 @@
   on = true;
   sim.run_until(35);
   say("a one-sided cut between two zones of three: nobody is called dead", sim.wrong().empty());
-  int cut = 0, others = 0;
+  int others = 0;
   for (int a = 1; a < 30; a += 3) {
-    for (int b = 0; b < 30; b += 3) cut += sim.state(a, sim.name(b)) == State::kCut ? 1 : 0;
     others += sim.state(a, "n2") == State::kThere && sim.state(2, sim.name(a)) == State::kThere ? 1 : 0;
   }
+  int cut = 0;
+  for (std::uint64_t seed = 7; seed <= 10; ++seed) cut += links_shown_as_cut(seed);
   if (std::getenv("MEMBERS_TRACE") != nullptr) std::fprintf(stderr, "%d cut, %d others\n", cut, others);
-  say("it shows as cut, to who does not hear", cut >= 90);
+  say("it shows as cut, to who does not hear, on 86 of 100 links in the mean of four fleets", cut >= 4 * 86);
   say("and nothing else does", others >= 9);
   bool named = false, other_way = false;
   for (const LinkSeen& link : sim.view(2).broken_links(sim.now())) {
