A test of kills within the reading of changes, every other one with a torn last span

Sixteen kills, each 0.4 ms later after its signal than the one before: after each start all whole spans are in force and nothing is refused. Fails where a torn span is refused instead of waited for.

--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -106,9 +106,12 @@
     const std::string line = expect_log("listens on");
     port_ = static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(':') + 1).c_str()));
   }
-  // Killed outright, and started again; everybody's connections are gone.
   void kill_and_start() {
     std::printf("-- %s\n", pid_ > 0 ? "killed, and started again" : "started again");
+    restart();
+  }
+  // Killed outright, and started again; everybody's connections are gone.
+  void restart() {
     if (pid_ > 0) {
       ::kill(pid_, SIGKILL);
       ::waitpid(pid_, nullptr, 0);
@@ -322,8 +325,8 @@
     const rlimit limit{static_cast<rlim_t>(top + more), 1024};
     ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
   }
-  // The counters that are not zero among those named.
-  void counters(const std::vector<std::string>& names) {
+  // The counters by name; one that is zero may be absent.
+  std::map<std::string, std::string> counter_values() {
     pause(0.05);  // what was just said is read before the signal
     signal(SIGUSR1);
     expect_log("counters:");
@@ -337,6 +340,11 @@
       }
       return seen.contains("invariants.broken");
     });
+    return seen;
+  }
+  // Prints the counters that are not zero among those named.
+  void counters(const std::vector<std::string>& names) {
+    std::map<std::string, std::string> seen = counter_values();
     for (const std::string& name : names) std::printf("counter %s: %s\n", name.c_str(), seen[name].c_str());
     std::printf("counter invariants.broken: %s\n", seen["invariants.broken"].c_str());
   }
--- a/tests/catalog_program.cpp
+++ b/tests/catalog_program.cpp
@@ -47,8 +47,8 @@
     write(lines_of_changes(changes));
     follow();
   }
-  // Prints so many refusals, then waits until all of this reading is done: a signal that comes while files are
-  // read has them read once more, and their refusals told once more.
+  // Prints so many refusals, then waits until all of this reading is done: a signal that comes while files
+  // are read has them read once more, and their refusals told once more.
   void follow_with_refusals(int refusals) {
     signal(SIGHUP);
     for (int i = 0; i < refusals; ++i) {
@@ -195,6 +195,47 @@
   site.ends();
 }
 
+// Killed at some moment of each reading, from the signal on; every other time the writer had died within its
+// last span as well. After each start all whole spans are in force, nothing is refused, and requests are
+// served.
+void kills() {
+  constexpr int kKills = 16;
+  constexpr int kChanges = 200;      // of a span
+  constexpr double kLater = 0.0004;  // s; each kill comes so much later after its signal than the one before
+  CatalogSite site;
+  site.comes_up();
+  const std::string file = site.folder() + "/" + kChangesFile;
+  std::uint64_t whole = 0;
+  bool all_in_force = true;
+  for (int kill = 0; kill < kKills; ++kill) {
+    std::string lines;
+    for (int i = 0; i < kChanges; ++i)
+      lines += encode_change(PutTenant{"tenant-" + std::to_string(kill * kChanges + i), {1, 0}});
+    const std::uintmax_t before = kill == 0 ? 0 : std::filesystem::file_size(file);
+    site.write(lines);
+    const bool torn = kill % 2 == 1;
+    if (torn)
+      std::filesystem::resize_file(file,
+                                   before + (std::filesystem::file_size(file) - before) * kill / kKills);
+    else
+      whole += kChanges;
+    site.signal(SIGHUP);
+    site.pause(kill * kLater);
+    site.restart();
+    std::map<std::string, std::string> counters = site.counter_values();
+    all_in_force = all_in_force && counters["catalog.sequence"] == std::to_string(whole) &&
+                   counters["catalog.refused"] == "0" && counters["invariants.broken"] == "0";
+    if (torn) std::filesystem::resize_file(file, before);  // as the next writer does
+  }
+  say("all whole spans in force after each of 16 kills, nothing refused", all_in_force);
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_op(caller, 1, "push", R"("ram":10,"limit":3000,"team":"tenant-2900")");
+  site.runtime_hears(2);
+  site.send_op(caller, 2, "push", R"("ram":10,"limit":3000,"team":"tenant-3100")");
+  site.caller_hears(caller);
+}
+
 // Each answer's line tells the version that it was decided by.
 void versions() {
   debug_log = true;
@@ -252,5 +293,6 @@
                        {"asked_again", asked_again},
                        {"drained", drained},
                        {"versions", versions},
-                       {"begins", begins}});
+                       {"begins", begins},
+                       {"kills", kills}});
 }
