Members: what urgent news owes to the pace is bounded

Cause, found by reading: urgent news goes without asking, and its bytes were owed without a bound; a peer that accuses and refutes without end would have held back all other news, deaths too, for as long as it likes. Change: owed is one burst at most.

--- a/src/members/news_pace.h
+++ b/src/members/news_pace.h
@@ -19,7 +19,9 @@
     at_ = now;
     return left_ > 0;
   }
-  void spend(std::size_t bytes) { left_ -= static_cast<double>(bytes); }
+  // Owed is a burst at most: what goes without asking would else hold back all other news for as long as it
+  // lasts.
+  void spend(std::size_t bytes) { left_ = std::max(left_ - static_cast<double>(bytes), -burst_); }
 
  private:
   const double per_s_, burst_;
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -705,6 +705,16 @@
       gossip.take(9) == std::vector<int>({3, 1}) && gossip.empty() && gossip.take(1).empty());
 }
 
+// What goes beyond the pace is owed for a bounded time.
+void pace() {
+  NewsPace pace(1000, 500);
+  pace.spend(500);
+  say("what is spent is not there, and comes with time", !pace.open(0) && pace.open(0.1));
+  for (int i = 0; i < 1000; ++i) pace.spend(1000);
+  say("much that went without asking holds the rest back for a burst's time",
+      !pace.open(0.4) && pace.open(0.7));
+}
+
 // ---- The codec.
 
 Record record(const std::string& name) {
@@ -862,6 +872,7 @@
                        {"leaves", leaves},
                        {"alone", alone},
                        {"news", news},
+                       {"pace", pace},
                        {"codec", codec},
                        {"forged", forged}});
 }
