Rehearsals keep the processes' logs; forwarders log each attempt and its proof at debug

Cause: a request that ran on two planners could not be followed. The rehearsal printed its number and the lives, but no log was kept, and neither level said which attempt went where, what proved it not run, or whose session had ended. A forwarder logs each attempt sent, rejected, fenced or never written; a planner logs each request that it abandons because its forwarder did not reconnect. All at level debug.

--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -150,7 +150,10 @@
     log_.warn("forwarders", "{}: timed out, link closed", link.name);
     link.connection->close(net::End::kBroken);
   }
-  abandon(sessions_.take_expired(now));
+  const std::vector<RequestId> expired = sessions_.take_expired(now);
+  for (const RequestId request : expired)
+    log_.debug("forwarders", "request {:016x} is abandoned: its forwarder did not reconnect", request);
+  abandon(expired);
   send_load_reports(false);
   check_timer_ = reactor_.after(kCheckIntervalSeconds, [this] { check_links(); });
 }
--- a/src/stages/request_forwarder.cpp
+++ b/src/stages/request_forwarder.cpp
@@ -190,6 +190,8 @@
 }
 
 void RequestForwarder::on_link_lost(int planner, const std::vector<std::uint64_t>& unwritten) {
+  for (const std::uint64_t attempt : unwritten)
+    log_.debug("forward", "attempt {} at planner {} was never written", attempt, planner);
   dispatch_->on_link_lost(planner, unwritten, net::monotonic_now());
 }
 
@@ -204,6 +206,11 @@
 }
 
 void RequestForwarder::on_answer(int planner, std::uint64_t epoch, const wt::Answer& answer) {
+  if (answer.result == wt::Result::kNeverRan)
+    log_.debug("forward", "attempt {} is fenced at planner {}, epoch {:x}: it never ran", answer.attempt,
+               planner, epoch);
+  if (answer.result == wt::Result::kRejected)
+    log_.debug("forward", "attempt {} is rejected by planner {}", answer.attempt, planner);
   const std::optional<RequestId> completed = dispatch_->on_answer(
       planner, epoch, answer.attempt, kind_of(answer.result), answer.retry_after_us * kSecondsPerMicrosecond,
       answer.no_retry, net::monotonic_now());
@@ -245,6 +252,7 @@
   submit.lookup_only = lookup_only;
   submit.idempotency_key = request.idempotency_key;
   submit.body = request.body;
+  log_.debug("forward", "request {:016x} sent as attempt {} to planner {}", id, attempt, planner);
   ports_.planners->submit(planner, submit);
 }
 
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -120,8 +120,8 @@
   life_ = static_cast<int>(journal_.lives.size()) - 1;
   runtime.new_life(life_);
   if (way) write_config();  // by now somebody stands between
-  std::vector<std::string> command = {binary_,       spec_.command, "--config", folder_.path("config.json"),
-                                      "--log-level", "info"};
+  std::vector<std::string> command = {binary_,       spec_.command,  "--config", folder_.path("config.json"),
+                                      "--log-level", spec_.log_level};
   if (!spec_.operators.empty()) command.insert(command.end(), {"--operator", operators_path()});
   command.insert(command.begin(), spec_.under.begin(), spec_.under.end());
   process = std::make_unique<Process>(loop_, command);
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -39,6 +39,7 @@
   int sockets = 512;               // descriptors that it may have
   bool roster_down = false;        // nobody listens to its reports
   std::vector<std::string> under;  // words before the program's own: a program that starts it
+  std::string log_level = "info";
 };
 
 // A new folder under TMPDIR, gone with this.
--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -77,6 +77,7 @@
 }
 
 std::string Rehearsal::clock_library;
+std::string Rehearsal::log_folder;
 
 Rehearsal::Rehearsal(std::string binary, RehearsalScript s)
     : script(std::move(s)),
@@ -147,6 +148,7 @@
   site.command = role;
   site.name = name;
   site.operators = operators_of(role, name, number);
+  if (!log_folder.empty()) site.log_level = "debug";
   if (ports_.contains(name)) site.port = ports_.at(name);
   return site;
 }
@@ -190,7 +192,11 @@
         return std::string_view(what) == "below" ? between_.path(name, "below", port)
                                                  : between_.path("callers", name, port);
       };
-      one->server->on_line = [this, name = one->name](const std::string& line) { look_at_line(name, line); };
+      one->server->on_line = [this, name = one->name](const std::string& line) {
+        look_at_line(name, line);
+        if (!log_folder.empty())
+          std::ofstream(log_folder + "/" + name + ".log", std::ios::app) << line << '\n';
+      };
       members_.push_back(std::move(one));
     }
   }
--- a/standins/rehearsal.h
+++ b/standins/rehearsal.h
@@ -51,6 +51,8 @@
   const RehearsalScript script;
   // The library that shifts a process's clock, for scripts that step it; empty: such a script is refused.
   static std::string clock_library;
+  // Where each process's log and the journal of the play are written, at level debug; empty: nowhere.
+  static std::string log_folder;
   Server* find(const std::string& name);
   const std::vector<std::string>& names() const { return names_; }
   Between& between() { return between_; }
--- a/standins/rehearse.cpp
+++ b/standins/rehearse.cpp
@@ -199,6 +199,7 @@
       "scripts", "files of rehearsals", cxxopts::value<std::vector<std::string>>())(
       "binary", "the program", cxxopts::value<std::string>()->default_value("build/damsonspoke"), "FILE")(
       "clock", "the library that steps clocks", cxxopts::value<std::string>(), "FILE")(
+      "logs", "a folder for the processes' logs, at level debug", cxxopts::value<std::string>(), "FOLDER")(
       "report", "a folder for JSON, data and plots", cxxopts::value<std::string>(), "FOLDER")(
       "seed", "search: the first seed", cxxopts::value<std::uint64_t>()->default_value("1"), "N")(
       "plays", "search: so many; replay: so often", cxxopts::value<int>()->default_value("20"), "N")(
@@ -215,6 +216,10 @@
       fmt::print(stderr, "usage: damsonspoke-rehearse run|search|replay SCRIPT...; --help tells more\n");
       return 2;
     }
+    if (flags.count("logs") > 0) {
+      Rehearsal::log_folder = flags["logs"].as<std::string>();
+      std::filesystem::create_directories(Rehearsal::log_folder);
+    }
     if (flags.count("clock") > 0) Rehearsal::clock_library = flags["clock"].as<std::string>();
     if (action == "search") return search(flags);
     return run(flags, action == "replay" ? flags["plays"].as<int>() : 1);
