A planner that gave a session up no longer proves that its attempts never ran

Cause: a planner forgets a forwarder's session 0.75 s after its link ended, the forwarder fails what was open there after 1 s. A link that came back in between met a new session under the old epoch, and ForwarderSessions::fence took an attempt above the highest number of that session for one that had never arrived. Why this works: a planner's hello tells an epoch of the session, not of the process. Forwarders fail what was open under another epoch, as they did for a restarted planner. No message changes, and a forwarder that was not updated is safe with it.

--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -74,7 +74,7 @@
       log_(log),
       output_{limits.output_bytes, 0},
       listener_(reactor, net::parse_address(listen), [this](const net::Accepted& one) { on_accept(one); }),
-      sessions_(session_options(limits)),
+      sessions_(session_options(limits), self_.epoch),
       windows_(self_.slow_start) {
   check_links();
 }
@@ -203,7 +203,7 @@
   log_.info("forwarders", "{}: connected", hello.name);
   windows_.add_forwarder(link.forwarder);
   rebalance_windows(net::monotonic_now());
-  introduce(link);
+  introduce(link, session.planner_epoch);
   send_load_reports(false);
   return true;
 }
@@ -218,11 +218,11 @@
 }
 
 // This planner's first messages on a link.
-void ForwarderServer::introduce(Link& link) {
+void ForwarderServer::introduce(Link& link, std::uint64_t planner_epoch) {
   link.reported = load_report(link);
   wt::Hello hello;
   hello.is_planner = true;
-  hello.epoch = self_.epoch;
+  hello.epoch = planner_epoch;
   hello.name = self_.name;
   hello.cores = static_cast<std::uint16_t>(self_.slow_start.cores);
   hello.window = link.reported.window;
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -35,7 +35,7 @@
   // What this planner tells its forwarders about itself.
   struct Self {
     std::string name;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0;  // of this process, random
     tier::SlowStartOptions slow_start;
     double stop_after = 0;  // s from the notice to drain
     std::vector<std::string> routes;
@@ -87,7 +87,7 @@
   void handle_submit(Link& link, wire::tier::Submit& submit);
   void handle_cancel(const Link& link, const wire::tier::Cancel& cancel);
   void handle_fence(Link& link, const wire::tier::Fence& fence);
-  void introduce(Link& link);
+  void introduce(Link& link, std::uint64_t planner_epoch);
   [[nodiscard]] std::vector<int> routes_here(const std::vector<std::string>& names) const;
   void answer(ReplyAddress reply_to, wire::tier::Answer answer);
   void send(Link& link, const wire::tier::Message& message);
--- a/src/tier/forwarder_sessions.cpp
+++ b/src/tier/forwarder_sessions.cpp
@@ -37,6 +37,7 @@
       session.link = link;
       session.disconnected_at = -1;
       out.forwarder = known->first;
+      out.planner_epoch = planner_epoch(out.forwarder);
       return out;
     }
     append_open_requests(session, out.abandoned);
@@ -51,6 +52,7 @@
     sessions_.erase(unlinked);
   }
   out.forwarder = next_id_++;
+  out.planner_epoch = planner_epoch(out.forwarder);
   Session& fresh = sessions_[out.forwarder];
   fresh.name = name;
   fresh.epoch = epoch;
--- a/src/tier/forwarder_sessions.h
+++ b/src/tier/forwarder_sessions.h
@@ -3,6 +3,10 @@
 // answers that were given while there was no link, or just before one broke, are cached in bounded memory, so
 // that they can be given again when the forwarder asks. Policy without I/O.
 //
+// A planner can prove only what its session covers. Once a session has ended, nothing is known of its
+// attempts: the next session of the same forwarder tells another planner epoch, so that the forwarder
+// requests no proof about them.
+//
 // The numbers of attempts rise during an epoch. Raising the lowest number that is accepted therefore fences
 // off every attempt that was never seen; no list of fenced attempts, and no bound on one, is needed.
 #pragma once
@@ -38,13 +42,17 @@
 
 class ForwarderSessions {
  public:
-  explicit ForwarderSessions(ForwarderSessionsOptions options) : options_(options) {}
+  // `process_epoch`: of the planner's process, drawn at random.
+  ForwarderSessions(ForwarderSessionsOptions options, std::uint64_t process_epoch)
+      : options_(options), process_epoch_(process_epoch) {}
 
   // A forwarder introduces itself on a link. `superseded_link` (0: none) has to be closed without reading
   // what is left on it, which makes "never seen" final. The callers of the `abandoned` requests are gone,
   // because the forwarder has restarted.
   struct SessionStart {
     ForwarderId forwarder = 0;  // 0: there are too many forwarders
+    std::uint64_t planner_epoch =
+        0;  // to be told to the forwarder: the same for as long as the session lasts
     std::uint64_t superseded_link = 0;
     std::vector<RequestId> abandoned;
   };
@@ -89,11 +97,15 @@
     std::deque<wire::tier::Answer> cached_answers;  // the oldest first
     std::size_t cached_bytes = 0;
   };
+  [[nodiscard]] std::uint64_t planner_epoch(ForwarderId forwarder) const {
+    return process_epoch_ + forwarder;
+  }
   [[nodiscard]] bool has_expired(const Session& session, double now) const;
   void trim_cache(Session& session) const;
   static void append_open_requests(const Session& session, std::vector<RequestId>& out);
 
   const ForwarderSessionsOptions options_;
+  const std::uint64_t process_epoch_;
   std::map<ForwarderId, Session> sessions_;
   ForwarderId next_id_ = 1;
 };
--- a/src/wire/tier.h
+++ b/src/wire/tier.h
@@ -25,7 +25,9 @@
 struct Hello {
   std::uint16_t version = kVersion;
   bool is_planner = false;
-  std::uint64_t epoch = 0;  // identifies one run of a process; random, never 0
+  // Random, never 0. A forwarder's identifies one run of its process; a planner's one session with this
+  // forwarder, so that a planner which no longer knows the forwarder's attempts has another one.
+  std::uint64_t epoch = 0;
   std::string name;
   std::uint16_t cores = 0;          // of the planner
   std::uint32_t window = 0;         // of the planner, see LoadReport
--- a/standins/forwarder.h
+++ b/standins/forwarder.h
@@ -62,7 +62,8 @@
   }
   bool greeted = false, no_more = false;
   int pongs = 0;
-  std::uint32_t window = 0;  // that it was told of last
+  std::uint32_t window = 0;         // that it was told of last
+  std::uint64_t planner_epoch = 0;  // of the planner's hello
   std::map<std::uint64_t, wire::tier::Result> answers;
 
  private:
@@ -81,7 +82,7 @@
       if (taken.state != wire::tier::Framing::kFrame) return;
       in_.erase(0, taken.length);
       if (const auto* hello = std::get_if<wire::tier::Hello>(&taken.message))
-        greeted = true, window = hello->window;
+        greeted = true, window = hello->window, planner_epoch = hello->epoch;
       if (const auto* told = std::get_if<wire::tier::LoadReport>(&taken.message)) window = told->window;
       if (std::holds_alternative<wire::tier::Draining>(taken.message)) no_more = true;
       if (std::holds_alternative<wire::tier::Pong>(taken.message)) ++pongs;
--- a/tests/tier/fault_histories.cpp
+++ b/tests/tier/fault_histories.cpp
@@ -88,7 +88,8 @@
  private:
   static constexpr int kForwarders = 2, kPlanners = 4, kCores = 2;
   static constexpr double kWindow = 1, kSpread = 0.5,
-                          kLongest = 1.3;  // s: of keys, of reloads, that a request waits
+                          kLongest = 1.3;         // s: of keys, of reloads, that a request waits
+  static constexpr double kForwarderSilence = 1;  // s without a frame after which it gives a link up
   struct Event {
     double at = 0;
     std::uint64_t number = 0;
@@ -302,6 +303,14 @@
     forwarders_[static_cast<std::size_t>(f)]->dispatch.on_link_lost(p, unwritten, now_);
     after(0.02 + chance() * (random_() % 4 == 0 ? 2 : 0.2), [this, f, p] { connect(f, p); });
   }
+  // The planner hears of the break first. The forwarder goes on sending until it does too, so that the
+  // planner may have given up the session long before the forwarder gives up its attempts.
+  void lose_at_planner(const std::shared_ptr<Link>& link) {
+    if (!link || !link->here || !link->there) return;
+    note("p" + std::to_string(link->planner) + " loses the link of f" + std::to_string(link->forwarder));
+    planner_loses(link);
+    after(chance() * kForwarderSilence, [this, link] { break_link(link); });
+  }
   void planner_loses(const std::shared_ptr<Link>& link) {
     if (!link->there) return;
     link->there = false;
@@ -346,8 +355,9 @@
     planner = Planner{};
     planner.memory = std::move(kept);
     planner.up = true;
-    planner.epoch = 1000 + ++next_epoch_;
-    planner.holdings = std::make_unique<ForwarderSessions>(ForwarderSessionsOptions{0.75, 4096, 8, 64});
+    planner.epoch = ++next_epoch_ << 32;  // far apart, as random ones are
+    planner.holdings =
+        std::make_unique<ForwarderSessions>(ForwarderSessionsOptions{0.75, 4096, 8, 64}, planner.epoch);
   }
   void kill(int p) {
     Planner& planner = *planners_[static_cast<std::size_t>(p)];
@@ -397,7 +407,7 @@
     links_[link->number] = link;
     wt::Hello mine;
     mine.is_planner = true;
-    mine.epoch = planner.epoch;
+    mine.epoch = session.planner_epoch;
     mine.window = 8;
     in(link, mine);
   }
@@ -513,7 +523,7 @@
   // ---- What goes wrong.
   void trouble() {
     const int p = static_cast<int>(random_() % kPlanners);
-    switch (random_() % 8) {
+    switch (random_() % 9) {
       case 0: kill(p); break;
       case 1: {
         const bool all = random_() % 3 == 0;
@@ -529,6 +539,7 @@
         for (const auto& planner : planners_) planner->manner = Manner::kSound;
         for (int i = 0; i < kPlanners; ++i) run_more(i);
         break;
+      case 6: lose_at_planner(forwarders_[random_() % kForwarders]->links[p]); break;
       default: break_link(forwarders_[random_() % kForwarders]->links[p]);
     }
     if (static_cast<int>(requests_.size()) < max_requests_) after(chance() * 0.3, [this] { trouble(); });
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -155,6 +155,36 @@
   play.end();
 }
 
+// Guards against a request that runs twice: a planner that had given up a forwarder's session (after 0.75 s)
+// said of an attempt that had run there that it never ran, to a forwarder that came back before it gave up
+// the attempt itself (after 1 s). The planner epoch of the new link says that nothing is known any more.
+void expired_session() {
+  Play play(0.1);
+  std::uint64_t planner_epoch = 0;
+  {
+    Link first(play);
+    first.hello("f1", 7).submit(1, 2001);
+    planner_epoch = first.planner_epoch;
+    play.loop.run_for(0.05);
+  }
+  {
+    Link soon(play);
+    soon.hello("f1", 7);
+    say("a link that follows soon: the same planner epoch", soon.planner_epoch == planner_epoch);
+    soon.submit(2, 2002);
+    play.loop.run_for(0.05);
+  }
+  play.loop.run_for(0.85);
+  Link late(play);
+  late.hello("f1", 7);
+  say("the session is over: another planner epoch", late.planner_epoch != planner_epoch);
+  say("requests are served as before", late.submit(3, 2003).answer(3) == 0);
+  Link other(play);
+  other.hello("f2", 8);
+  say("of each forwarder its own", other.planner_epoch != late.planner_epoch);
+  play.end();
+}
+
 // The notice to leave is told to who is there and to who comes after it.
 void leaving() {
   Play play(0.3);
@@ -200,6 +230,7 @@
                       {{"greetings", greetings},
                        {"attempts", attempts},
                        {"lives", lives},
+                       {"expired_session", expired_session},
                        {"leaving", leaving},
                        {"crowd", crowd}});
 }
--- a/tests/tier/policy_traces.cpp
+++ b/tests/tier/policy_traces.cpp
@@ -259,7 +259,7 @@
 }
 
 void holdings() {
-  ForwarderSessions holds({0.75, 1024, 2, 3});
+  ForwarderSessions holds({0.75, 1024, 2, 3}, 500);
   const auto f = holds.open_session("f1", 7, 1).forwarder;
   bool started = false;
   const auto fence = [&](std::uint64_t attempt) {
