Requests read before the runtime's first ready wait for it instead of being rejected

Callers saw: after a restart the first requests were rejected 0 to 6 ms before the server could run them, with 2 s of time left and no time to come back (6 in 24 plays of conns_program_survives beside twelve busy processes). Cause: RequestIntake rejected everything until the admission controller had begun. What callers wrote while the server started is the first thing that it reads, and the runtime's answer needs one more round trip. What does not fit is rejected as before, now with 0.5 s to come back where the site allows it.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -222,6 +222,7 @@
   if (connection_admission_) connection_admission_->save_known_clients();
   membership_.leave();
   sender_.drain();
+  intake_.on_drain();
   admission_.on_drain(config_.stop_after);
   look_at_leaving();
 }
--- a/src/stages/completion_handler.cpp
+++ b/src/stages/completion_handler.cpp
@@ -20,6 +20,7 @@
   sender_.began(warming_up, seconds_ago);
   sender_.set_health(true, false);
   admission_.begin(warming_up, seconds_ago);
+  intake_.on_runtime_ready();
 }
 
 void CompletionHandler::on_run_ended(RequestId id, Outcome outcome, double spent, std::string_view result) {
--- a/src/stages/request_intake.cpp
+++ b/src/stages/request_intake.cpp
@@ -8,6 +8,8 @@
 constexpr double kLateReadSeconds = 0.020;  // requests read later than this are counted
 // What is left of a timeout that is over: 0 would say that the caller told none.
 constexpr double kOverdueTimeoutSeconds = 1e-6;
+// Told with a rejection before the runtime is ready.
+constexpr double kNotReadyRetryAfterSeconds = 0.5;
 constexpr double kSelfTestTimeoutSeconds = 2;
 constexpr std::size_t kMaxPendingChecks = 64;  // further checks are answered without a self test
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -15,6 +17,7 @@
 }  // namespace
 
 RequestIntake::~RequestIntake() {
+  reactor_.cancel(startup_timer_);
   for (auto& [tag, check] : pending_checks_) reactor_.cancel(check.timeout);
 }
 
@@ -25,14 +28,15 @@
 
 void RequestIntake::on_request_read(peers::IncomingRequest incoming) {
   const double now = net::unix_now();
-  Request request = to_decide(incoming, now);
+  const Request request = to_decide(incoming, now);
   count_read_delay(request.age);
   InFlightRequest& entered = enter(incoming, request.age, now);
-  if (!stages_.admission.begun()) {
-    // Nothing runs here yet, while other servers may have capacity.
-    stages_.in_flight.reject(entered, 0, false);
-    return stages_.in_flight.release_if_over(entered);
-  }
+  if (stages_.admission.begun()) return decide(request, incoming, entered);
+  if (incoming.received_at <= 0) incoming.received_at = now;
+  wait_or_reject(std::move(incoming), entered, now);
+}
+
+void RequestIntake::decide(Request request, peers::IncomingRequest& incoming, InFlightRequest& entered) {
   if (stages_.replay.answer_if_known(request, incoming, entered))
     return stages_.in_flight.release_if_over(entered);
   if (incoming.known_only && request.duplicate_of == 0) {
@@ -43,6 +47,41 @@
   stages_.admission.on_request(request);
 }
 
+// ---- Before the runtime is ready.
+
+void RequestIntake::wait_or_reject(peers::IncomingRequest incoming, InFlightRequest& entered,
+                                   double unix_now) {
+  const double now = net::monotonic_now();
+  if (!startup_queue_.accepts(entered.body.size(), entered.deadline - unix_now, now))
+    return reject_not_ready(entered);
+  startup_queue_.add(std::move(incoming), entered.body.size(), now);
+  if (startup_timer_.number != 0) return;
+  startup_timer_ = reactor_.at(*startup_queue_.wait_end(), [this] { reject_waiting(); });
+}
+
+// Nothing runs here yet, while other servers may have capacity.
+void RequestIntake::reject_not_ready(InFlightRequest& entered) {
+  const double retry_after = site_.admission.sends_retry_after
+                                 ? std::min(kNotReadyRetryAfterSeconds, site_.admission.max_retry_after)
+                                 : 0;
+  stages_.in_flight.reject(entered, retry_after, false);
+  stages_.in_flight.release_if_over(entered);
+}
+
+void RequestIntake::reject_waiting() {
+  for (const peers::IncomingRequest& incoming : startup_queue_.close())
+    reject_not_ready(*stages_.in_flight.find(incoming.id));
+}
+
+void RequestIntake::on_runtime_ready() {
+  for (peers::IncomingRequest& incoming : startup_queue_.close())
+    decide(to_decide(incoming, net::unix_now()), incoming, *stages_.in_flight.find(incoming.id));
+}
+
+void RequestIntake::on_drain() { reject_waiting(); }
+
+// ---- Reading.
+
 Request RequestIntake::to_decide(const peers::IncomingRequest& incoming, double now) const {
   Request request;
   request.id = incoming.id;
@@ -87,6 +126,7 @@
   InFlightRequest* request = stages_.in_flight.find(id);
   if (request == nullptr || request->answered) return;
   stages_.in_flight.caller_gone(*request);
+  if (startup_queue_.remove(id)) return stages_.in_flight.release_if_over(*request);
   if (request->run == RunStage::kInCall) stages_.sender.cancel_call(*request);
   stages_.admission.on_caller_disconnected(id);
   request = stages_.in_flight.find(id);
--- a/src/stages/request_intake.h
+++ b/src/stages/request_intake.h
@@ -12,6 +12,7 @@
 #include "stages/command_sender.h"
 #include "stages/in_flight_requests.h"
 #include "stages/result_replay.h"
+#include "stages/startup_queue.h"
 
 namespace damsonspoke::stages {
 
@@ -43,6 +44,10 @@
   void on_caller_disconnected(RequestId id) override;
   // `wants_work`: the check asks for a self test where the settings have deep checks.
   void on_health_check(peers::ReplyAddress reply_to, bool wants_work) override;
+  // The runtime's first `ready`, once the admission controller has begun: what waited for it is decided.
+  void on_runtime_ready();
+  // The server shuts down gracefully: what still waits for the runtime is rejected.
+  void on_drain();
   // The runtime's self test has ended; unknown tags are ignored.
   void on_self_test_result(std::uint64_t tag, bool passed);
 
@@ -55,6 +60,10 @@
   [[nodiscard]] Request to_decide(const peers::IncomingRequest& incoming, double now) const;
   void count_read_delay(double seconds);
   InFlightRequest& enter(peers::IncomingRequest& incoming, double age, double now);
+  void decide(Request request, peers::IncomingRequest& incoming, InFlightRequest& entered);
+  void wait_or_reject(peers::IncomingRequest incoming, InFlightRequest& entered, double unix_now);
+  void reject_not_ready(InFlightRequest& entered);
+  void reject_waiting();
 
   net::Reactor& reactor_;
   Stages stages_;
@@ -62,6 +71,8 @@
   const StartSettings& site_;
   const catalog::Catalog& catalog_;
   Counters& counters_;
+  StartupQueue startup_queue_;
+  net::Reactor::TimerId startup_timer_;
   std::unordered_map<std::uint64_t, PendingCheck> pending_checks_;  // by the tag of the self test
   std::uint64_t next_tag_ = 1;
 };
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -76,6 +76,21 @@
   site.caller_hears(caller);
 }
 
+// Guards against requests that are rejected because they come some milliseconds before the runtime's first
+// `ready`: one that comes shortly before it is run and answered, one that has little time left is rejected.
+void early_request() {
+  Site site;
+  const int caller = site.connect();
+  site.send_request(caller, 1);
+  site.send_request(caller, 2, "push", R"("ram":10,"limit":100)");
+  site.caller_hears(caller);
+  site.runtime_comes_up();
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + kId1 + " complete 20 3\r\none");
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.rejected"});
+}
+
 // A command that may not have arrived is sent again, once what was missed has been read; what has arrived, or
 // has ended meanwhile, is not.
 void broken_link() {
@@ -500,6 +515,7 @@
   const std::pair<const char*, void (*)()> kScenarios[] = {{"served", served},
                                                            {"hints", hints},
                                                            {"late_runtime", late_runtime},
+                                                           {"early_request", early_request},
                                                            {"broken_link", broken_link},
                                                            {"bad_runtime", bad_runtime},
                                                            {"late_reply", late_reply},
