A forwarder's first requests wait for its planners' first hello instead of being rejected

Callers saw: requests that a forwarder read between listening and the first planner's hello were rejected, with a time to come back. Cause: Dispatch::enqueue_or_reject rejects where no planner accepts requests, also while the links are still being made for the first time. Why this works: from the first request on, requests wait in the line for 0.25 s, within the line's bounds; then what still has no planner is rejected as before. A planner that is lost, drains or takes a link over does not begin this anew. Tests: tier_startup is new and fails without the wait (rejections in place of both sends).

--- a/src/stages/request_forwarder.cpp
+++ b/src/stages/request_forwarder.cpp
@@ -13,6 +13,8 @@
 
 // A planner that rejects at once is sent at most four windows a second.
 constexpr double kRejectionCooldownSeconds = 0.25;
+constexpr double kStartupWaitSeconds =
+    0.25;  // from the first request on; planners connect within milliseconds
 constexpr double kCheckIntervalSeconds = 0.1;
 constexpr double kSixteenthsPerKb = 16;
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -72,6 +74,7 @@
   out.key_ownership = key_ownership_options(options, site);
   out.retry_share = options.retry_share;
   out.reconnect_timeout = options.link_timeout;
+  out.startup_wait = kStartupWaitSeconds;
   out.max_waiting_requests = options.queue_length;
   out.max_waiting_bytes = options.queue_bytes;
   out.route_by_subject = options.by_subject;
--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -38,6 +38,8 @@
   if (details.is_keyed()) route_by_key(request, now);
   request.deadline = now + std::max(0.0, details.remaining_time - options_.reply_margin);
   if (is_draining()) request.deadline = std::min(request.deadline, latest_reply_when_draining(now));
+  if (startup_ends_at_ < 0) startup_ends_at_ = now + options_.startup_wait;
+  if (now >= startup_ends_at_) end_startup(now);
   requests_.add(request);
   if (is_draining() && now > drain_at_ + drain_grace_) {
     reject(details.id, options_.wait_estimator.max_retry_after, false);
@@ -61,9 +63,10 @@
 
 // Whether a planner that may take the request is up, with or without capacity.
 bool Dispatch::has_destination(const PendingRequest& request) const {
-  if (!request.details.is_keyed()) return picker_.any_accepts_requests();
+  if (!request.details.is_keyed()) return is_starting_up() || picker_.any_accepts_requests();
   const int target = request.key_route.target();
   if (target < 0) return false;
+  if (is_starting_up()) return true;
   return request.key_route.is_lookup() ? picker_.is_reachable(target) : picker_.accepts_requests(target);
 }
 
@@ -127,6 +130,14 @@
   }
 }
 
+// What has waited for planners that did not connect is rejected.
+void Dispatch::end_startup(double now) {
+  if (startup_over_) return;
+  startup_over_ = true;
+  check_availability(now);
+  for (const RequestId id : queues_.take_keyed()) enqueue_or_reject(id, now);
+}
+
 std::uint64_t Dispatch::attempt_step() {
   if (options_.max_attempt_step <= 1) return 1;
   return static_cast<std::uint64_t>(random_() * static_cast<double>(options_.max_attempt_step)) + 1;
@@ -308,6 +319,7 @@
 }
 
 void Dispatch::on_timer(double now) {
+  if (startup_ends_at_ >= 0 && now >= startup_ends_at_) end_startup(now);
   fail_disconnected(now);
   while (const std::optional<RequestId> id = requests_.first_overdue(now)) expire_request(*id, now);
   fence_late_attempts(now);
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -86,6 +86,9 @@
   [[nodiscard]] std::optional<int> pick(const PendingRequest& request, double now,
                                         std::optional<int> exclude = std::nullopt);
   [[nodiscard]] bool has_destination(const PendingRequest& request) const;
+  // Planners may still be about to connect for the first time: requests wait for them.
+  [[nodiscard]] bool is_starting_up() const { return !startup_over_ && options_.startup_wait > 0; }
+  void end_startup(double now);
   void route_by_key(PendingRequest& request, double now);
   void enqueue_or_reject(RequestId id, double now);
   void dispatch_waiting(double now);
@@ -124,8 +127,10 @@
   int list_version_ = 0;  // rises with each endpoint list
   PendingRequests requests_;
   WaitQueues queues_;
-  std::vector<Link> links_;  // by planner
-  double drain_at_ = -1;     // < 0: not draining
+  std::vector<Link> links_;      // by planner
+  double startup_ends_at_ = -1;  // < 0: no request has come yet
+  bool startup_over_ = false;
+  double drain_at_ = -1;  // < 0: not draining
   double stop_at_ = 0;
   double drain_grace_ = 0;  // s
   DispatchCounters counters_;
--- a/src/tier/dispatch_options.h
+++ b/src/tier/dispatch_options.h
@@ -20,6 +20,7 @@
   double reconnect_timeout = 1;      // s that a planner may be disconnected before its requests fail
   double reply_margin = 0.02;        // s before the deadline at which the forwarder replies itself
   double hop_time = 0.005;           // s kept back from the planner for its answer's way
+  double startup_wait = 0;           // s from the first request on that requests wait for planners to connect
   double min_remaining_time = 0.03;  // s below which no attempt is begun
   std::size_t max_waiting_requests = 512;  // of each queue
   std::size_t max_waiting_bytes = 4 << 20;
--- a/src/tier/dispatch_planners.cpp
+++ b/src/tier/dispatch_planners.cpp
@@ -150,6 +150,7 @@
     return;
   }
   wait_estimator_.on_no_planner(now);
+  if (is_starting_up()) return;
   WaitQueue& queue = queues_.shared();
   while (const std::optional<RequestId> id = queue.front())
     reject(*id, retry_after(queue.size(), now), false);
--- a/tests/tier/dispatch_traces.cpp
+++ b/tests/tier/dispatch_traces.cpp
@@ -334,11 +334,54 @@
   }
 }
 
+// Guards against requests that are rejected in the milliseconds between listening and the first planner's
+// hello: they wait for it a quarter of a second, counted from the first of them; after that, and once a
+// planner is lost, requests without a planner are rejected at once, as ever.
+void startup() {
+  DispatchOptions terms;
+  terms.picker.slow_start_seconds = 0;
+  terms.startup_wait = 0.25;
+  for (const bool connects : {true, false}) {
+    Told told;
+    Dispatch d(
+        terms, 1, {"p0", "p1"}, told, [] { return 0.5; }, 0);
+    const auto request = [&](RequestId id, double left, double now, std::uint64_t mark = 0) {
+      ForwardedRequest o;
+      o.id = id;
+      o.remaining_time = left;
+      o.idempotency_key_hash = mark;
+      o.bytes = 10;
+      d.on_request(o, now);
+    };
+    std::printf("-- planners connect: %s\n", connects ? "yes" : "no");
+    request(1, 1, 5);
+    request(2, 1, 5, 77);
+    request(3, 0.04, 5);
+    std::printf("the third has no time left\n");
+    d.on_timer(5.03);
+    if (connects) {
+      d.on_link_up(0, 100, 2, 5.1);
+      d.on_link_up(1, 200, 2, 5.11);
+    }
+    std::printf("a quarter of a second is over\n");
+    d.on_timer(5.26);
+    std::printf("later\n");
+    if (connects) {
+      d.on_link_lost(0, {}, 6);
+      d.on_link_lost(1, {}, 6);
+    }
+    request(4, 1, 6);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   std::string unused;
-  return run_scenario(
-      argc, argv, unused,
-      {{"dispatch", dispatch}, {"waiting", waiting}, {"moving", moving}, {"guessed", guessed}});
+  return run_scenario(argc, argv, unused,
+                      {{"dispatch", dispatch},
+                       {"waiting", waiting},
+                       {"moving", moving},
+                       {"guessed", guessed},
+                       {"startup", startup}});
 }
--- a/tests/tier/fault_histories.cpp
+++ b/tests/tier/fault_histories.cpp
@@ -148,6 +148,7 @@
     static DispatchOptions terms() {
       DispatchOptions t;
       t.route_by_subject = true;
+      t.startup_wait = 0.25;
       t.key_ownership = {kSpread + kLongest, kWindow + 2 * kLongest};
       return t;
     }
