conns_program_survives: over a kill the check is on what callers want, not on tries that the test cut

Cause: the check counted tries. 72 of 78 tries without a success were sent from 15 ms before to 21 ms after the test's own SIGKILL, on connections which that kill cut; 1 to 12 of some 120 a play, where 3 in 100 are allowed. Why the new check is as strict: each thing wanted has to be served within its tries or rejected with a time to come back (the old check let 3 in 100 of the whole go unserved); no try may be lost unless it was in flight at a kill (the old one let them); of all other tries 97 in 100 have to succeed, as before. Other shares asserted after a SIGKILL (tier_program_kills, all_killed, forty, stops) cut no caller's connection.

--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -241,6 +241,7 @@
     const auto& error = message["error"];
     answer.kind = kind_of(error.value("code", 0));
     if (error.contains("data")) come_back = error["data"].value("later", 0.0) / 1000;
+    answer.retry_after = come_back;
   }
   const bool final = answer.kind == AnswerKind::kSucceeded || answer.kind == AnswerKind::kUnknownOutcome ||
                      answer.kind == AnswerKind::kConflict || answer.kind == AnswerKind::kBad;
@@ -276,7 +277,9 @@
   ::close(fd);
   for (const auto& [number, request] : link.open) {
     --owed_;
-    journal_.tries.at(request).lost = true;
+    Try& of = journal_.tries.at(request);
+    of.lost = true;
+    of.lost_at = now();
     over(request, false, 0);
   }
 }
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -116,7 +116,7 @@
 Life& Server::life() { return journal_.lives.at(static_cast<std::size_t>(life_)); }
 
 bool Server::start() {
-  journal_.lives.push_back({now(), -1, -1, -1, false, 0, {}});
+  journal_.lives.emplace_back().began = now();
   life_ = static_cast<int>(journal_.lives.size()) - 1;
   runtime.new_life(life_);
   if (way) write_config();  // by now somebody stands between
@@ -143,6 +143,7 @@
     return;
   }
   life().killed = true;
+  life().killed_at = now();
   process->signal(SIGKILL);
   loop_.run_until([this] { return process->over(); }, 5);
   life().ended_at = now();
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -16,6 +16,7 @@
   double at = 0;  // s, monotonic
   AnswerKind kind = AnswerKind::kFailed;
   std::string result;
+  double retry_after = 0;  // s, told with a rejection; 0: none
 };
 
 // One try of a request, as its caller saw it.
@@ -27,6 +28,7 @@
   double sent = 0;       // s
   double due = 0;        // s
   bool lost = false;     // its connection ended before an answer
+  double lost_at = -1;   // s; when it did
   bool refused = false;  // never sent
   bool unnumbered =
       false;  // the program gave its request a number of its own: its runs are known by key alone
@@ -54,6 +56,7 @@
   int status = 0;       // otherwise
   // Times in which nothing could come of it by our own doing: it stood still, or its callers' link was cut.
   std::vector<std::pair<double, double>> out_of_reach;
+  double killed_at = -1;  // SIGKILL was sent
   bool reachable(double from, double to) const {
     for (const auto& [began, ended] : out_of_reach) {
       if (from <= ended && to >= began) return false;
--- a/tests/conns/connection_admission_program.cpp
+++ b/tests/conns/connection_admission_program.cpp
@@ -14,6 +14,7 @@
 #include "crowd.h"
 #include "fleet.h"
 #include "scenarios.h"
+#include "service_over_kills.h"
 
 using namespace damsonspoke;
 using namespace damsonspoke::standins;
@@ -140,6 +141,18 @@
   play.end(false);
 }
 
+// Over kills every thing wanted is served by its first try or its second, or rejected with a time to retry; no
+// try is lost but in flight at a kill; the others are as well served as without one.
+void end_over_kills(Play& play) {
+  play.end(false);
+  const ServiceOverKills seen = judge_service_over_kills(play.fleet.journal);
+  for (const std::string& line : seen.unserved) std::printf("unserved: %s\n", line.c_str());
+  for (const std::string& line : seen.lost) std::printf("lost: %s\n", line.c_str());
+  say("every op is served, or rejected with a time to come back", seen.unserved.empty());
+  say("no try is lost but in flight at a kill", seen.lost.empty());
+  say("nearly all other tries are served", seen.tries > 20 && seen.tries_succeeded > 0.97 * seen.tries);
+}
+
 // Known clients are known after a kill; after a damaged record nobody is.
 void survives() {
   Play play(site("    known-after 10\n    known-folder FOLDER\n    known-interval 200ms\n"));
@@ -159,7 +172,7 @@
   const std::string line = play.fleet.process->expect_log("known clients");
   say("and says that nobody is known", line.find("no known clients") != std::string::npos);
   play.fleet.loop.run_for(0.5);
-  play.end();
+  end_over_kills(play);
 }
 
 // A client that is never silent, and sends too slowly.
--- a/tests/tier/slow_start.cpp
+++ b/tests/tier/slow_start.cpp
@@ -210,7 +210,7 @@
     constexpr double budget = 12;
     Loop loop;
     Journal journal;
-    journal.lives.push_back({now(), -1, -1, -1, false, 0, {}});
+    journal.lives.emplace_back().began = now();
     Planner::Options how;
     how.manner = manner;
     how.takes = 0.1;
