--- a/src/tier/forwarder_sessions.cpp
+++ b/src/tier/forwarder_sessions.cpp
@@ -153,6 +153,11 @@
   return open == found->second.open.end() ? nullptr : &open->second;
 }
 
+bool ForwarderSessions::is_linked(ForwarderId forwarder) const {
+  const auto found = sessions_.find(forwarder);
+  return found != sessions_.end() && found->second.link != 0;
+}
+
 std::size_t ForwarderSessions::linked_forwarders() const {
   return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(),
                                                 [](const auto& entry) { return entry.second.link != 0; }));
--- a/src/tier/forwarder_sessions.h
+++ b/src/tier/forwarder_sessions.h
@@ -82,6 +82,8 @@
   // The open attempt, otherwise null.
   [[nodiscard]] const OpenAttempt* find(ForwarderId forwarder, std::uint64_t attempt) const;
 
+  // Whether the session is there and has a link: false once it has ended or has been replaced.
+  [[nodiscard]] bool is_linked(ForwarderId forwarder) const;
   [[nodiscard]] std::size_t linked_forwarders() const;
   [[nodiscard]] std::size_t open_attempts() const;
   [[nodiscard]] std::size_t open_attempts(ForwarderId forwarder) const;
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -17,8 +17,9 @@
 std::string binary;
 
 struct Play {
-  explicit Play(double work, int sockets = 512)
-      : callers(loop, journal, {}), server(loop, journal, callers, binary, site(sockets), work_of(work)) {
+  explicit Play(double work, int sockets = 512) : Play(site(sockets), work_of(work)) {}
+  Play(const SiteSpec& site, const Runtime::Options& runtime)
+      : callers(loop, journal, {}), server(loop, journal, callers, binary, site, runtime) {
     say("starts", server.start());
     loop.run_until([this] { return server.roster.listed(); }, 5);
   }
@@ -185,6 +186,30 @@
   play.end();
 }
 
+// Guards against a forwarder without a window: the end of the link that its next link superseded took its
+// share of the slow start away.
+void superseded_in_slow_start() {
+  SiteSpec cold = Play::site(512);
+  cold.slow_start_speed = 0.25;
+  cold.slow_start_seconds = 20;
+  Runtime::Options runtime = Play::work_of(0.02);
+  runtime.slow_start_speed = cold.slow_start_speed;
+  runtime.slow_start_seconds = cold.slow_start_seconds;
+  Play play(cold, runtime);
+  Link first(play), other(play);
+  first.hello("f1", 7);
+  other.hello("f2", 8);
+  first.ping_for(0.5);
+  say("both have a window", first.window > 0 && other.window > 0);
+  Link next(play);
+  next.hello("f1", 7);
+  say("the next link ends the first", first.closed(0.5));
+  next.ping_for(1);
+  say("it has a window too", next.window > 0);
+  say("and is served", next.submit(1, 5001).answer(1) == 0);
+  play.end();
+}
+
 // The notice to leave is told to who is there and to who comes after it.
 void leaving() {
   Play play(0.3);
@@ -231,6 +256,7 @@
                        {"attempts", attempts},
                        {"lives", lives},
                        {"expired_session", expired_session},
+                       {"superseded_in_slow_start", superseded_in_slow_start},
                        {"leaving", leaving},
                        {"crowd", crowd}});
 }
