--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control/server.h"
+#include "journal_file.h"
 
 namespace damsonspoke::standins {
 namespace {
@@ -551,6 +552,7 @@
     if (one->leaving) out.left_in_order &= one->server->ended();
   }
   judge(out, began_);
+  if (!log_folder.empty()) write_journal(journal, began_, log_folder + "/journal.txt");
   return out;
 }
 
--- a/standins/rehearse.cpp
+++ b/standins/rehearse.cpp
@@ -199,8 +199,9 @@
       "scripts", "files of rehearsals", cxxopts::value<std::vector<std::string>>())(
       "binary", "the program", cxxopts::value<std::string>()->default_value("build/damsonspoke"), "FILE")(
       "clock", "the library that steps clocks", cxxopts::value<std::string>(), "FILE")(
-      "logs", "a folder for the processes' logs, at level debug", cxxopts::value<std::string>(), "FOLDER")(
-      "report", "a folder for JSON, data and plots", cxxopts::value<std::string>(), "FOLDER")(
+      "logs", "a folder for the processes' logs, at level debug, and the journal",
+      cxxopts::value<std::string>(),
+      "FOLDER")("report", "a folder for JSON, data and plots", cxxopts::value<std::string>(), "FOLDER")(
       "seed", "search: the first seed", cxxopts::value<std::uint64_t>()->default_value("1"), "N")(
       "plays", "search: so many; replay: so often", cxxopts::value<int>()->default_value("20"), "N")(
       "faults", "search: so many a play at most", cxxopts::value<int>()->default_value("6"), "N")(
