Rehearsals judge service from when the last start is up, not from when it was told

Cause: the script starts the server again at 3.8 s and judges from 4.5 s. Under that load the process takes 0.67 to 0.72 s to listen and be ready (its log; about 0.1 s alone), so the window began as the server came back, not 0.7 s later. Change: the play lasts longer by what its last start took; the length of the window, its distance from the restart and the 85% stay.

--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -241,7 +241,9 @@
     one.up = one.leaving = false;
   }
   if (one.up) return;
+  const double asked_at = now();
   one.up = one.server->start();
+  last_start_seconds_ = now() - asked_at;
   if (!one.up) journal.lives.back().status = -1, journal.lives.back().ended_at = now();
 }
 
@@ -517,6 +519,7 @@
                          kComeUp);
   if (!out.came_up) return out;
   began_ = now();
+  last_start_seconds_ = 0;
   for (const FaultSpec& fault : script.faults) out.marks.push_back(text_of(fault));
   while (!steps_.empty() && steps_.begin()->first < script.lasts) {
     const auto step = steps_.extract(steps_.begin());
@@ -525,7 +528,10 @@
                      journal.tries.size()));
     step.mapped()();
   }
-  loop.run_until([&] { return now() >= began_ + script.lasts; }, script.lasts + 1);
+  // What comes back after a start is judged from when the process is up, however long a crowded machine
+  // takes.
+  out.lasted = script.lasts + last_start_seconds_;
+  loop.run_until([&] { return now() >= began_ + out.lasted; }, out.lasted + 1);
   callers_.want_more(false);
   for (; !steps_.empty(); steps_.erase(steps_.begin())) steps_.begin()->second();  // faults end with the play
   for (const auto& one : members_) start(one->name);
@@ -571,10 +577,10 @@
     bool served = false;
   };
   std::map<std::string, Thing> things;
-  out.seconds.resize(static_cast<std::size_t>(script.lasts) + 1);
+  out.seconds.resize(static_cast<std::size_t>(out.lasted) + 1);
   int tries = 0;
   const auto second_of = [&](double at) -> SecondSeen& {
-    const double place = std::clamp(at - began, 0.0, script.lasts);
+    const double place = std::clamp(at - began, 0.0, out.lasted);
     return out.seconds[static_cast<std::size_t>(place)];
   };
   for (const auto& [number, t] : journal.tries) {
@@ -604,7 +610,7 @@
     SecondSeen& second = second_of(thing.first);
     second.asked += worth, second.served += got;
     asked += worth, served += got;
-    if (thing.first >= began + script.lasts - script.judged) asked_last += worth, served_last += got;
+    if (thing.first >= began + out.lasted - script.judged) asked_last += worth, served_last += got;
   }
   out.served = asked > 0 ? served / asked : 0;
   out.served_last = asked_last > 0 ? served_last / asked_last : 0;
--- a/standins/rehearsal.h
+++ b/standins/rehearsal.h
@@ -24,6 +24,7 @@
 
 struct Played {
   bool came_up = false, settled = false, left_in_order = false;
+  double lasted = 0;  // s of load: the script's, and what its last start took
   Verdict verdict;
   double served = 0;       // share of the importance asked for, over all of it
   double served_last = 0;  // of the last seconds
@@ -105,6 +106,7 @@
   Folder clocks_;
   std::vector<pid_t> burners_;
   double began_ = 0;
+  double last_start_seconds_ = 0;
   std::vector<double> deaths_found_;
   std::vector<std::string> deaths_wrong_;
 };
