Signals that come before the server runs or after its reactor no longer end the process

Callers saw: a process that died of SIGHUP, SIGUSR1 or a second SIGTERM (status -1, -10, -15) at its start or in the last milliseconds of a graceful shutdown; a reload sent to a whole fleet during a release hits some in that moment. Cause: handlers are installed when the server is put together and go with its reactor; before and after, the default action ends it. Why this works: the four signals are blocked from the first line of serve, plan and forward, delivered when the reactor runs, and blocked again when it stops. Threads inherit the mask, so that the main thread gets them. Test: endings_signals_held failed before: status -1 for each command, nothing held back. After: status 0 for each.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <stdexcept>
 
+#include "app/deferred_signals.h"
 #include "app/forwarder.h"
 #include "app/leaving.h"
 #include "app/limits.h"
@@ -169,7 +170,9 @@
   statistics_.wait_for_record();
   if (connection_admission_) connection_admission_->load_known_clients();
   membership_.start(front_->port());
+  deliver_signals();
   reactor_.run();
+  defer_signals();
   report();
   return 0;
 }
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <random>
 
+#include "app/deferred_signals.h"
 #include "app/leaving.h"
 #include "app/limits.h"
 #include "app/marks.h"
@@ -84,7 +85,9 @@
   forward_.begin();
   membership_.start(callers_.port());
   log_.info("forwarder", "{} listens on {}:{}", config_.name, host, callers_.port());
+  deliver_signals();
   reactor_.run();
+  defer_signals();
   report();
   return 0;
 }
--- a/src/app/serve_command.cpp
+++ b/src/app/serve_command.cpp
@@ -6,6 +6,7 @@
 
 #include "app/backend.h"
 #include "app/commands.h"
+#include "app/deferred_signals.h"
 #include "app/forwarder.h"
 #include "net/address.h"
 #include "observability/logger.h"
@@ -98,6 +99,7 @@
 }
 
 int run_backend(Role role, const cxxopts::ParseResult& flags) {
+  defer_signals();
   Logger log = make_logger(flags);
   const auto reread = [&flags, role] {
     Choice choice = choice_of(flags);
@@ -114,6 +116,7 @@
 int serve_command(const cxxopts::ParseResult& flags) { return run_backend(Role::kRelay, flags); }
 int plan_command(const cxxopts::ParseResult& flags) { return run_backend(Role::kPlanner, flags); }
 int forward_command(const cxxopts::ParseResult& flags) {
+  defer_signals();
   Logger log = make_logger(flags);
   const auto reread = [&flags] { return forwarder_choice_of(flags); };
   const Choice choice = reread();
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -129,6 +129,7 @@
     if (on_line) on_line(line);
     if (life().heard_at < 0 && line.find("notice to leave") != std::string::npos) life().heard_at = now();
   };
+  if (on_spawned) on_spawned(process->pid());
   const std::uint16_t port = listens_ = process->port();
   if (port == 0) return false;
   if (spec_.command != "plan") callers_.reach(by_way("callers", port), number_, life_);
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -85,6 +85,7 @@
   Below below;
   Roster roster;
   std::unique_ptr<Process> process;
+  std::function<void(pid_t)> on_spawned;            // each time, before it listens
   std::function<void(const std::string&)> on_line;  // each line of its log, in all its lives
 
  private:
--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -1,10 +1,17 @@
 // The instants in which something is still owed as a connection, or the process, comes to its end. Each
 // crossing is forced: the program stands still (SIGSTOP) while its peers write, so that bytes lie unread when
 // it decides. CTest compares with tests/traces/endings_NAME.txt. usage: endings BINARY SCENARIO
+#include "fleet.h"
 #include "scenarios.h"
 #include "scripted_site.h"
 
 using namespace damsonspoke::standins::scripted;
+using damsonspoke::standins::Callers;
+using damsonspoke::standins::Journal;
+using damsonspoke::standins::Loop;
+using damsonspoke::standins::now;
+using damsonspoke::standins::Server;
+using damsonspoke::standins::SiteSpec;
 
 namespace {
 
@@ -450,6 +457,49 @@
   site.counters({"requests.succeeded", "runtime.links"});
 }
 
+bool holds_back(pid_t pid, int signal) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("SigBlk:", 0) == 0)
+      return (std::strtoull(line.c_str() + 7, nullptr, 16) >> (signal - 1) & 1) != 0;
+  }
+  return false;
+}
+
+// Guards against a process that dies of a signal (status -1, -10, -15) in place of status 0: one that comes
+// before the handlers are there or once they are gone, as the soak of endings found it.
+void signals_held() {
+  for (const char* command : {"serve", "plan", "forward"}) {
+    SiteSpec spec;
+    spec.types = {{"read", "retryable", 1, 2, 0, 1}};
+    spec.command = command;
+    if (std::string(command) == "forward") spec.operators = "forward\n    planners 127.0.0.1:9\n";
+    Loop loop;
+    Journal journal;
+    Callers callers(loop, journal, {});
+    Server server(loop, journal, callers, binary, spec, {});
+    bool held = false;
+    server.on_spawned = [&held](pid_t pid) {
+      for (int i = 0; i < 2000 && !held; ++i) {
+        held = holds_back(pid, SIGHUP);
+        if (!held) ::usleep(1000);
+      }
+      if (held) ::kill(pid, SIGHUP);
+    };
+    std::printf("-- %s\n", command);
+    say("it starts", server.start());
+    say("signals are held back until it can act on them", held);
+    say("the one that came is carried out", !server.process->expect_log("new configuration", 3).empty());
+    server.notice();
+    const double until = now() + 5;
+    while (!server.process->over() && now() < until) {
+      for (const int signal : {SIGHUP, SIGUSR1, SIGTERM}) server.process->signal(signal);
+      loop.run_for(0.0002);
+    }
+    std::printf("the program ends: status %d\n", server.process->status());
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -466,6 +516,7 @@
                        {"last_look", last_look},
                        {"exit_waits", exit_waits},
                        {"signals", signals},
+                       {"signals_held", signals_held},
                        {"thousand", thousand},
                        {"idle_fill", idle_fill}});
 }
