The grace of a graceful shutdown begins with the notice, before callers are told

Callers saw: requests that came up to 2 ms after the grace were still run, where a server has hundreds of connections or writes a record of statistics at its notice. Cause: Backend::leave first wrote the record, the known clients, and "no more" to each connection; only then did the controller hear of it. Why this works: the controller hears first; all that takes time follows.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -219,14 +219,16 @@
 void Backend::leave() {
   if (leaving_since_ >= 0) return;
   leaving_since_ = net::monotonic_now();
-  log_.info("backend", "notice to leave, {} ops open, {} connections", in_flight_.unanswered(),
-            front_->connections());
-  statistics_.on_drain();
-  if (connection_admission_) connection_admission_->save_known_clients();
-  membership_.leave();
+  const std::size_t open = in_flight_.unanswered();
+  // The grace counts from the notice, so what takes time comes after its beginning.
   sender_.drain();
   intake_.on_drain();
   admission_.on_drain(config_.stop_after);
+  log_.info("backend", "notice to leave, {} ops open, {} connections", open, front_->connections());
+  sender_.announce_drain();
+  statistics_.on_drain();
+  if (connection_admission_) connection_admission_->save_known_clients();
+  membership_.leave();
   look_at_leaving();
 }
 
--- a/src/stages/command_sender.cpp
+++ b/src/stages/command_sender.cpp
@@ -50,7 +50,8 @@
 void CommandSender::drain() {
   draining_ = true;
   peers_.registry->report(false);
-  peers_.callers->announce_drain();
 }
 
+void CommandSender::announce_drain() { peers_.callers->announce_drain(); }
+
 }  // namespace damsonspoke::stages
--- a/src/stages/command_sender.h
+++ b/src/stages/command_sender.h
@@ -34,8 +34,10 @@
   void set_health(bool healthy, bool from_store);
   // The runtime came up this long ago (s).
   void began(bool warming_up, double seconds_ago) { peers_.callers->start_warm_up(warming_up, seconds_ago); }
-  // Graceful shutdown: leaves the registry, and asks callers to send no more.
+  // Graceful shutdown: leaves the registry, and answers health checks as unhealthy.
   void drain();
+  // Tells the callers; with thousands of connections this takes some milliseconds.
+  void announce_drain();
   void set_idle_timeout(double seconds) { peers_.callers->set_idle_timeout(seconds); }
 
   [[nodiscard]] bool healthy() const { return healthy_ && !draining_; }
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -270,6 +270,7 @@
   s.intake.on_health_check({1, 5}, true);
   s.relay.on_self_test_result(2, false);
   s.send.drain();
+  s.send.announce_drain();
   s.executor.set_health(true, true);
   s.intake.on_health_check({1, 6}, true);
 }
