A notice to leave that comes before the runtime's ready is no longer forgotten

Callers saw: a server that was told to leave right after it began to listen ran what came after the grace and left it unanswered at its stop. Cause: AdmissionDriver::on_drain told the controller only where there was one; it begins with `ready`, here a millisecond after the notice. Why this works: no controller begins once the server shuts down; what comes is rejected, as before `ready`. Tests: program_leaving_before_ready failed before (the connection ends without an answer), stages_startup too (request 3 was started).

--- a/src/stages/admission_driver.cpp
+++ b/src/stages/admission_driver.cpp
@@ -29,6 +29,7 @@
 }
 
 void AdmissionDriver::begin(bool warming_up, double seconds_ago) {
+  if (is_draining_) return;
   options_.slow_start = warming_up;
   const double started_at = net::monotonic_now() - (warming_up ? seconds_ago : 0);
   controller_ = std::make_unique<AdmissionController>(options_, seed_, executor_, started_at,
@@ -70,6 +71,7 @@
 }
 
 void AdmissionDriver::on_drain(double time_left) {
+  is_draining_ = true;
   if (controller_) controller_->on_drain(net::monotonic_now(), time_left);
 }
 
--- a/src/stages/admission_driver.h
+++ b/src/stages/admission_driver.h
@@ -23,6 +23,7 @@
                   const peers::Ports& peers, Counters& counters);
 
   // The runtime has come up this long ago (s): with it begins the controller. `warming_up`: as a slow start.
+  // Nothing begins once the server shuts down.
   void begin(bool warming_up, double seconds_ago);
   [[nodiscard]] bool begun() const { return controller_ != nullptr; }
 
@@ -52,6 +53,7 @@
   const peers::Ports& peers_;
   Counters& counters_;
   std::unique_ptr<AdmissionController> controller_;
+  bool is_draining_ = false;
 };
 
 }  // namespace damsonspoke::stages
--- a/tests/program.cpp
+++ b/tests/program.cpp
@@ -91,6 +91,23 @@
   site.counters({"requests.read", "requests.succeeded", "requests.rejected"});
 }
 
+// Guards against a notice to leave that is lost because it comes before the runtime's first `ready`: what
+// came after the grace ran, and was not answered before the stop.
+void leaving_before_ready() {
+  Site site;
+  const int caller = site.connect();
+  site.send(caller, R"({"jsonrpc":"2.0","id":1,"method":"health","params":{}})");
+  site.caller_hears(caller);
+  site.signal(SIGTERM);
+  site.caller_hears(caller);
+  site.runtime_comes_up();
+  site.pause(0.5);
+  site.send_request(caller, 2);
+  site.caller_hears(caller);
+  site.hang_up(caller);
+  site.ends();
+}
+
 // A command that may not have arrived is sent again, once what was missed has been read; what has arrived, or
 // has ended meanwhile, is not.
 void broken_link() {
@@ -516,6 +533,7 @@
                                                            {"hints", hints},
                                                            {"late_runtime", late_runtime},
                                                            {"early_request", early_request},
+                                                           {"leaving_before_ready", leaving_before_ready},
                                                            {"broken_link", broken_link},
                                                            {"bad_runtime", bad_runtime},
                                                            {"late_reply", late_reply},
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -207,6 +207,9 @@
   std::printf("-- drain\n");
   drained.intake.on_drain();
   drained.request(2);
+  drained.admission.on_drain(1);
+  drained.ready();
+  drained.request(3);
   drained.sums();
 }
 
