--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h' 'bench/*.cpp' 'bench/*.h' 'fuzz/*.cpp')
 CONFIG ?= docs/example.json
 
-.PHONY: build test lint format run demo bench rehearse
+.PHONY: build test lint format run demo bench rehearse soak
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF && cmake --build build -j4
@@ -28,6 +28,11 @@
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DDAMSONSPOKE_DEMO=ON && cmake --build build -j4
 	build/standins/damsonspoke-rehearse run rehearsals/*.rehearsal
 
+# Ends of processes among callers, by seeds: docs/endings.md.
+soak:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DDAMSONSPOKE_DEMO=ON && cmake --build build -j4
+	build/standins/damsonspoke-soak --seeds 1-50
+
 bench:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DDAMSONSPOKE_BENCH=ON && cmake --build build -j4
 
--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -135,8 +135,7 @@
     log_.info("forwarders", "{}: disconnected", link.name);
     sessions_.on_link_lost(connection.tag, net::monotonic_now());
     // A link that superseded this one keeps the forwarder's window.
-    if (!sessions_.is_linked(link.forwarder))
-      windows_.remove_forwarder(link.forwarder, net::monotonic_now());
+    if (!sessions_.is_linked(link.forwarder)) windows_.remove_forwarder(link.forwarder, net::monotonic_now());
   }
   links_.erase(found);
   counters_.add(why == net::End::kInOrder ? Count::kCallersClosed : Count::kCallersReset);
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -213,7 +213,7 @@
   const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
   if (!message.is_object()) return;
   if (message.value("method", "") == "noMore") {
-    link.no_more = true;
+    link.no_more = !options_.ignores_no_more;
     return;
   }
   if (!message.contains("id") || !message["id"].is_number()) return;
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -55,6 +55,13 @@
   }
 }
 
+void Runtime::break_link() {
+  if (link_ < 0) return;
+  loop_.forget(link_);
+  ::close(link_);
+  link_ = -1;
+}
+
 void Runtime::accept() {
   const int fd = accepted_socket(listener_);
   if (fd < 0) return;
--- a/standins/runtime.h
+++ b/standins/runtime.h
@@ -32,6 +32,8 @@
   std::uint16_t port() const { return port_; }
   // The program has started anew: the numbers of notices too. What runs goes on, but nobody hears of it.
   void new_life(int life);  // its number in the journal
+  // The link is closed; what runs goes on, and a new link hears of it.
+  void break_link();
   // What bodies begin with, up to the first blank, is the key that the journal keeps of them.
   static std::string key_of(const std::string& body);
   double speed() const;  // now, as a share of full speed
--- a/tests/conns/connection_admission_program.cpp
+++ b/tests/conns/connection_admission_program.cpp
@@ -141,8 +141,8 @@
   play.end(false);
 }
 
-// Over kills every thing wanted is served by its first try or its second, or rejected with a time to retry; no
-// try is lost but in flight at a kill; the others are as well served as without one.
+// Over kills every thing wanted is served by its first try or its second, or rejected with a time to retry;
+// no try is lost but in flight at a kill; the others are as well served as without one.
 void end_over_kills(Play& play) {
   play.end(false);
   const ServiceOverKills seen = judge_service_over_kills(play.fleet.journal);
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -281,8 +281,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> kScenarios[] = {
-      {"op", request}, {"startup", startup}, {"gone", gone}, {"stopped", stopped}, {"calls", calls}, {"checks", checks}};
+  const std::pair<const char*, void (*)()> kScenarios[] = {{"op", request},  {"startup", startup},
+                                                           {"gone", gone},   {"stopped", stopped},
+                                                           {"calls", calls}, {"checks", checks}};
   for (const auto& [name, play] : kScenarios) {
     if (argc == 2 && std::strcmp(argv[1], name) == 0) return play(), 0;
   }
