Tests that force the order in which the runtime's link is lost; the first: a retryable start

The scripted runtime can say something in the same write as its answer to gauges, so that what the program sends on reading that answer always comes after it: a run that ends there is over before a second start arrives.

--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -204,6 +204,20 @@
     runtime_lines_.clear();
   }
   bool answers_gauges = true;
+  int answered_gauges = 0;
+  // Said right behind the next answer to gauges, in the same write: nothing that the program sends on reading
+  // that answer can come before it.
+  void runtime_says_after_gauges(const std::string& text) {
+    std::printf("runtime says right after its gauges: %s\n", replaced(text, "\r\n", " / ").c_str());
+    after_gauges_ = text + "\r\n";
+  }
+  // All that comes from the program in this time.
+  std::vector<std::string> runtime_lines_within(double seconds) {
+    pause(seconds);
+    std::vector<std::string> lines(runtime_lines_.begin(), runtime_lines_.end());
+    runtime_lines_.clear();
+    return lines;
+  }
 
   // ---- The layer below.
   void below_hears(int lines = 1) {
@@ -425,7 +439,8 @@
         if (line.rfind("gauges ", 0) != 0) {
           runtime_lines_.push_back(line);
         } else if (answers_gauges && runtime_ >= 0) {
-          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n");
+          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n" + std::exchange(after_gauges_, {}));
+          ++answered_gauges;
         }
       }
     } else if (fd == below_) {
@@ -457,6 +472,7 @@
   Remembering remembering_;
   int runtime_listener_ = -1, below_listener_ = -1, roster_ = -1, log_ = -1, runtime_ = -1, below_ = -1;
   std::string config_path_;
+  std::string after_gauges_;
   pid_t pid_ = -1;
   std::map<std::string, std::string> buffers_;
   std::deque<std::string> runtime_lines_, below_lines_, reports_, log_lines_;
--- /dev/null
+++ b/tests/link_crossings.cpp
@@ -0,0 +1,85 @@
+// The runtime's link is lost while something that was sent on it takes effect: each scenario forces the order
+// of events in which sending it again would be wrong. The program between scripted peers; the runtime ends a
+// run, or asks for its next call, right behind the gauges whose answer lets the program send again. CTest
+// compares with tests/traces/link_crossings_NAME.txt. usage: link_crossings BINARY SCENARIO
+#include "scripted_site.h"
+
+using namespace damsonspoke::standins::scripted;
+
+namespace {
+
+const std::string kId1 = "0000000000000001", kId2 = "0000000000000002", kId3 = "0000000000000003";
+constexpr double kQuietSeconds = 0.3;  // in which a second command would come
+constexpr const char* kKeepResults = "results\n    enabled on\n";
+constexpr const char* kRetryable = "retryable";
+constexpr const char* kDedup = "dedup";
+constexpr const char* kFragile = "fragile";
+
+// "push" may go on without its call, "pull" may not.
+Site::Remembering routes(const std::string& semantics) {
+  const std::string more =
+      R"(","target":400,"give-up":3000,"semantics":")" + semantics + R"(","window":20000})";
+  return {R"([{"name":"push)" + more + R"(,{"name":"pull)" + more + "]",
+          semantics == kDedup ? kKeepResults : ""};
+}
+
+// What goes with a request; every first try of a dedup route has the key "a".
+std::string with_limit(int ms, const std::string& semantics) {
+  const std::string more = R"("ram":10,"limit":)" + std::to_string(ms);
+  return semantics == kDedup ? more + R"(,"key":"a")" : more;
+}
+
+void all_the_runtime_hears(Site& site, double seconds = kQuietSeconds) {
+  const std::vector<std::string> lines = site.runtime_lines_within(seconds);
+  for (const std::string& line : lines) std::printf("runtime hears: %s\n", line.c_str());
+  if (lines.empty()) std::printf("runtime hears: (nothing)\n");
+}
+
+std::string ended(int notice, const std::string& id, const std::string& result = "result") {
+  return "end " + std::to_string(notice) + " " + id + " complete 20 " + std::to_string(result.size()) +
+         "\r\n" + result;
+}
+
+// A request whose start the runtime has read, on a link that breaks then.
+int started_then_cut(Site& site, const std::string& semantics, int limit_ms = 3000) {
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(limit_ms, semantics).c_str());
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  return caller;
+}
+
+void asks_again(Site& site, int caller) {
+  site.send_request(caller, 2, "push", with_limit(3000, kDedup).c_str());
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+}
+
+// Guards against a request that runs twice: its run ends right behind the gauges of the new link, and a start
+// sent on reading these would begin it anew.
+void start_crosses_end(const std::string& semantics) {
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = started_then_cut(site, semantics);
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  if (semantics == kDedup) asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.links", "runtime.resent"});
+}
+void start_retryable() { start_crosses_end(kRetryable); }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::pair<const char*, void (*)()> kScenarios[] = {{"start_retryable", start_retryable}};
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (argc == 3) binary = argv[1];
+  for (const auto& [name, play] : kScenarios) {
+    if (argc == 3 && std::strcmp(argv[2], name) == 0) return play(), 0;
+  }
+  std::fprintf(stderr, "usage: link_crossings BINARY SCENARIO\n");
+  return 2;
+}
