--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -69,13 +69,14 @@
   site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.links", "runtime.resent"});
 }
 void start_dedup() { start_crosses_end(kDedup); }
+void start_fragile() { start_crosses_end(kFragile); }
 void start_retryable() { start_crosses_end(kRetryable); }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> kScenarios[] = {{"start_dedup", start_dedup},
-                                                           {"start_retryable", start_retryable}};
+  const std::pair<const char*, void (*)()> kScenarios[] = {
+      {"start_dedup", start_dedup}, {"start_fragile", start_fragile}, {"start_retryable", start_retryable}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
