A failing test: a start that was lost holds its memory after its request is due

A dedup and a fragile request of 900 KB each, of which the site's memory holds one run at a time; the runtime never ends it. Wanted: no second start, failed when it is due, never rejected; a repeat of the key starts nothing; a second such request runs a second later.

--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -10,6 +10,7 @@
 
 const std::string kId1 = "0000000000000001", kId2 = "0000000000000002", kId3 = "0000000000000003";
 constexpr double kQuietSeconds = 0.3;  // in which a second command would come
+constexpr double kReleaseSeconds = 1;  // after a request is due, until nothing of it is left
 constexpr const char* kKeepResults = "results\n    enabled on\n";
 constexpr const char* kRetryable = "retryable";
 constexpr const char* kDedup = "dedup";
@@ -72,11 +73,63 @@
 void start_fragile() { start_crosses_end(kFragile); }
 void start_retryable() { start_crosses_end(kRetryable); }
 
+// What goes with a request of 900 KB, of which the site's memory holds one at a time while it runs.
+std::string large(int ms, const std::string& key) {
+  const std::string more = R"("ram":900,"limit":)" + std::to_string(ms);
+  return key.empty() ? more : more + R"(,"key":")" + key + "\"";
+}
+
+// How often this command comes in that time; others don't matter.
+void how_often(Site& site, const std::string& command, double seconds = kQuietSeconds) {
+  int count = 0;
+  for (const std::string& line : site.runtime_lines_within(seconds)) count += line.rfind(command, 0) == 0;
+  std::printf("runtime hears '%s': %d times\n", command.c_str(), count);
+}
+
+// Whatever the failure: a rejection would say that nothing ran.
+void caller_fails(Site& site, int caller) {
+  const std::string answer = site.heard(caller);
+  const bool is_failure = answer.find("\"error\"") != std::string::npos;
+  const bool is_rejection = answer.find("-32001") != std::string::npos;
+  std::printf("caller hears: %s\n", is_rejection ? "rejected" : is_failure ? "failed" : answer.c_str());
+}
+
+// Guards against a start that really was lost and is sent again, or holds its memory for ever: its request
+// fails when it is due, a repeat of its key starts nothing, and what needs the memory runs after that.
+void start_lost(const std::string& semantics) {
+  const bool keyed = semantics == kDedup;
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", large(600, keyed ? "a" : "").c_str());
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  site.runtime_comes_up("hot 900");
+  how_often(site, "start " + kId1);
+  caller_fails(site, caller);
+  how_often(site, "start " + kId1);
+  if (keyed) {
+    site.send_request(caller, 2, "push", large(600, "a").c_str());
+    caller_fails(site, caller);
+    how_often(site, "start");
+  }
+  site.pause(kReleaseSeconds);
+  site.send_request(caller, 3, "push", large(3000, keyed ? "b" : "").c_str());
+  how_often(site, "start " + kId3);
+  site.runtime_says(ended(1, kId3));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "requests.rejected"});
+}
+void lost_dedup() { start_lost(kDedup); }
+void lost_fragile() { start_lost(kFragile); }
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const std::pair<const char*, void (*)()> kScenarios[] = {
-      {"start_dedup", start_dedup}, {"start_fragile", start_fragile}, {"start_retryable", start_retryable}};
+      {"start_dedup", start_dedup}, {"start_fragile", start_fragile}, {"start_retryable", start_retryable},
+      {"lost_dedup", lost_dedup},   {"lost_fragile", lost_fragile},
+  };
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
