A reply to a call that may have been lost is never sent again; the call is skipped where it may be

Callers could get an answer that was made with the wrong reply: after a cut of the runtime's link the reply to a run's first call was sent again, and answered its second call where the run had gone on meanwhile. A run may want several calls in a row, and a reply names no call. Change: RuntimePort::send_reply is told the call. Where the route may do without a call, `omit` goes over the new link in the reply's place: it names its call, so it does nothing where the reply had arrived. Elsewhere nothing is sent, and the run's next notice tells how it went. Price: a reply that was really lost costs the call's share of the answer, or, where the call is needed, the request, which fails when it is due.

--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -126,6 +126,12 @@
   double seconds_left = 0;  // until its request is due
 };
 
+// A call that a run waits for.
+struct RequestedCall {
+  std::uint64_t notice = 0;     // the number of the notice that asked for it
+  bool may_be_skipped = false;  // the run may go on without it
+};
+
 class RuntimePort {
  public:
   virtual ~RuntimePort() = default;
@@ -134,7 +140,8 @@
   virtual void stop(RequestId id) = 0;
   virtual void resume(RequestId id) = 0;
   // Resumes a run that waits for a call, with its reply or without one.
-  virtual void send_reply(RequestId id, std::string_view reply) = 0;
+  // Where it is not known whether the reply has arrived, the call is skipped if it may be.
+  virtual void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) = 0;
   virtual void skip_call(RequestId id, std::uint64_t notice) = 0;
   virtual void on_run_over(RequestId id) = 0;
   virtual void self_test(std::uint64_t tag) = 0;
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -316,8 +316,13 @@
 
 void RuntimeClient::resume(RequestId id) { issue({id, false}, repeatable(wire::encode_resume(id))); }
 
-void RuntimeClient::send_reply(RequestId id, std::string_view reply) {
-  issue({id, false}, repeatable(wire::encode_give(id, reply)));
+// A reply names no call: a second one would answer the next call of its run. To skip the call names it.
+void RuntimeClient::send_reply(RequestId id, std::string_view reply, const RequestedCall& call) {
+  RuntimeCommand command;
+  command.text = wire::encode_give(id, reply);
+  command.in_doubt = call.may_be_skipped ? InDoubt::kReplace : InDoubt::kWait;
+  if (call.may_be_skipped) command.replacement = wire::encode_omit(id, call.notice);
+  issue({id, false}, std::move(command));
 }
 
 void RuntimeClient::skip_call(RequestId id, std::uint64_t notice) {
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -36,7 +36,7 @@
   void start(const RunStart& run) override;
   void stop(RequestId id) override;
   void resume(RequestId id) override;
-  void send_reply(RequestId id, std::string_view reply) override;
+  void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) override;
   void skip_call(RequestId id, std::uint64_t notice) override;
   void on_run_over(RequestId id) override { ledger_.erase(id); }
   void self_test(std::uint64_t tag) override;
--- a/src/stages/command_sender.cpp
+++ b/src/stages/command_sender.cpp
@@ -34,7 +34,8 @@
 void CommandSender::deliver_reply(InFlightRequest& request, std::string_view reply) {
   request.run = RunStage::kRunning;
   request.call_body.clear();
-  peers_.runtime->send_reply(request.id, reply);
+  const bool may_be_skipped = request.route_settings.value_without_call > 0;
+  peers_.runtime->send_reply(request.id, reply, {request.call_notice, may_be_skipped});
 }
 
 void CommandSender::skip_call(InFlightRequest& request) {
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -43,7 +43,7 @@
   }
   void stop(RequestId id) override { std::printf("  runtime: stop %d\n", number(id)); }
   void resume(RequestId id) override { std::printf("  runtime: resume %d\n", number(id)); }
-  void send_reply(RequestId id, std::string_view reply) override {
+  void send_reply(RequestId id, std::string_view reply, const peers::RequestedCall&) override {
     std::printf("  runtime: give %d '%s'\n", number(id), std::string(reply).c_str());
   }
   void skip_call(RequestId id, std::uint64_t notice) override {
