A runtime that is restarted soon after it was first heard of is told from the one before

Callers' requests waited until they were due: a runtime that started anew within 0.5 s of when it was first heard of passed for the same process, so its notices, numbered from 1 again, passed for duplicates. Cause: only the time of the first greeting plus 0.5 s was compared. Change: peers/runtime/process_identity. A process that has answered a question started before that; a greeting was written after it was asked for, which gives the earliest start of its process. One that started after the last answer of the former process is another, without any tolerance; the former rule stays beside it for a runtime that answers late. Delays alone can't make the same process pass for another by the new rule. Tests: RuntimeProcessIdentity.* (without processes).

--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -14,8 +14,7 @@
 constexpr double kConnectTimeoutSeconds = 1;
 constexpr double kSilenceTimeoutSeconds = 1;  // without an answer that is owed: the link is lost
 constexpr double kSilenceCheckSeconds = 0.25;
-constexpr double kRestartToleranceSeconds = 0.5;  // a runtime that started later than this is another process
-constexpr double kGiveUpMarginSeconds = 0.05;     // behind the due time, at which the request is answered
+constexpr double kGiveUpMarginSeconds = 0.05;  // behind the due time, at which the request is answered
 constexpr double kMaxGaugeAgeSeconds = 0.5;
 constexpr std::size_t kMaxInputBytes = 256 * 1024;  // a line with its payload is under 70 KiB
 
@@ -87,6 +86,7 @@
   reactor_.cancel(connect_timer_);
   stream_bytes_ = 0;
   last_input_at_ = net::monotonic_now();
+  sync_sent_at_ = last_input_at_;
   write(wire::encode_sync(last_notice_));
 }
 
@@ -198,15 +198,14 @@
 
 void RuntimeClient::handle_ready(const wire::Notice& notice) {
   is_runtime_up_ = true;
-  const double now = net::monotonic_now();
   const double up_seconds = notice.ms * kSecondsPerMs;
+  const bool is_another = process_.is_another_process({sync_sent_at_, net::monotonic_now(), up_seconds});
   if (!was_ready_) {
     was_ready_ = true;
-    ready_at_ = now;
     log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
     return events_.on_runtime_ready(notice.cold, up_seconds);
   }
-  if (now - up_seconds > ready_at_ + kRestartToleranceSeconds) on_restart();
+  if (is_another) on_restart();
 }
 
 // The process behind the address is another one: it knows none of the runs and counts its notices from 1. Its
@@ -217,7 +216,6 @@
   log_.warn("runtime", "restarted, its runs are lost");
   last_notice_ = 0;
   requested_notice_ = 0;
-  ready_at_ = net::monotonic_now();
   events_.on_runtime_restarted(ledger_.on_restart());
 }
 
@@ -244,6 +242,7 @@
   const double now = net::monotonic_now();
   const double wait_us = (now - gauges_requested_at_) * kUsPerSecond;
   counters_.most(Count::kGaugesMostUs, static_cast<std::uint64_t>(wait_us));
+  process_.on_answer(gauges_requested_at_);
   gauges_requested_at_ = -1;
   ledger_.mark_arrived(sent_before_gauges_);
   store_gauges(notice.gauges, now);
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -15,6 +15,7 @@
 #include "observability/logger.h"
 #include "peers/ports.h"
 #include "peers/runtime/command_ledger.h"
+#include "peers/runtime/process_identity.h"
 #include "settings/settings.h"
 #include "wire/runtime_lines.h"
 
@@ -82,7 +83,8 @@
   bool is_runtime_up_ = false;                  // the runtime has said so on this link
   bool is_synchronized_ = false;                // the missed notices were read on this link
   bool was_ready_ = false;                      // on any link
-  double ready_at_ = 0;                         // when this was first heard of the present process
+  double sync_sent_at_ = 0;                     // on this link
+  RuntimeProcessIdentity process_;
   std::uint64_t last_notice_ = 0;
   std::uint64_t requested_notice_ = 0;  // the missing one for which the link was opened anew
   CommandLedger ledger_;
--- /dev/null
+++ b/tests/runtime/process_identity_test.cpp
@@ -0,0 +1,44 @@
+// Whether a greeting of the runtime comes from the process that was heard last.
+#include "peers/runtime/process_identity.h"
+
+#include <gtest/gtest.h>
+
+namespace damsonspoke::peers {
+namespace {
+
+TEST(RuntimeProcessIdentity, TheFirstGreetingIsFromNoOther) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({0, 0.01, 30}));
+}
+
+TEST(RuntimeProcessIdentity, TheSameProcessGrowsOlder) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 3}));
+  EXPECT_FALSE(identity.is_another_process({20, 20.001, 13}));
+}
+
+TEST(RuntimeProcessIdentity, ALateGreetingOfTheSameProcessIsFromNoOther) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 0.0}));
+  identity.on_answer(10.05);
+  // Written at 10.21, read when the reactor came to it.
+  EXPECT_FALSE(identity.is_another_process({10.2, 10.6, 0.21}));
+}
+
+// Guards against a runtime that is restarted soon after it was first heard of and passes for the old one.
+TEST(RuntimeProcessIdentity, AProcessThatStartedAfterTheLastAnswerIsAnother) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 0.0}));
+  identity.on_answer(10.1);
+  EXPECT_TRUE(identity.is_another_process({10.2, 10.201, 0.05}));
+}
+
+TEST(RuntimeProcessIdentity, ARestartOfAProcessThatWasUpForLongIsNoticed) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 300}));
+  EXPECT_TRUE(identity.is_another_process({11, 11.001, 0.2}));
+  EXPECT_FALSE(identity.is_another_process({12, 12.001, 1.2}));
+}
+
+}  // namespace
+}  // namespace damsonspoke::peers
