A move of the runtime's link waits until what the old link took has arrived

With SIGHUP and another address the old link was closed while it worked, and what was sent on it in the last 0.25 s was sent again or, since starts in doubt are not, left in doubt without need. Cause: the runtime replaces the old link when it takes the new one, and does not read on. Change: commands wait from the notice of the new address on; the old link is asked for its gauges, and the new one is opened when these have been answered, 0.1 s later at the latest. What has arrived so is not in doubt: no break took it. If the new address refuses, the old link serves on.

--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -14,6 +14,8 @@
 constexpr double kConnectTimeoutSeconds = 1;
 constexpr double kSilenceTimeoutSeconds = 1;  // without an answer that is owed: the link is lost
 constexpr double kSilenceCheckSeconds = 0.25;
+constexpr double kMoveSeconds =
+    0.1;  // for what the old link has taken to arrive, before the new one is opened
 constexpr double kGiveUpMarginSeconds = 0.05;  // behind the due time, at which the request is answered
 constexpr double kMaxGaugeAgeSeconds = 0.5;
 constexpr std::size_t kMaxInputBytes = 256 * 1024;  // a line with its payload is under 70 KiB
@@ -54,6 +56,7 @@
 
 RuntimeClient::~RuntimeClient() {
   reactor_.cancel(connect_timer_);
+  reactor_.cancel(move_timer_);
   reactor_.cancel(give_up_timer_);
   reactor_.cancel(silence_timer_);
 }
@@ -68,11 +71,23 @@
   });
 }
 
-// The old link serves until the new one is connected, also when the address changes again before that.
+// The runtime replaces the old link when it takes the new one, and does not read on. So that nothing is lost
+// with the old one, commands wait from now on, and the new link is opened once those before them have
+// arrived.
 void RuntimeClient::move_to(const std::string& address) {
   if (address == address_) return;
   address_ = address;
   if (next_link_) next_link_->close();
+  next_link_.reset();
+  reactor_.cancel(connect_timer_);
+  if (!takes_commands() || !ledger_.has_unproven()) return connect();
+  is_moving_ = true;
+  request_gauges();
+  move_timer_ = reactor_.after(kMoveSeconds, [this] { finish_move(); });
+}
+
+void RuntimeClient::finish_move() {
+  reactor_.cancel(move_timer_);
   connect();
 }
 
@@ -80,7 +95,7 @@
   counters_.add(Count::kRuntimeLinks);
   if (link_) {
     link_->close();
-    on_link_lost(*link_, true);
+    on_link_lost(*link_, false);
   }
   link_ = std::move(next_link_);
   reactor_.cancel(connect_timer_);
@@ -97,6 +112,8 @@
     next_link_.reset();
     reactor_.cancel(connect_timer_);
     connect_timer_ = reactor_.after(kReconnectSeconds, [this] { connect(); });
+    is_moving_ = false;  // the old link serves on
+    if (takes_commands()) send_waiting_commands();
   } else if (&connection == link_.get()) {
     counters_.add(Count::kRuntimeBroken);
     log_.warn("runtime", "link lost, reconnecting");
@@ -108,6 +125,8 @@
 
 void RuntimeClient::on_link_lost(const net::Connection& link, bool by_peer) {
   ledger_.on_link_lost({net::monotonic_now(), link.bytes_out(), by_peer});
+  reactor_.cancel(move_timer_);
+  is_moving_ = false;
   is_runtime_up_ = false;
   is_synchronized_ = false;
   gauges_requested_at_ = -1;
@@ -246,7 +265,9 @@
   gauges_requested_at_ = -1;
   ledger_.mark_arrived(sent_before_gauges_);
   store_gauges(notice.gauges, now);
-  if (!is_synchronized_) on_synchronized();
+  if (!is_synchronized_) return on_synchronized();
+  if (!is_moving_ || next_link_) return;
+  ledger_.has_unproven() ? request_gauges() : finish_move();
 }
 
 void RuntimeClient::store_gauges(const std::vector<double>& values, double now) {
@@ -289,7 +310,7 @@
 
 void RuntimeClient::issue(CommandLedger::CommandKey key, RuntimeCommand command) {
   const CommandLedger::Outgoing outgoing = ledger_.add(key, std::move(command));
-  if (is_synchronized_) send(outgoing);
+  if (takes_commands()) send(outgoing);
 }
 
 void RuntimeClient::send(const CommandLedger::Outgoing& command) {
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -31,7 +31,8 @@
   RuntimeClient(const RuntimeClient&) = delete;
   RuntimeClient& operator=(const RuntimeClient&) = delete;
 
-  // Reaches the runtime at another address from now on; its runs and the numbers of its notices go on.
+  // Reaches the runtime at another address from now on; its runs and the numbers of its notices go on. What
+  // was sent over the old link is first awaited to arrive.
   void move_to(const std::string& address);
 
   void start(const RunStart& run) override;
@@ -52,6 +53,7 @@
 
   void connect();
   void on_link_lost(const net::Connection& link, bool by_peer);
+  void finish_move();
   void handle_notice(const wire::Notice& notice);
   void handle_run_end(const wire::Notice& notice);
   void handle_call_wanted(const wire::Notice& notice);
@@ -66,6 +68,7 @@
   void send_waiting_commands();
   void send(const CommandLedger::Outgoing& command);
   void write(std::string_view text);
+  [[nodiscard]] bool takes_commands() const { return is_synchronized_ && !is_moving_; }
   void schedule_give_up();
   void give_up_due_starts();
   void check_silence();
@@ -82,6 +85,7 @@
   std::uint64_t stream_bytes_ = 0;              // given to link_ since it was made
   bool is_runtime_up_ = false;                  // the runtime has said so on this link
   bool is_synchronized_ = false;                // the missed notices were read on this link
+  bool is_moving_ = false;                      // commands wait for the link to another address
   bool was_ready_ = false;                      // on any link
   double sync_sent_at_ = 0;                     // on this link
   RuntimeProcessIdentity process_;
@@ -95,6 +99,7 @@
   double gauges_at_ = -1e9;
   double last_input_at_ = 0;
   net::Reactor::TimerId connect_timer_;
+  net::Reactor::TimerId move_timer_;
   net::Reactor::TimerId give_up_timer_;
   net::Reactor::TimerId silence_timer_;
 };
