Tests of crossings that hold: resumptions, stops, a retryable start whose run goes on

A `cont` or a `stop` that comes a second time, after the run's end or after another pause, gives one answer and no second run; one that was lost is sent again. A start 200 ms and an answer to gauges before the break is not sent again. They hold a retryable start to today's behaviour.

--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -11,6 +11,8 @@
 const std::string kId1 = "0000000000000001", kId2 = "0000000000000002", kId3 = "0000000000000003";
 constexpr double kQuietSeconds = 0.3;  // in which a second command would come
 constexpr double kReleaseSeconds = 1;  // after a request is due, until nothing of it is left
+constexpr double kStepSeconds = 0.01;  // between two looks at what has come
+constexpr int kMostSteps = 200;
 constexpr const char* kKeepResults = "results\n    enabled on\n";
 constexpr const char* kRetryable = "retryable";
 constexpr const char* kDedup = "dedup";
@@ -175,6 +177,268 @@
 void reply_lost_skippable() { reply_lost("push"); }
 void reply_lost_needed() { reply_lost("pull"); }
 
+// Guards against the same where the run goes on for a while on the new link.
+void start_runs_on(const std::string& semantics) {
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = started_then_cut(site, semantics);
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(1, kId1));
+  site.caller_hears(caller);
+  if (semantics == kDedup) asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.resent"});
+}
+void runs_on_dedup() { start_runs_on(kDedup); }
+void runs_on_fragile() { start_runs_on(kFragile); }
+void runs_on_retryable() { start_runs_on(kRetryable); }
+
+// Guards against a start that is taken for lost though it never was sent: it goes out once, on the new link,
+// and not again when that breaks too.
+void start_waits_for_link(const std::string& semantics) {
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  site.runtime_breaks();
+  std::printf("the program knows: %s\n", site.expect_log("link lost").empty() ? "no" : "yes");
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, semantics).c_str());
+  site.pause(kQuietSeconds);
+  site.runtime_comes_up("hot 900");
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 1900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started"});
+}
+void waits_dedup() { start_waits_for_link(kDedup); }
+void waits_fragile() { start_waits_for_link(kFragile); }
+
+// A paused run that is told to go on, as the link breaks.
+int resumed_then_cut(Site& site) {
+  const int caller = site.connect();
+  site.send_request(caller, 1);
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_hears();
+  site.runtime_breaks();
+  return caller;
+}
+
+// Guards against a second answer, or a failure, by a `cont` that comes a second time after the run's end.
+void resumption_crosses_end() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_says_after_gauges(ended(2, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.runtime_says("nack cont " + kId1);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a request that is answered twice, or never, where its run was paused again: the `cont` that
+// is sent a second time resumes it as well as the new one.
+void resumption_crosses_pause() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_says_after_gauges("end 2 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(3, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a paused run that nobody resumes, as its `cont` was lost.
+void resumption_lost() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(2, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a run that begins anew as it has just been stopped: start and stop are both unproven.
+void stop_crosses_end(const std::string& semantics, const std::string& halt) {
+  Site site(R"(,"halt":")" + halt + "\"", "", routes(semantics));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(150, semantics).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_hears();
+  site.runtime_breaks();
+  site.runtime_says_after_gauges("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.send_request(caller, 2, "pull");
+  site.runtime_hears(2);
+  site.runtime_says(ended(2, kId2));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.stopped"});
+}
+void stop_paused_fragile() { stop_crosses_end(kFragile, "pause"); }
+void stop_dropped_fragile() { stop_crosses_end(kFragile, "drop"); }
+void stop_dropped_retryable() { stop_crosses_end(kRetryable, "drop"); }
+
+// Guards against a second run of a keyed request that is already answered; its run is not stopped then.
+void overdue_dedup() {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(150, kDedup).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_breaks();
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.stopped"});
+}
+
+// Guards against a run that nobody stops, as its `stop` was lost.
+void stop_lost() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(600, kFragile).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_hears();
+  site.runtime_breaks();
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.counters({"requests.read", "requests.failed", "runs.started", "runs.stopped", "runs.cancelled"});
+}
+
+// Guards against a second run where the runtime's address changes right after a start, with the old link
+// alive.
+void start_moved(const std::string& semantics) {
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, semantics).c_str());
+  site.runtime_hears(2);
+  site.reload();
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.links", "runtime.resent"});
+}
+void moved_dedup() { start_moved(kDedup); }
+void moved_fragile() { start_moved(kFragile); }
+
+// Guards against a reply that goes to the next call, where the address changes right after a `give`.
+void reply_moved(const char* route) {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, route);
+  site.runtime_hears(2);
+  site.runtime_says("wants 1 " + kId1 + " 5\r\nfirst");
+  site.below_hears(2);
+  site.below_says(kId1 + " ok 9\r\nreply one");
+  site.runtime_hears(2);
+  site.reload();
+  site.runtime_says_after_gauges("wants 2 " + kId1 + " 6\r\nsecond");
+  site.runtime_comes_up("hot 900");
+  site.below_hears(2);
+  site.below_says(kId1 + " ok 9\r\nreply two");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(3, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "calls.made", "calls.ok"});
+}
+void reply_moved_skippable() { reply_moved("push"); }
+void reply_moved_needed() { reply_moved("pull"); }
+
+// Guards against a second run where a missing notice makes the program open the link anew right after a
+// start.
+void gap_dedup() {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", R"("ram":10,"limit":3000,"key":"a")");
+  site.runtime_hears(2);
+  site.send_request(caller, 2, "push", R"("ram":10,"limit":3000,"key":"b")");
+  site.runtime_hears(2);
+  site.runtime_says(ended(2, kId1));
+  site.runtime_says_after_gauges(ended(3, kId2));
+  site.runtime_comes_up("hot 900");
+  site.runtime_says("info 1 was missing\r\n" + ended(2, kId1));
+  site.caller_hears(caller);
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.gaps", "runtime.resent"});
+}
+
+// Guards against a runtime that begins anew shortly after it was first heard of and passes for the first:
+// what that ran is not started on the second and fails, and the second's notices, which count from 1, are
+// heard.
+void runtime_begins_anew(const std::string& semantics, double seconds_after_ready) {
+  const bool keyed = semantics == kDedup;
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, semantics).c_str());
+  site.runtime_hears(2);
+  site.runtime_says(ended(1, kId1));
+  site.caller_hears(caller);
+  site.send_request(caller, 2, "push",
+                    keyed ? R"("ram":10,"limit":800,"key":"b")" : R"("ram":10,"limit":800)");
+  site.runtime_hears(2);
+  site.pause(seconds_after_ready);
+  site.runtime_breaks();
+  site.runtime_comes_up("chilly 1");
+  how_often(site, "start " + kId2);
+  caller_fails(site, caller);
+  site.send_request(caller, 3, "push",
+                    keyed ? R"("ram":10,"limit":800,"key":"c")" : R"("ram":10,"limit":800)");
+  how_often(site, "start " + kId3, kQuietSeconds / 2);
+  site.runtime_says(ended(1, kId3));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
+}
+void anew_100ms_dedup() { runtime_begins_anew(kDedup, 0.1); }
+void anew_300ms_dedup() { runtime_begins_anew(kDedup, 0.3); }
+void anew_100ms_fragile() { runtime_begins_anew(kFragile, 0.1); }
+void anew_300ms_fragile() { runtime_begins_anew(kFragile, 0.3); }
+
+// Guards against a start that is sent again though gauges, asked for after it, were answered before the
+// break.
+void start_proven(double seconds_before_break) {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kDedup).c_str());
+  site.runtime_hears(2);
+  const int answered = site.answered_gauges;
+  for (int i = 0; i < kMostSteps && site.answered_gauges == answered; ++i) site.pause(kStepSeconds);
+  std::printf("gauges answered since: %s\n", site.answered_gauges > answered ? "yes" : "no");
+  site.answers_gauges = false;
+  site.pause(seconds_before_break);
+  site.runtime_breaks();
+  site.answers_gauges = true;
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.resent"});
+}
+void proven_50ms() { start_proven(0.05); }
+void proven_100ms() { start_proven(0.1); }
+void proven_200ms() { start_proven(0.2); }
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -189,7 +453,32 @@
       {"reply_fragile_skippable", reply_fragile_skippable},
       {"reply_fragile", reply_fragile},
       {"reply_lost_skippable", reply_lost_skippable},
-      {"reply_lost_needed", reply_lost_needed}};
+      {"reply_lost_needed", reply_lost_needed},
+      {"runs_on_dedup", runs_on_dedup},
+      {"runs_on_fragile", runs_on_fragile},
+      {"runs_on_retryable", runs_on_retryable},
+      {"waits_dedup", waits_dedup},
+      {"waits_fragile", waits_fragile},
+      {"resumption_crosses_end", resumption_crosses_end},
+      {"resumption_crosses_pause", resumption_crosses_pause},
+      {"resumption_lost", resumption_lost},
+      {"stop_paused_fragile", stop_paused_fragile},
+      {"stop_dropped_fragile", stop_dropped_fragile},
+      {"stop_dropped_retryable", stop_dropped_retryable},
+      {"overdue_dedup", overdue_dedup},
+      {"stop_lost", stop_lost},
+      {"moved_dedup", moved_dedup},
+      {"moved_fragile", moved_fragile},
+      {"reply_moved_skippable", reply_moved_skippable},
+      {"reply_moved_needed", reply_moved_needed},
+      {"gap_dedup", gap_dedup},
+      {"anew_100ms_dedup", anew_100ms_dedup},
+      {"anew_300ms_dedup", anew_300ms_dedup},
+      {"anew_100ms_fragile", anew_100ms_fragile},
+      {"anew_300ms_fragile", anew_300ms_fragile},
+      {"proven_50ms", proven_50ms},
+      {"proven_100ms", proven_100ms},
+      {"proven_200ms", proven_200ms}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
