However late its greeting is read, the same runtime never passes for another one

Callers' running requests failed where the link was lost and this process was paused over half a second before it read the new link's `ready`: the greeting seemed to come from a process that had started later. Cause: its time of arrival less the age that it told was taken for the start. Change: only the earliest start counts, from when the greeting was asked for; the former rule by its arrival goes. A runtime that comes up after it was asked tells a small age, and so is still told from the one before.

--- a/src/peers/runtime/process_identity.cpp
+++ b/src/peers/runtime/process_identity.cpp
@@ -1,26 +1,20 @@
 #include "peers/runtime/process_identity.h"
 
-namespace damsonspoke::peers {
-namespace {
-
-// A greeting may be read this much later than it was written.
-constexpr double kDelayToleranceSeconds = 0.5;
+#include <algorithm>
 
-}  // namespace
+namespace damsonspoke::peers {
 
-// A process that has answered at a time started before it. The greeting was written after it was asked for
-// and before it was read, so that its process started between the two differences.
-bool RuntimeProcessIdentity::started_after_the_last(const RuntimeGreeting& greeting) const {
+bool RuntimeProcessIdentity::is_another_process(const RuntimeGreeting& greeting) {
   const double earliest_start = greeting.requested_at - greeting.up_seconds;
   const double latest_start = greeting.received_at - greeting.up_seconds;
-  return earliest_start > alive_at_ || latest_start > *greeted_at_ + kDelayToleranceSeconds;
+  const bool is_another = started_by_ && earliest_start > *started_by_;
+  // It may have come up long after it was asked.
+  started_by_ = std::max(greeting.requested_at, latest_start);
+  return is_another;
 }
 
-bool RuntimeProcessIdentity::is_another_process(const RuntimeGreeting& greeting) {
-  const bool is_another = greeted_at_ && started_after_the_last(greeting);
-  if (!greeted_at_ || is_another) greeted_at_ = greeting.received_at;
-  alive_at_ = greeting.requested_at;
-  return is_another;
+void RuntimeProcessIdentity::on_answer(double requested_at) {
+  if (started_by_) started_by_ = std::max(*started_by_, requested_at);
 }
 
 }  // namespace damsonspoke::peers
--- a/src/peers/runtime/process_identity.h
+++ b/src/peers/runtime/process_identity.h
@@ -13,18 +13,18 @@
   double up_seconds = 0;
 };
 
+// A process has started before it answered anything, and a greeting was written after it was asked for. So a
+// process that started after the last answer is another, and however late a greeting is read, the same
+// process never passes for another.
 class RuntimeProcessIdentity {
  public:
   // Whether the greeting comes from another process than the one before; false for the first one.
   [[nodiscard]] bool is_another_process(const RuntimeGreeting& greeting);
   // The process has answered a question that was sent at this time.
-  void on_answer(double requested_at) { alive_at_ = requested_at; }
+  void on_answer(double requested_at);
 
  private:
-  [[nodiscard]] bool started_after_the_last(const RuntimeGreeting& greeting) const;
-
-  std::optional<double> greeted_at_;  // when the present process was first heard of
-  double alive_at_ = 0;               // the present process was there
+  std::optional<double> started_by_;  // the present process had started by then
 };
 
 }  // namespace damsonspoke::peers
--- a/tests/runtime/process_identity_test.cpp
+++ b/tests/runtime/process_identity_test.cpp
@@ -25,6 +25,21 @@
   EXPECT_FALSE(identity.is_another_process({10.2, 10.6, 0.21}));
 }
 
+// Guards against runs that are failed because the greeting of their runtime waits while this process is
+// paused.
+TEST(RuntimeProcessIdentity, AGreetingThatIsReadASecondLateIsFromNoOther) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 0.0}));
+  identity.on_answer(10.1);
+  EXPECT_FALSE(identity.is_another_process({10.2, 11.3, 0.2}));
+}
+
+TEST(RuntimeProcessIdentity, AProcessThatCameUpLongAfterItWasAskedStaysTheSame) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 14, 0.0}));
+  EXPECT_FALSE(identity.is_another_process({14.1, 14.101, 0.1}));
+}
+
 // Guards against a runtime that is restarted soon after it was first heard of and passes for the old one.
 TEST(RuntimeProcessIdentity, AProcessThatStartedAfterTheLastAnswerIsAnother) {
   RuntimeProcessIdentity identity;
