--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -213,6 +213,11 @@
     std::printf("runtime says right after its gauges: %s\n", replaced(text, "\r\n", " / ").c_str());
     after_gauges_ = text + "\r\n";
   }
+  // The same on the next link, whatever the present one is still asked.
+  void runtime_says_after_gauges_of_next_link(const std::string& text) {
+    runtime_says_after_gauges(text);
+    waits_for_link_ = true;
+  }
   // All that comes from the program in this time.
   std::vector<std::string> runtime_lines_within(double seconds) {
     pause(seconds);
@@ -418,6 +423,7 @@
   void take(int fd) {
     if (fd == runtime_listener_) {
       runtime_ = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+      waits_for_link_ = false;
       return;
     }
     if (fd == below_listener_) {
@@ -441,7 +447,8 @@
         if (line.rfind("gauges ", 0) != 0) {
           runtime_lines_.push_back(line);
         } else if (answers_gauges && runtime_ >= 0) {
-          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n" + std::exchange(after_gauges_, {}));
+          const std::string more = waits_for_link_ ? std::string() : std::exchange(after_gauges_, {});
+          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n" + more);
           ++answered_gauges;
         }
       }
@@ -475,6 +482,7 @@
   int runtime_listener_ = -1, below_listener_ = -1, roster_ = -1, log_ = -1, runtime_ = -1, below_ = -1;
   std::string config_path_;
   std::string after_gauges_;
+  bool waits_for_link_ = false;  // what follows the gauges is said on the next link only
   pid_t pid_ = -1;
   std::map<std::string, std::string> buffers_;
   std::deque<std::string> runtime_lines_, below_lines_, reports_, log_lines_;
