A planner no longer rejects a request whose id waits or runs there: it may have run

Callers saw: nothing in service; forced by a test. A keyed request that a second forwarder sent again while it ran (the first had died) was answered "refused: this try never ran"; one without a key would have gone to another planner and run there too. Cause: ForwarderServer::handle_submit refused an id in use with kRejected, which forwarders take for the proof that it never ran. Why this works: an id in use is looked for before any other reason to refuse, and answered "failed, may have run", which is never repeated.

--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -233,28 +233,42 @@
 }
 
 void ForwarderServer::handle_submit(Link& link, wt::Submit& submit) {
+  using SubmitResult = tier::ForwarderSessions::SubmitResult;
   const int route = link.route_of(submit);
-  const auto result = sessions_.submit(link.forwarder, submit.attempt, submit.request, route);
-  if (result == tier::ForwarderSessions::SubmitResult::kFenced) {
+  const SubmitResult result = sessions_.submit(link.forwarder, submit.attempt, submit.request, route);
+  if (result == SubmitResult::kFenced) {
     counters_.add(Count::kTierFenced);
     return;
   }
+  const bool has_capacity = result != SubmitResult::kTooMany;
   const ReplyAddress reply_to{link.forwarder, submit.attempt};
-  wt::Answer rejection;
-  rejection.attempt = submit.attempt;
-  rejection.result = wt::Result::kRejected;
-  if (result == tier::ForwarderSessions::SubmitResult::kTooMany) {
-    send(link, rejection);
-  } else if (route < 0) {
-    counters_.add(Count::kBadTypes);
-    rejection.no_retry = true;
-    answer(reply_to, rejection);
-  } else if (events_.is_in_use(submit.request)) {  // a former attempt at it still runs here
-    counters_.add(Count::kBadIds);
-    answer(reply_to, rejection);
-  } else {
+  const std::optional<wt::Answer> refusal = refusal_of(submit, route, has_capacity);
+  if (!refusal) {
     events_.on_request_read(incoming_request(submit, route, reply_to));
+  } else if (has_capacity) {
+    answer(reply_to, *refusal);
+  } else {
+    send(link, *refusal);  // the attempt was not opened
+  }
+}
+
+// The answer to a submit that is not taken; none where it is.
+std::optional<wt::Answer> ForwarderServer::refusal_of(const wt::Submit& submit, int route,
+                                                      bool has_capacity) {
+  wt::Answer refusal;
+  refusal.attempt = submit.attempt;
+  // First: a rejection would prove that the request never ran, but another attempt at it is here.
+  if (events_.is_in_use(submit.request)) {
+    counters_.add(Count::kBadIds);
+    refusal.result = wt::Result::kFailed;
+    return refusal;
   }
+  refusal.result = wt::Result::kRejected;
+  if (!has_capacity) return refusal;
+  if (route >= 0) return std::nullopt;
+  counters_.add(Count::kBadTypes);
+  refusal.no_retry = true;
+  return refusal;
 }
 
 void ForwarderServer::handle_cancel(const Link& link, const wt::Cancel& cancel) {
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -85,6 +85,8 @@
   [[nodiscard]] bool handle(std::uint64_t tag, wire::tier::Message& message);
   [[nodiscard]] bool handle_hello(std::uint64_t tag, const wire::tier::Hello& hello);
   void handle_submit(Link& link, wire::tier::Submit& submit);
+  [[nodiscard]] std::optional<wire::tier::Answer> refusal_of(const wire::tier::Submit& submit, int route,
+                                                             bool has_capacity);
   void handle_cancel(const Link& link, const wire::tier::Cancel& cancel);
   void handle_fence(Link& link, const wire::tier::Fence& fence);
   void introduce(Link& link, std::uint64_t planner_epoch);
