A second end of a run no longer forgets a key whose result is being stored

Callers saw: nothing in service yet; forced by a test. A request that had succeeded was told "failed", and a repeat of its key ran again. Cause: a start that is sent again after a lost link may be answered "unknown" or run anew. CompletionHandler took that end for the run's while the first result was on its way to the store; "unknown" then erased the key, a second result took the first one's place. Why this works: an end, or a wanted call, counts only for a request of which the runtime has a run; after the first end it has none.

--- a/src/stages/completion_handler.cpp
+++ b/src/stages/completion_handler.cpp
@@ -26,7 +26,9 @@
 void CompletionHandler::on_run_ended(RequestId id, Outcome outcome, double spent, std::string_view result) {
   counters_.add(count_of(outcome));
   InFlightRequest* request = in_flight_.find(id);
-  if (request == nullptr) return;
+  // Where a start was sent again a run may end twice. The first end counts: its result may be on its way to
+  // the store.
+  if (request == nullptr || !request->is_at_runtime()) return;
   if (request->run == RunStage::kInCall) sender_.cancel_call(*request);
   // A stopped run whose request still waits for an answer goes on later.
   const bool continues = outcome == Outcome::kCancelled && !request->answered;
@@ -51,7 +53,7 @@
 
 void CompletionHandler::on_call_requested(RequestId id, std::uint64_t notice, std::string_view body) {
   InFlightRequest* request = in_flight_.find(id);
-  if (request == nullptr) return;
+  if (request == nullptr || !request->is_at_runtime()) return;
   request->run = RunStage::kInCall;
   request->call_notice = notice;
   request->call_body = body;
--- a/src/stages/in_flight_requests.cpp
+++ b/src/stages/in_flight_requests.cpp
@@ -17,11 +17,6 @@
   }
 }
 
-bool is_at_runtime(const InFlightRequest& request) {
-  return request.run == RunStage::kRunning || request.run == RunStage::kPaused ||
-         request.run == RunStage::kInCall;
-}
-
 }  // namespace
 
 InFlightRequest& InFlightRequests::enter(InFlightRequest request) {
@@ -74,7 +69,7 @@
 std::vector<RequestId> InFlightRequests::at_runtime() const {
   std::vector<RequestId> ids;
   for (const auto& [id, request] : requests_) {
-    if (is_at_runtime(request)) ids.push_back(id);
+    if (request.is_at_runtime()) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
   return ids;
--- a/src/stages/in_flight_requests.h
+++ b/src/stages/in_flight_requests.h
@@ -37,6 +37,11 @@
   bool started = false;           // its run was ever asked of the runtime
   std::uint64_t call_notice = 0;  // number of the runtime's notice that asked for the call
   std::string call_body;          // of the call, until it is over
+
+  // Whether the runtime has a run of it: running, paused or in a call.
+  [[nodiscard]] bool is_at_runtime() const {
+    return run == RunStage::kRunning || run == RunStage::kPaused || run == RunStage::kInCall;
+  }
 };
 
 // Invariant: a request is answered at most once; what is rejected has never run.
@@ -65,7 +70,7 @@
     release_listener_ = std::move(listener);
   }
 
-  // Requests of which the runtime has a run: running, paused or in a call. In the order of their ids.
+  // Requests of which the runtime has a run, in the order of their ids.
   [[nodiscard]] std::vector<RequestId> at_runtime() const;
   [[nodiscard]] std::size_t unanswered() const { return unanswered_; }
   [[nodiscard]] std::size_t size() const { return requests_.size(); }
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -112,6 +112,31 @@
   site.counters({"runs.started", "results.unknown"});
 }
 
+// Guards against a second run of a key: a start that was sent again after a lost link is answered "unknown",
+// or runs anew, as the first run's result is on its way to the store. The first end counts.
+void ended_twice() {
+  Site site("", "", keyed(kStored));
+  opened(site);
+  site.comes_up();
+  const int caller = site.connect();
+  const std::string first_end = "end 1 " + kId1 + " complete 20 6\r\nresult\r\n";
+  site.send_request(caller, 1, "push", kA);
+  site.runtime_hears(2);
+  site.runtime_says(first_end + "end 2 " + kId1 + " unknown 0 0\r\n");
+  site.caller_hears(caller);
+  site.send_request(caller, 2, "push", kA);
+  site.caller_hears(caller);
+  const char* other = R"("ram":10,"limit":3000,"key":"b")";
+  site.send_request(caller, 3, "push", other);
+  site.runtime_hears(2);
+  site.runtime_says("end 3 " + kId3 + " complete 20 6\r\nresult\r\nwants 4 " + kId3 + " 4\r\ncall\r\nend 5 " +
+                    kId3 + " complete 20 5\r\nagain");
+  site.caller_hears(caller);
+  site.send_request(caller, 4, "push", other);
+  site.caller_hears(caller);
+  site.counters({"runs.started", "results.remembered", "calls.made"});
+}
+
 // A request that is given up before it started never ran: neither did the repeat that waits for it.
 void given_up() {
   Site site("", "", keyed(kInMemory));
@@ -434,10 +459,12 @@
 
 int main(int argc, char** argv) {
   const std::pair<const char*, void (*)()> scenarios[] = {
-      {"repeats", repeats},     {"due_times", due_times}, {"first_gone", first_gone}, {"failing", failing},
-      {"given_up", given_up},   {"unmarked", unmarked},   {"shared", shared},         {"restart", restart},
-      {"full", full},           {"shrink", shrink},       {"drain", drain},           {"damaged", damaged},
-      {"operators", operators}, {"held", held},           {"mended", mended}};
+      {"repeats", repeats},   {"due_times", due_times},     {"first_gone", first_gone},
+      {"failing", failing},   {"ended_twice", ended_twice}, {"given_up", given_up},
+      {"unmarked", unmarked}, {"shared", shared},           {"restart", restart},
+      {"full", full},         {"shrink", shrink},           {"drain", drain},
+      {"damaged", damaged},   {"operators", operators},     {"held", held},
+      {"mended", mended}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
