--- a/tests/ajp_below.cpp
+++ b/tests/ajp_below.cpp
@@ -141,11 +141,31 @@
              play.ends.contains(5) ? "SOME" : "none", play.call(6));
 }
 
+// Guards against a call that is made twice, or taken for never made: the server closes a connection that has
+// just carried a call as the next one is given to it.
+void reuse() {
+  {
+    Play play;
+    play.call(1);
+    play.server.hang_up();  // nobody here has read the end yet
+    fmt::print("closed before the next call: {}; connections {}, requests {}\n", play.call(2),
+               play.server.accepted, play.server.requests);
+  }
+  Play play;
+  play.call(1);
+  play.dependency->call(2, 0.4, "body");  // written at once, on the connection that is there
+  play.server.hang_up();
+  play.run_for(0.6);
+  fmt::print("closed as the next call was written: {}; connections {}, requests read {}\n", play.ends[2],
+             play.server.accepted, play.server.requests);
+}
+
 }  // namespace
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   answers();
   connections();
+  reuse();
   return 0;
 }
