--- /dev/null
+++ b/tests/admission/decision_scenarios.h
@@ -0,0 +1,18 @@
+// The scenarios of the decision traces, a file a concern.
+#pragma once
+
+#include <span>
+
+namespace damsonspoke::testing {
+
+struct Scenario {
+  const char* name;  // of its trace
+  void (*play)();
+};
+
+std::span<const Scenario> intake_scenarios();
+std::span<const Scenario> dependency_call_scenarios();
+std::span<const Scenario> overload_scenarios();
+std::span<const Scenario> priority_scenarios();
+
+}  // namespace damsonspoke::testing
