--- /dev/null
+++ b/tests/tier/fault_history.cpp
@@ -0,0 +1,172 @@
+// A history as a whole: its callers, its troubles, and what is checked.
+#include "fault_history.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damsonspoke::tier {
+
+History::History(std::uint64_t seed, int requests, bool tell)
+    : random_(seed), max_requests_(requests), tell_(tell) {
+  for (int p = 0; p < kPlanners; ++p) {
+    planners_.push_back(std::make_unique<Planner>());
+    begin_life(p);
+  }
+  for (int f = 0; f < kForwarders; ++f) forwarders_.push_back(std::make_unique<Forwarder>(*this, f));
+  for (int f = 0; f < kForwarders; ++f) {
+    for (int p = 0; p < kPlanners; ++p) at(chance() * 0.05, [this, f, p] { connect(f, p); });
+  }
+  at(0.02, [this] { next_request(); });
+  at(0.5 + chance(), [this] { trouble(); });
+  at(0.3 + chance(), [this] { relist(); });
+}
+
+std::string History::play() {
+  while (!events_.empty() && broken_.empty() && now_ < 60) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = std::max(now_, event.at);
+    event.what();
+    check_credits();
+  }
+  if (broken_.empty()) {
+    for (const auto& [id, request] : requests_) {
+      if (request.answers == 0 && !request.gone) fail("op " + std::to_string(id) + " was never answered");
+    }
+  }
+  return broken_;
+}
+
+History::Totals History::totals() const {
+  Totals t;
+  for (const auto& [id, request] : requests_) {
+    ++t.requests;
+    t.succeeded += request.succeeded;
+    t.rejected += request.rejected;
+    t.failed += request.failed;
+  }
+  for (const auto& f : forwarders_) {
+    const DispatchCounters& c = f->dispatch.counters();
+    t.second += static_cast<int>(c.retries);
+    t.fenced += static_cast<int>(c.fences);
+    t.proven += static_cast<int>(c.proven_not_run);
+    t.dropped += static_cast<int>(c.stale_answers);
+    t.lost += static_cast<int>(c.lost_with_epoch);
+    t.asked += static_cast<int>(c.key_lookups);
+    t.known += static_cast<int>(c.key_lookup_hits);
+  }
+  return t;
+}
+
+double History::chance() { return random_() / 4294967296.0; }
+
+void History::at(double time, std::function<void()> what) {
+  events_.push({time, next_event_++, std::move(what)});
+}
+
+void History::after(double delay, std::function<void()> what) { at(now_ + delay, std::move(what)); }
+
+void History::note(const std::string& what) {
+  if (tell_) std::printf("%8.4f  %s\n", now_, what.c_str());
+}
+
+void History::fail(const std::string& why) {
+  if (broken_.empty()) broken_ = why;
+}
+
+void History::check_credits() {
+  for (const auto& f : forwarders_) {
+    for (int p = 0; p < kPlanners; ++p) {
+      if (f->dispatch.picker().open_attempts(p) != f->dispatch.attempts().open_attempts_at(p))
+        fail("credits of f" + std::to_string(f->number) + " at p" + std::to_string(p) + ": " +
+             std::to_string(f->dispatch.picker().open_attempts(p)) + " taken, " +
+             std::to_string(f->dispatch.attempts().open_attempts_at(p)) + " attempts in hand");
+    }
+  }
+}
+
+void History::next_request() {
+  if (static_cast<int>(requests_.size()) >= max_requests_) return;
+  const RequestId id = requests_.size() + 1;
+  ForwardedRequest request;
+  request.id = id;
+  request.caller = random_() % 5;
+  request.subject = random_() % 3 == 0 ? 1 + random_() % 4 : 0;
+  request.idempotency_key_hash = random_() % 5 == 0 ? 1 + random_() % 12 : 0;
+  requests_[id].mark = request.idempotency_key_hash;
+  request.priority_weight = random_() % 4 == 0 ? 3 : 1;
+  request.remaining_time = 0.1 + chance() * 1.2;
+  request.bytes = 100;
+  requests_[id].due = now_ + request.remaining_time;
+  const int f = static_cast<int>(random_() % kForwarders);
+  note("op " + std::to_string(id) + " at f" + std::to_string(f));
+  Dispatch& dispatch = forwarders_[static_cast<std::size_t>(f)]->dispatch;
+  dispatch.on_request(request, now_);
+  if (random_() % 40 == 0) {
+    after(chance() * 0.3, [this, id, &dispatch] {
+      if (requests_[id].answers > 0) return;
+      note("caller of " + std::to_string(id) + " goes");
+      requests_[id].gone = true;
+      dispatch.on_caller_gone(id, now_);
+    });
+  }
+  after(-std::log(1 - chance()) / 150, [this] { next_request(); });
+}
+
+void History::answered(RequestId id, char how) {
+  RequestSeen& request = requests_[id];
+  note("op " + std::to_string(id) + " is answered " + how);
+  request.succeeded = how == 'a';
+  request.rejected = how == 'n';
+  request.failed = how == 'f';
+  if (++request.answers > 1) fail("op " + std::to_string(id) + " was answered twice");
+  if (request.gone) fail("op " + std::to_string(id) + " was answered to nobody");
+  if (now_ > request.due + 1e-6) fail("op " + std::to_string(id) + " was answered late");
+  if (how == 'n' && request.runs > 0) fail("op " + std::to_string(id) + " was nacked and had run");
+  if (how == 'a' && request.runs == 0 && !ran_.contains(request.mark))
+    fail("op " + std::to_string(id) + " was acked and had not run");
+}
+
+void History::trouble() {
+  const int p = static_cast<int>(random_() % kPlanners);
+  switch (random_() % 9) {
+    case 0: kill(p); break;
+    case 1: {
+      const bool all = random_() % 3 == 0;
+      for (int i = 0; i < kPlanners; ++i) {
+        if (all || i == p) kill(i);
+      }
+      break;
+    }
+    case 2: planners_[static_cast<std::size_t>(p)]->manner = Manner::kMute; break;
+    case 3: planners_[static_cast<std::size_t>(p)]->manner = Manner::kRejections; break;
+    case 4: planners_[static_cast<std::size_t>(p)]->manner = Manner::kSlow; break;
+    case 5:
+      for (const auto& planner : planners_) planner->manner = Manner::kSound;
+      for (int i = 0; i < kPlanners; ++i) run_more(i);
+      break;
+    case 6: lose_at_planner(forwarders_[random_() % kForwarders]->links[p]); break;
+    default: break_link(forwarders_[random_() % kForwarders]->links[p]);
+  }
+  if (static_cast<int>(requests_.size()) < max_requests_) after(chance() * 0.3, [this] { trouble(); });
+}
+
+void History::relist() {
+  std::vector<std::string> names;
+  while (names.empty()) {
+    for (int p = 0; p < kPlanners; ++p) {
+      if (random_() % 3 != 0)
+        names.push_back(std::string("p1 p2 p3 p4").substr(3 * static_cast<std::size_t>(p), 2));
+    }
+  }
+  for (const auto& f : forwarders_) {
+    after(chance() * kSpread, [this, &f, names] {
+      note("f" + std::to_string(f->number) + " has a list of " + std::to_string(names.size()) + ", with " +
+           names.front() + " first");
+      f->dispatch.set_planners(names, now_);
+    });
+  }
+  if (static_cast<int>(requests_.size()) < max_requests_) after(kSpread + chance() * 4, [this] { relist(); });
+}
+
+}  // namespace damsonspoke::tier
--- /dev/null
+++ b/tests/tier/fault_history.h
@@ -0,0 +1,206 @@
+// Two levels without sockets: forwarders' decisions against planners' holdings over links that delay, break
+// and lose, in a seeded history.
+#pragma once
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "tier/dispatch.h"
+#include "tier/forwarder_sessions.h"
+
+namespace damsonspoke::tier {
+
+namespace wt = damsonspoke::wire::tier;
+
+enum class Manner { kSound, kMute, kRejections, kSlow };
+
+class History {
+ public:
+  History(std::uint64_t seed, int requests, bool tell);
+
+  // Empty: nothing broke. Else what did.
+  std::string play();
+
+  struct Totals {
+    int requests = 0, succeeded = 0, rejected = 0, failed = 0, second = 0, fenced = 0, proven = 0,
+        dropped = 0, lost = 0, asked = 0, known = 0;
+  };
+  Totals totals() const;
+
+ private:
+  static constexpr int kForwarders = 2, kPlanners = 4, kCores = 2;
+  static constexpr double kWindow = 1, kSpread = 0.5,
+                          kLongest = 1.3;         // s: of keys, of reloads, that a request waits
+  static constexpr double kForwarderSilence = 1;  // s without a frame after which it gives a link up
+  struct Event {
+    double at = 0;
+    std::uint64_t number = 0;
+    std::function<void()> what;
+    bool operator<(const Event& other) const {
+      return at > other.at || (at == other.at && number > other.number);
+    }
+  };
+  struct RequestSeen {
+    double due = 0;
+    int answers = 0, runs = 0;
+    std::uint64_t mark = 0;
+    bool gone = false, succeeded = false, rejected = false, failed = false;
+  };
+  // One link, two ways; what is under way on it comes in order.
+  struct Link {
+    int forwarder = 0, planner = 0;
+    std::uint64_t number = 0;
+    bool there = true, here = true;  // whether the planner, the forwarder, still has it open
+    ForwarderId known_as = 0;
+    double last_out = 0, last_in = 0;
+    int cut_out = 1 << 30;  // frames to the planner that arrive all the same
+    int sent_out = 0, heard_out = 0;
+    std::vector<std::pair<int, Attempt>> submits;  // by number of the frame
+  };
+  struct Held {
+    RequestId request = 0;
+    ForwarderId forwarder = 0;
+    Attempt attempt = 0;
+    double due = 0;
+  };
+  // What a planner remembers of a key: in its store from when it runs.
+  struct Memory {
+    RequestId request = 0;
+    double admitted = 0;
+    enum { kReserved, kRunning, kEnded, kUnknown } state = kReserved;
+    std::vector<Held> waits;  // repeats
+  };
+  struct Planner {
+    std::uint64_t epoch = 0;
+    bool up = false;
+    Manner manner = Manner::kSound;
+    std::unique_ptr<ForwarderSessions> holdings;
+    std::deque<Held> line;
+    std::map<RequestId, Held> open;  // held and running
+    std::map<std::uint64_t, Memory> memory;
+    std::map<RequestId, bool> started;
+    int running = 0;
+  };
+  struct Forwarder : DispatchSink {
+    Forwarder(History& h, int n)
+        : history(h),
+          number(n),
+          dispatch(
+              terms(), 1, {"p1", "p2", "p3", "p4"}, *this, [&h] { return h.chance(); }, 0) {}
+    static DispatchOptions terms() {
+      DispatchOptions t;
+      t.route_by_subject = true;
+      t.startup_wait = 0.25;
+      t.key_ownership = {kSpread + kLongest, kWindow + 2 * kLongest};
+      return t;
+    }
+    void send(int planner, Attempt attempt, RequestId request, double left, bool known_only) override {
+      wt::Submit submit;
+      submit.lookup_only = known_only;
+      submit.attempt = attempt;
+      submit.request = request;
+      submit.remaining_us = static_cast<std::uint32_t>(left * 1e6);
+      const auto& picker = dispatch.picker();
+      if (picker.open_attempts(planner) > static_cast<int>(window[planner]))
+        history.fail("planner " + std::to_string(planner) + " was sent more than its window");
+      history.note("f" + std::to_string(number) + " sends op " + std::to_string(request) + " as " +
+                   std::to_string(attempt) + " to p" + std::to_string(planner));
+      history.out(links[planner], submit, attempt);
+    }
+    void cancel(int planner, Attempt attempt) override { history.out(links[planner], wt::Cancel{attempt}); }
+    void fence(int planner, Attempt attempt) override {
+      history.note("f" + std::to_string(number) + " fences " + std::to_string(attempt));
+      history.out(links[planner], wt::Fence{attempt});
+    }
+    void reply(RequestId request, LocalReply how, double, bool) override {
+      history.answered(request, how == LocalReply::kRejected ? 'n' : 'f');
+    }
+    void schedule_wakeup(double time) override {
+      if (time >= wake_time) return;  // it asks anew when it is woken
+      wake_time = time;
+      history.at(std::max(time, history.now_), [this, time] {
+        if (wake_time != time) return;
+        wake_time = 1e18;
+        dispatch.on_timer(history.now_);
+      });
+    }
+    History& history;
+    const int number;
+    double wake_time = 1e18;
+    std::shared_ptr<Link> links[kPlanners];
+    std::uint32_t window[kPlanners] = {};
+    Dispatch dispatch;
+  };
+
+  double chance();
+  void at(double time, std::function<void()> what);
+  void after(double delay, std::function<void()> what);
+  void note(const std::string& what);
+  void fail(const std::string& why);
+  void check_credits();
+
+  // ---- Callers.
+  void next_request();
+  void answered(RequestId id, char how);
+
+  // ---- Links.
+  void connect(int f, int p);
+  double delay();
+  void out(const std::shared_ptr<Link>& link, const wt::Message& message, Attempt attempt = 0);
+  void in(const std::shared_ptr<Link>& link, const wt::Message& message);
+  // The forwarder hears of the break now, the planner some time later or by the next hello. Of what was under
+  // way some arrives; of that a part is known never to have been written.
+  void break_link(const std::shared_ptr<Link>& link);
+  // The planner hears of the break first. The forwarder goes on sending until it does too, so that the
+  // planner may have given up the session long before the forwarder gives up its attempts.
+  void lose_at_planner(const std::shared_ptr<Link>& link);
+  void planner_loses(const std::shared_ptr<Link>& link);
+  // Where nothing of it has run, its key is free again, and its repeats are told so.
+  void release(Planner& planner, RequestId request);
+  void gone(Planner& planner, const std::vector<RequestId>& requests);
+
+  // ---- Planners.
+  void begin_life(int p);
+  void kill(int p);
+  void tell(Planner& planner, const Held& held, wt::Result result);
+  void planner_hears(const std::shared_ptr<Link>& link, const wt::Message& message);
+  void planner_hears_hello(Planner& planner, const std::shared_ptr<Link>& link, const wt::Hello& hello);
+  void planner_hears_submit(Planner& planner, const Link& link, const wt::Submit& submit);
+  // Whether the request may run: its key is not known yet, and it is no lookup. Otherwise it is answered, or
+  // waits for the run of its key.
+  bool reserve_key(Planner& planner, const Held& held, bool lookup_only);
+  void run_more(int p);
+  void start_run(int p, const Held& held);
+  void end_run(int p, std::uint64_t epoch, const Held& held);
+  void forwarder_hears(const std::shared_ptr<Link>& link, const wt::Message& message);
+
+  // ---- What goes wrong.
+  void trouble();
+
+  // Another list of planners, which forwarders get one after the other.
+  void relist();
+
+  pcg32 random_;
+  const int max_requests_;
+  const bool tell_;
+  double now_ = 0;
+  std::priority_queue<Event> events_;
+  std::uint64_t next_event_ = 0, next_link_ = 0, next_epoch_ = 0;
+  std::vector<std::unique_ptr<Planner>> planners_;
+  std::vector<std::unique_ptr<Forwarder>> forwarders_;
+  std::map<std::uint64_t, std::shared_ptr<Link>> links_;  // as planners know them
+  std::map<std::uint64_t, std::uint64_t> epoch_of_;       // of the planner, by link
+  std::map<RequestId, RequestSeen> requests_;
+  std::map<std::uint64_t, double> ran_;  // when the last run of a key was admitted
+  std::string broken_;
+};
+
+}  // namespace damsonspoke::tier
