--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <sstream>
+#include <utility>
 #include <vector>
 
 namespace damsonspoke::standins {
@@ -84,56 +84,50 @@
     return;
   }
   if (got > 0) in_.append(bytes, static_cast<std::size_t>(got));
-  while (take_one()) {
-  }
+  while (const auto command = take_command(in_)) carry_out(*command);
 }
 
-bool Runtime::take_one() {
-  const std::size_t line_end = in_.find("\r\n");
-  if (line_end == std::string::npos) return false;
-  std::istringstream line(in_.substr(0, line_end));
-  std::vector<std::string> words;
-  for (std::string word; line >> word;) words.push_back(word);
-  std::size_t used = line_end + 2;
-  std::string payload;
-  const bool long_one = !words.empty() && (words[0] == "start" || words[0] == "give");
-  if (long_one) {
-    const auto length = static_cast<std::size_t>(std::atoll(words.back().c_str()));
-    if (in_.size() < used + length + 2) return false;
-    payload = in_.substr(used, length);
-    used += length + 2;
+void Runtime::carry_out(const RuntimeCommand& command) {
+  switch (command.kind) {
+    case CommandKind::kSync: return synchronize(command.notice);
+    case CommandKind::kGauges: return tell_gauges(command.tag);
+    case CommandKind::kSelfTest:
+      return loop_.send(link_, fmt::format("verdict {} complete\r\n", command.tag));
+    case CommandKind::kStart: return start(command.request, command.type, command.payload);
+    case CommandKind::kStop: return stop(command.request);
+    case CommandKind::kGive:
+    case CommandKind::kOmit: return go_on(command.request);
+    case CommandKind::kContinue:  // nothing is ever paused
+    case CommandKind::kNone: return;
   }
-  in_.erase(0, used);
-  if (words.empty()) return true;
-  const std::uint64_t request = words.size() > 1 ? std::strtoull(words[1].c_str(), nullptr, 16) : 0;
-  if (words[0] == "sync" && options.late > 0) {  // the link is taken, and nothing said on it meanwhile
+}
+
+void Runtime::synchronize(std::uint64_t last) {
+  if (options.late > 0) {  // the link is taken, and nothing said on it meanwhile
     loop_.after(std::exchange(options.late, 0), [this, link = link_] {
-      if (link != link_) return;
-      in_.insert(0, "sync 0\r\n");
-      while (take_one()) {
-      }
+      if (link == link_) synchronize(0);
     });
-  } else if (words[0] == "sync") {
-    loop_.send(link_, fmt::format("ready {} {:.0f}\r\n", options.slow_start_seconds > 0 ? "chilly" : "hot",
-                                  (now() - began_) * 1000));
-    const std::uint64_t last = std::strtoull(words[1].c_str(), nullptr, 10);
-    for (const auto& [number, text] : kept_) {
-      if (number > last) loop_.send(link_, text);
-    }
-  } else if (words[0] == "gauges") {
-    const double busy = std::min(1.0, busy_);
-    loop_.send(link_, fmt::format("load {} {:.3f} {} 0 0\r\n", words[1], busy, runs_.size()));
-  } else if (words[0] == "selftest") {
-    loop_.send(link_, fmt::format("verdict {} complete\r\n", words[1]));
-  } else if (words[0] == "start") {
-    start(request, words[2], payload);
-  } else if (words[0] == "stop") {
-    if (runs_.contains(request)) end(request, "cancelled", "");
-  } else if (words[0] == "give" || words[0] == "omit") {
-    const auto found = runs_.find(request);
-    if (found != runs_.end()) found->second.at_call = false;
+    return;
+  }
+  loop_.send(link_, fmt::format("ready {} {:.0f}\r\n", options.slow_start_seconds > 0 ? "chilly" : "hot",
+                                (now() - began_) * 1000));
+  for (const auto& [number, text] : kept_) {
+    if (number > last) loop_.send(link_, text);
   }
-  return true;
+}
+
+void Runtime::tell_gauges(const std::string& tag) {
+  const double busy = std::min(1.0, busy_);
+  loop_.send(link_, fmt::format("load {} {:.3f} {} 0 0\r\n", tag, busy, runs_.size()));
+}
+
+void Runtime::stop(std::uint64_t request) {
+  if (runs_.contains(request)) end(request, "cancelled", "");
+}
+
+void Runtime::go_on(std::uint64_t request) {
+  const auto found = runs_.find(request);
+  if (found != runs_.end()) found->second.at_call = false;
 }
 
 void Runtime::start(std::uint64_t request, const std::string& type, const std::string& body) {
--- a/standins/runtime.h
+++ b/standins/runtime.h
@@ -10,6 +10,7 @@
 
 #include "journal.h"
 #include "loop.h"
+#include "runtime_commands.h"
 
 namespace damsonspoke::standins {
 
@@ -49,7 +50,11 @@
   };
   void accept();
   void read();
-  bool take_one();
+  void carry_out(const RuntimeCommand& command);
+  void synchronize(std::uint64_t last);  // the number of the last notice that was read
+  void tell_gauges(const std::string& tag);
+  void stop(std::uint64_t request);
+  void go_on(std::uint64_t request);  // from its call
   void start(std::uint64_t request, const std::string& type, const std::string& body);
   void end(std::uint64_t request, const char* how, const std::string& result);
   void notice(const std::string& text);
