The stand-in runtime keeps to the protocol's words on calls, starts anew and moves

What was seen: an omit let any call of its run go on, commands of unknown requests were passed over, and no run wanted two calls, so that a reply which reached another call could not be seen.

Now omit acts only on the call that its notice asked for; give answers the call that the run waits for; stop, give, omit and cont of a request that never came are answered by nack. A run may want several calls in a row (one, as before, is the default). The runtime can start anew, move to another port, lose what is written before a cut, and end runs just after the first gauges of the next link. The registry can go down.

--- a/standins/below.cpp
+++ b/standins/below.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <string_view>
 
+#include "journal.h"
+
 namespace damsonspoke::standins {
 
 Below::Below(Loop& loop, Options how) : options(how), loop_(loop) {
@@ -51,6 +53,7 @@
     if (line.rfind("invoke ", 0) == 0) {
       const auto length = static_cast<std::size_t>(std::atoll(line.substr(line.rfind(' ')).c_str()));
       if (in.size() < used + length + 2) return;
+      const std::string reply = kReplyTo + in.substr(used, length);
       used += length + 2;
       const std::string id = line.substr(7, 16);
       ++calls_;
@@ -58,10 +61,11 @@
         loop_.send(fd, id + " overload\r\n");
       } else {
         ++in_hand_;
-        loop_.after(options.takes, [this, fd, id, serial = serials_.at(fd)] {
+        loop_.after(options.takes, [this, fd, id, reply, serial = serials_.at(fd)] {
           --in_hand_;
           const auto found = serials_.find(fd);
-          if (found != serials_.end() && found->second == serial) loop_.send(fd, id + " ok 5\r\nreply\r\n");
+          if (found != serials_.end() && found->second == serial)
+            loop_.send(fd, fmt::format("{} ok {}\r\n{}\r\n", id, reply.size(), reply));
         });
       }
     }
@@ -69,21 +73,30 @@
   }
 }
 
-Roster::Roster(Loop& loop) : loop_(loop) {
+Roster::Roster(Loop& loop) : loop_(loop) { listen(); }
+
+Roster::~Roster() { go_down(); }
+
+void Roster::listen() {
+  if (fd_ >= 0) return;
   fd_ = datagram_socket(port_);
-  loop_.watch(fd_, [this] {
-    char bytes[512];
-    const ssize_t got = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
-    if (got <= 0) return;
-    const std::string_view text(bytes, static_cast<std::size_t>(got));
-    listed_ = text.size() > 3 && text.substr(text.size() - 3) == " on";
-    ++reports_;
-  });
+  loop_.watch(fd_, [this] { read(); });
 }
 
-Roster::~Roster() {
+void Roster::go_down() {
+  if (fd_ < 0) return;
   loop_.forget(fd_);
   ::close(fd_);
+  fd_ = -1;
+}
+
+void Roster::read() {
+  char bytes[512];
+  const ssize_t got = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (got <= 0) return;
+  const std::string_view text(bytes, static_cast<std::size_t>(got));
+  listed_ = text.size() > 3 && text.substr(text.size() - 3) == " on";
+  ++reports_;
 }
 
 }  // namespace damsonspoke::standins
--- a/standins/below.h
+++ b/standins/below.h
@@ -1,4 +1,5 @@
-// A layer below that answers each call after a time of its own, and a roster that counts what it is told.
+// A layer below that answers each call after a time of its own with a reply that names the call, and a roster
+// that counts what it is told.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +20,7 @@
   ~Below();
   std::uint16_t port() const { return port_; }
   std::uint64_t calls() const { return calls_; }
+  std::size_t connections() const { return links_.size(); }
   Options options;
 
  private:
@@ -41,8 +43,13 @@
   std::uint16_t port() const { return port_; }
   bool listed() const { return listed_; }
   std::uint64_t reports() const { return reports_; }
+  // Its port refuses datagrams until it listens again.
+  void go_down();
+  void listen();
 
  private:
+  void read();
+
   Loop& loop_;
   int fd_ = -1;
   std::uint16_t port_ = 0;
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -46,6 +46,17 @@
   bool completed = false;
 };
 
+// One call that a run wanted, as the runtime saw it.
+struct CallSeen {
+  std::uint64_t request = 0;
+  int number = 0;  // from 1, of its run
+  bool replied = false;
+  std::string reply;  // as it was given to the run while it waited for this call
+};
+// What its body says, and after kReplyTo the reply of a layer below that names calls.
+std::string call_name(const CallSeen& call);
+inline constexpr char kReplyTo[] = "reply to ";
+
 // One life of the program.
 struct Life {
   double began = 0;
@@ -68,17 +79,19 @@
 struct Journal {
   std::map<std::uint64_t, Try> tries;
   std::vector<RunSeen> runs;
+  std::vector<CallSeen> calls;
   std::vector<Life> lives;
   int most_running = 0;
 };
 
 struct RuleLimits {
-  std::vector<std::string> keyed;  // routes that must not run twice a key
-  double slack = 0.1;              // s after the due time that an answer may come
-  double grace = 0.3;              // s after the notice in which what comes may still run
-  double hearing = 0.25;           // s that the notice may take to be heard on a crowded machine
-  double rounding = 0.001;         // s; callers tell in whole milliseconds when a request came
-  int survivable = 0;              // requests running at once; 0: any
+  std::vector<std::string> keyed;   // routes that must not run twice a key
+  double slack = 0.1;               // s after the due time that an answer may come
+  double grace = 0.3;               // s after the notice in which what comes may still run
+  double hearing = 0.25;            // s that the notice may take to be heard on a crowded machine
+  double rounding = 0.001;          // s; callers tell in whole milliseconds when a request came
+  int survivable = 0;               // requests running at once; 0: any
+  bool replies_name_calls = false;  // the layer below does: each other reply has been changed
 };
 
 struct Verdict {
@@ -88,6 +101,7 @@
   int unanswered = 0;
   int late = 0;
   int answered_twice = 0;
+  int changed_replies = 0;
   bool kept() const { return broken.empty(); }
 };
 
--- a/standins/rules.cpp
+++ b/standins/rules.cpp
@@ -1,6 +1,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
 
 #include "journal.h"
 
@@ -40,6 +42,27 @@
   }
 }
 
+// Rule 1: a reply reaches the run as it was, at the call that it belongs to.
+void unchanged_replies(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  Told told(verdict, verdict.changed_replies);
+  for (const CallSeen& call : journal.calls) {
+    if (!call.replied || call.reply == kReplyTo + call_name(call)) continue;
+    int number = 0;
+    std::uint64_t request = 0;
+    const std::string shape = std::string(kReplyTo) + "call %d of %" SCNx64;
+    if (std::sscanf(call.reply.c_str(), shape.c_str(), &number, &request) == 2) {
+      if (request == call.request)
+        told.add(fmt::format("rule 1: {:016x}: the reply to call {} answered call {}", request, number,
+                             call.number));
+      else
+        told.add(fmt::format("rule 1: the reply to call {} of {:016x} answered call {} of {:016x}", number,
+                             request, call.number, call.request));
+    } else if (limits.replies_name_calls) {
+      told.add(fmt::format("rule 1: {:016x}: the reply to call {} was changed", call.request, call.number));
+    }
+  }
+}
+
 // Rule 2: a key runs once, and what anybody is told of it is what that run came to.
 void one_effect(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
   Told runs(verdict, verdict.double_runs), wrong(verdict, verdict.wrong_results);
@@ -126,9 +149,14 @@
 
 }  // namespace
 
+std::string call_name(const CallSeen& call) {
+  return fmt::format("call {} of {:016x}", call.number, call.request);
+}
+
 Verdict check_rules(const Journal& journal, const RuleLimits& limits) {
   Verdict verdict;
   one_answer(journal, limits, verdict);
+  unchanged_replies(journal, limits, verdict);
   one_effect(journal, limits, verdict);
   unnumbered(journal, limits, verdict);
   drain(journal, limits, verdict);
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -12,9 +12,10 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr double kStep = 0.001;      // s; between steps of the work
-constexpr double kBusyMemory = 0.5;  // s; over which the busy gauge is a mean
-constexpr std::size_t kKept = 4000;  // notices, as the protocol says
+constexpr double kStep = 0.001;        // s; between steps of the work
+constexpr double kBusyMemory = 0.5;    // s; over which the busy gauge is a mean
+constexpr std::size_t kKept = 4000;    // notices, as the protocol says
+constexpr double kMovedSeconds = 1.5;  // that the old link stays after a move, as the service page says
 constexpr std::size_t kMostInput = 1 << 22;
 
 }  // namespace
@@ -44,32 +45,58 @@
 
 void Runtime::new_life(int life) {
   life_ = life;
+  start_anew();
+}
+
+void Runtime::start_anew() {
   began_ = now();
   kept_.clear();
   notices_ = 0;
+  known_.clear();
   runs_.clear();  // their effects stand; the journal has them
-  if (link_ >= 0) {
-    loop_.forget(link_);
-    ::close(link_);
-    link_ = -1;
-  }
+  close_link();
 }
 
-void Runtime::break_link() {
+void Runtime::close_link() {
   if (link_ < 0) return;
   loop_.forget(link_);
   ::close(link_);
   link_ = -1;
 }
 
+void Runtime::break_link() {
+  if (link_ < 0) return;
+  if (std::exchange(ends_runs_at_next_link_, false)) {
+    for (auto& [request, run] : runs_) run.ends_at_link = !run.at_call;
+  }
+  close_link();
+}
+
+void Runtime::break_link_after(double deaf_seconds) {
+  if (link_ < 0) return;
+  loop_.mute(link_);
+  loop_.after(deaf_seconds, [this, serial = link_serial_] {
+    if (serial == link_serial_) break_link();
+  });
+}
+
+void Runtime::move() {
+  loop_.forget(listener_);
+  ::close(listener_);
+  port_ = 0;
+  listener_ = listening_socket(port_);
+  loop_.watch(listener_, [this] { accept(); });
+  loop_.after(kMovedSeconds, [this, serial = link_serial_] {
+    if (serial == link_serial_) break_link();
+  });
+}
+
 void Runtime::accept() {
   const int fd = accepted_socket(listener_);
   if (fd < 0) return;
-  if (link_ >= 0) {
-    loop_.forget(link_);
-    ::close(link_);
-  }
+  close_link();
   link_ = fd;
+  ++link_serial_;
   in_.clear();
   loop_.watch(fd, [this] { read(); });
 }
@@ -78,9 +105,7 @@
   char bytes[65536];
   const ssize_t got = ::recv(link_, bytes, sizeof bytes, MSG_DONTWAIT);
   if (got == 0 || (got < 0 && errno != EAGAIN) || in_.size() > kMostInput) {
-    loop_.forget(link_);
-    ::close(link_);
-    link_ = -1;
+    close_link();
     return;
   }
   if (got > 0) in_.append(bytes, static_cast<std::size_t>(got));
@@ -94,10 +119,16 @@
     case CommandKind::kSelfTest:
       return loop_.send(link_, fmt::format("verdict {} complete\r\n", command.tag));
     case CommandKind::kStart: return start(command.request, command.type, command.payload);
-    case CommandKind::kStop: return stop(command.request);
+    case CommandKind::kStop:
+      if (knows(command)) stop(command.request);
+      return;
     case CommandKind::kGive:
-    case CommandKind::kOmit: return go_on(command.request);
-    case CommandKind::kContinue:  // nothing is ever paused
+      if (knows(command)) give(command.request, command.payload);
+      return;
+    case CommandKind::kOmit:
+      if (knows(command)) omit(command.request, command.notice);
+      return;
+    case CommandKind::kContinue: static_cast<void>(knows(command)); return;  // nothing is ever paused
     case CommandKind::kNone: return;
   }
 }
@@ -119,25 +150,47 @@
 void Runtime::tell_gauges(const std::string& tag) {
   const double busy = std::min(1.0, busy_);
   loop_.send(link_, fmt::format("load {} {:.3f} {} 0 0\r\n", tag, busy, runs_.size()));
+  end_runs_of_last_link();
 }
 
 void Runtime::stop(std::uint64_t request) {
   if (runs_.contains(request)) end(request, "cancelled", "");
 }
 
-void Runtime::go_on(std::uint64_t request) {
+bool Runtime::knows(const RuntimeCommand& command) {
+  if (known_.contains(command.request)) return true;
+  loop_.send(link_, fmt::format("nack {} {:016x}\r\n", command.word, command.request));
+  return false;
+}
+
+// Whichever call the run waits for: a reply does not say which one it belongs to.
+void Runtime::give(std::uint64_t request, const std::string& reply) {
+  const auto found = runs_.find(request);
+  if (found == runs_.end() || !found->second.at_call) return;
+  found->second.at_call = false;
+  CallSeen& call = journal_.calls.at(found->second.call);
+  call.replied = true;
+  call.reply = reply;
+}
+
+void Runtime::omit(std::uint64_t request, std::uint64_t notice) {
   const auto found = runs_.find(request);
-  if (found != runs_.end()) found->second.at_call = false;
+  if (found == runs_.end() || found->second.notice != notice) return;
+  found->second.at_call = false;
 }
 
 void Runtime::start(std::uint64_t request, const std::string& type, const std::string& body) {
+  known_.insert(request);
   if (runs_.contains(request)) return;  // it runs already
   std::string result = fmt::format("{} made {} ", key_of(body), ++made_);
   if (result.size() < options.result_bytes) result.resize(options.result_bytes, 'r');
   journal_.runs.push_back({request, key_of(body), type, life_, now(), 0, std::move(result), false});
   const auto special = options.work_by_type.find(type);
   const double work = special == options.work_by_type.end() ? options.work : special->second;
-  runs_[request] = {journal_.runs.size() - 1, work, work, false, false};
+  Run run;
+  run.record = journal_.runs.size() - 1;
+  run.work = run.left = work;
+  runs_[request] = run;
   journal_.most_running = std::max(journal_.most_running, static_cast<int>(runs_.size()));
 }
 
@@ -154,6 +207,35 @@
   if (link_ >= 0) loop_.send(link_, text);
 }
 
+void Runtime::want_call(std::uint64_t request) {
+  Run& run = runs_.at(request);
+  run.at_call = true;
+  run.notice = ++notices_;
+  run.call = journal_.calls.size();
+  CallSeen call;
+  call.request = request;
+  call.number = ++run.calls;
+  journal_.calls.push_back(call);
+  const std::string body = call_name(call);
+  notice(fmt::format("wants {} {:016x} {}\r\n{}\r\n", notices_, request, body.size(), body));
+}
+
+void Runtime::complete(std::uint64_t request) {
+  RunSeen& seen = journal_.runs[runs_.at(request).record];
+  const bool fails = static_cast<double>(request / 1000 % 1000) / 1000 < options.fails;
+  seen.completed = !fails;
+  seen.ended = now();
+  fails ? end(request, "error", "") : end(request, "complete", seen.result);
+}
+
+void Runtime::end_runs_of_last_link() {
+  std::vector<std::uint64_t> over;
+  for (const auto& [request, run] : runs_) {
+    if (run.ends_at_link) over.push_back(request);
+  }
+  for (const std::uint64_t request : over) complete(request);
+}
+
 // What runs shares the cores evenly.
 void Runtime::work() {
   const double dt = now() - worked_at_;
@@ -169,24 +251,15 @@
     run.left -= dt * share * speed();
     const double place =
         static_cast<double>(request % 1000) / 1000;  // the same request fares the same each time
-    if (!run.called && place < options.calls && run.left < run.work / 2) {
-      run.called = run.at_call = true;
+    const bool wants = place < options.calls && run.calls < options.calls_in_a_row;
+    if (wants && run.left < run.work / 2) {
       wanting.push_back(request);
     } else if (run.left <= 0) {
       over.push_back(request);
     }
   }
-  for (const std::uint64_t request : wanting) {
-    const std::string text = fmt::format("wants {} {:016x} 4\r\ncall\r\n", ++notices_, request);
-    notice(text);
-  }
-  for (const std::uint64_t request : over) {
-    RunSeen& seen = journal_.runs[runs_.at(request).record];
-    const bool fails = static_cast<double>(request / 1000 % 1000) / 1000 < options.fails;
-    seen.completed = !fails;
-    seen.ended = now();
-    fails ? end(request, "error", "") : end(request, "complete", seen.result);
-  }
+  for (const std::uint64_t request : wanting) want_call(request);
+  for (const std::uint64_t request : over) complete(request);
   loop_.after(kStep, [this] { work(); });
 }
 
