The soak of endings draws cuts as runs end, runtimes that move or start anew, and peers that read late

Judged besides: replies that reach another call; descriptors once quiet, at most 2 beyond those after the first start, connections not counted; who is up is listed.

--- a/standins/ajp_gateway.h
+++ b/standins/ajp_gateway.h
@@ -57,6 +57,8 @@
   void reach(std::uint16_t port, int life);
   void want_more(bool more) { more_ = more; }
   std::size_t open() const { return owed_; }
+  std::size_t connections() const { return links_.size(); }
+  std::uint16_t port() const { return port_; }      // that it reaches; 0: none yet
   std::size_t skipped() const { return skipped_; }  // wanted while all connections were busy
 
  private:
--- a/standins/below.cpp
+++ b/standins/below.cpp
@@ -88,6 +88,7 @@
   loop_.forget(fd_);
   ::close(fd_);
   fd_ = -1;
+  listed_ = false;
 }
 
 void Roster::read() {
--- a/standins/callers.h
+++ b/standins/callers.h
@@ -58,6 +58,12 @@
   std::uint64_t ask(const Flow& flow, const std::string& key, const std::string& body,
                     bool on_its_own = false);
   std::function<void(const Try&)> on_answer;
+  std::size_t connections(int server) const;
+  // A connection with a small buffer of which nothing is read before that time, also when its server has gone
+  // by then; -1: none is made.
+  int open_late_reader(int server, double read_at);
+  // On such a connection; 0: it has ended.
+  std::uint64_t ask_on(int late_reader, const Flow& flow, const std::string& key, const std::string& body);
 
  private:
   struct Thing {
@@ -78,7 +84,9 @@
     std::string in;
     std::map<std::uint64_t, std::uint64_t> open, answered;  // number to request
     bool no_more = false;
+    bool reads_late = false;
   };
+  std::uint64_t send_on(int fd, const Flow& flow, const std::string& key, const std::string& body);
   void next_thing(std::size_t flow);
   void ask_for(std::uint64_t thing);
   std::uint64_t send_try(const Flow& flow, const std::string& key, const std::string& body, int server,
--- /dev/null
+++ b/standins/endings_draw.cpp
@@ -0,0 +1,166 @@
+#include "endings_draw.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <cmath>
+
+namespace damsonspoke::standins {
+namespace {
+
+constexpr double kFirstEventSeconds = 0.3;
+constexpr double kLongestPauseSeconds = 0.25;
+constexpr double kLongestDeafSeconds =
+    0.05;  // that commands before a break may be lost, says the service page
+constexpr double kLongestLevelCutSeconds = 0.4;
+constexpr double kLongestRegistryDownSeconds = 1.5;
+constexpr double kBetweenCutsSeconds = 0.15;  // at least, of cuts as runs end
+
+bool one_in(pcg64& random, unsigned n) { return random() % n == 0; }
+
+std::size_t members_of(const EndingsFleet& fleet) {
+  return static_cast<std::size_t>(fleet.planners + fleet.forwarders + fleet.backends);
+}
+
+double event_time(pcg64& random) {
+  return kFirstEventSeconds + draw_chance(random) * (kEndingsLoadSeconds - kFirstEventSeconds);
+}
+
+EndingsFleet draw_narrow_fleet(pcg64& random) {
+  EndingsFleet out;
+  if (one_in(random, 2)) {
+    out.forwarders = 2;
+    out.planners = 2 + static_cast<int>(random() % 2);
+  } else {
+    out.backends = 1 + static_cast<int>(random() % 2);
+  }
+  out.by_ajp = out.backends == 1 && one_in(random, 2);
+  // A key is remembered by one backend: with two, a further try at the other would run again.
+  out.keeps_results = out.backends != 2 && one_in(random, 2);
+  out.limits_connections = out.backends > 0 && one_in(random, 2);
+  out.keeps_statistics = one_in(random, 2);
+  out.has_crowd = out.backends > 0 && one_in(random, 3);
+  return out;
+}
+
+EndingsFleet draw_wide_fleet(pcg64& random) {
+  EndingsFleet out;
+  out.is_wide = true;
+  switch (random() % 4) {
+    case 0:
+      out.forwarders = 2;
+      out.planners = 2;
+      break;
+    case 1: out.backends = 2; break;
+    default: out.backends = 1;
+  }
+  out.by_ajp = out.backends == 1 && one_in(random, 2);
+  out.keeps_results = out.backends != 2 && !one_in(random, 4);
+  out.limits_connections = out.backends > 0 && one_in(random, 2);
+  out.keeps_statistics = one_in(random, 2);
+  out.has_crowd = out.backends > 0 && one_in(random, 3);
+  out.crowd_by_ajp = out.has_crowd && out.by_ajp;
+  out.calls_in_a_row = one_in(random, 2) ? 1 + static_cast<int>(random() % 3) : 0;
+  out.run_seconds = std::array{0.004, 0.01, 0.02}[random() % 3];
+  return out;
+}
+
+EndingsEvent draw_narrow_event(pcg64& random, std::size_t member, double when) {
+  using enum EndingsEventKind;
+  constexpr std::array kKinds = {kNotice,    kNotice,   kNotice, kKill,      kReload,
+                                 kBadReload, kCounters, kPause,  kCutRuntime};
+  EndingsEvent event{when, member, kKinds[random() % kKinds.size()], 0};
+  if (event.kind == kPause) event.seconds = draw_chance(random) * kLongestPauseSeconds;
+  return event;
+}
+
+void draw_narrow_events(pcg64& random, const EndingsFleet& fleet, std::vector<EndingsEvent>& events) {
+  const int count = 6 + static_cast<int>(random() % 8);
+  for (int i = 0; i < count; ++i) {
+    const std::size_t member = random() % members_of(fleet);
+    const double when = event_time(random);
+    events.push_back(draw_narrow_event(random, member, when));
+    // A second one in the same millisecond, or while the first is carried out.
+    if (!one_in(random, 3)) continue;
+    const double later = one_in(random, 2) ? 0 : draw_chance(random) * kEndingsStopSeconds;
+    events.push_back(draw_narrow_event(random, member, when + later));
+  }
+}
+
+// A member with a runtime: planners are the first ones, backends are alone.
+std::size_t draw_runner(pcg64& random, const EndingsFleet& fleet) {
+  return random() % static_cast<unsigned>(fleet.planners > 0 ? fleet.planners : fleet.backends);
+}
+
+void draw_cuts_at_run_ends(pcg64& random, const EndingsFleet& fleet, std::vector<EndingsEvent>& events) {
+  double when = kFirstEventSeconds;
+  while (when < kEndingsLoadSeconds) {
+    events.push_back({when, draw_runner(random, fleet), EndingsEventKind::kCutAtRunEnds, 0});
+    when += kBetweenCutsSeconds * (1 + draw_chance(random));
+  }
+}
+
+void draw_wide_events(pcg64& random, const EndingsFleet& fleet, std::vector<EndingsEvent>& events) {
+  using enum EndingsEventKind;
+  if (!one_in(random, 3)) draw_cuts_at_run_ends(random, fleet, events);
+  const int deaf_cuts = static_cast<int>(random() % 4);
+  for (int i = 0; i < deaf_cuts; ++i)
+    events.push_back({event_time(random), draw_runner(random, fleet), kCutDeaf,
+                      draw_chance(random) * kLongestDeafSeconds});
+  if (one_in(random, 3)) events.push_back({event_time(random), draw_runner(random, fleet), kMoveRuntime, 0});
+  if (one_in(random, 3)) events.push_back({event_time(random), draw_runner(random, fleet), kRuntimeAnew, 0});
+  if (one_in(random, 2)) {
+    const std::size_t member = random() % members_of(fleet);
+    events.push_back(
+        {event_time(random), member, kRegistryDown, draw_chance(random) * kLongestRegistryDownSeconds});
+  }
+  if (fleet.planners == 0) return;
+  for (int i = 0; i < 3; ++i) {
+    const EndingsEventKind kind = one_in(random, 2) ? kCutLevels : kResetLevels;
+    events.push_back({event_time(random), draw_runner(random, fleet), kind,
+                      draw_chance(random) * kLongestLevelCutSeconds});
+  }
+}
+
+}  // namespace
+
+double draw_chance(pcg64& random) { return std::ldexp(static_cast<double>(random() >> 11), -53); }
+
+bool is_wide_seed(std::uint64_t seed) { return seed >= kFirstWideSeed; }
+
+EndingsFleet draw_endings_fleet(pcg64& random, std::uint64_t seed) {
+  return is_wide_seed(seed) ? draw_wide_fleet(random) : draw_narrow_fleet(random);
+}
+
+std::string text_of(const EndingsFleet& fleet) {
+  std::string out = fleet.backends > 0
+                        ? fmt::format("{} backends", fleet.backends)
+                        : fmt::format("{} forwarders, {} planners", fleet.forwarders, fleet.planners);
+  if (fleet.by_ajp) out += ", AJP too";
+  if (fleet.keeps_results) out += ", results stored";
+  if (fleet.keeps_statistics) out += ", statistics stored";
+  if (fleet.limits_connections) out += ", connections limited";
+  if (fleet.has_crowd) out += fleet.crowd_by_ajp ? ", a crowd at AJP" : ", a crowd";
+  if (fleet.calls_in_a_row > 0) out += fmt::format(", {} calls a run", fleet.calls_in_a_row);
+  if (fleet.is_wide) out += fmt::format(", runs of {:.0f} ms", fleet.run_seconds * 1000);
+  return out;
+}
+
+std::vector<EndingsEvent> draw_endings_events(pcg64& random, const EndingsFleet& fleet) {
+  std::vector<EndingsEvent> events;
+  draw_narrow_events(random, fleet, events);
+  if (fleet.is_wide) draw_wide_events(random, fleet, events);
+  return events;
+}
+
+std::optional<EndingsCrowd> draw_endings_crowd(pcg64& random, const EndingsFleet& fleet) {
+  if (!fleet.has_crowd) return std::nullopt;
+  constexpr std::array kShapes = {FloodShape::kSilent, FloodShape::kReset, FloodShape::kDrip,
+                                  FloodShape::kJunk};
+  EndingsCrowd crowd;
+  crowd.shape = kShapes[random() % kShapes.size()];
+  crowd.at = 0.5 + draw_chance(random);
+  return crowd;
+}
+
+}  // namespace damsonspoke::standins
--- /dev/null
+++ b/standins/endings_verdict.cpp
@@ -0,0 +1,154 @@
+// What a play of the soak of endings is judged by, once its timeline is over.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "endings_play.h"
+
+namespace damsonspoke::standins {
+namespace {
+
+constexpr double kSettleSeconds = 8;
+constexpr double kQuietSeconds = 3;  // until counters agree once callers want nothing
+constexpr double kCrossingSeconds =
+    0.05;  // a request that crosses a close may be lost, says the protocol page
+constexpr double kLateCrossingSeconds =
+    0.5;  // late readers are owed what they asked at the notice, 1 s before
+constexpr std::ptrdiff_t kSpareDescriptors =
+    2;  // of a file that is being replaced, and of a connection that ends
+
+}  // namespace
+
+// All are up again, callers want nothing more, and nothing is left over.
+void EndingsPlay::settle(std::vector<std::string>& broken) {
+  floods_.clear();
+  callers_->want_more(false);
+  if (gateway_) gateway_->want_more(false);
+  const double until = now() + kSettleSeconds;
+  const auto all_up = [this] {
+    return steps_.empty() && std::all_of(members_.begin(), members_.end(), [](const auto& member) {
+             return member->is_up && member->stop_at < 0;
+           });
+  };
+  while (now() < until && !all_up()) {
+    run_until(now() - began_ + 0.05);
+    for (const auto& member : members_) {
+      if (!member->is_up) start(*member);
+    }
+  }
+  const bool settled = loop_.run_until(
+      [this] {
+        return callers_->open() == 0 && callers_->still_wanted() == 0 && (!gateway_ || gateway_->open() == 0);
+      },
+      kSettleSeconds);
+  if (!settled) broken.emplace_back("some tries never end");
+  for (const auto& member : members_) check_counters(*member, broken);
+  if (!drawn_.is_wide) return;
+  for (const auto& member : members_) check_descriptors(*member, broken);
+  check_registry(broken);
+}
+
+// Without connections of callers and calls below. The runtime's link and those between levels are always
+// there.
+std::ptrdiff_t EndingsPlay::own_descriptors(const Member& member) const {
+  auto open = static_cast<std::ptrdiff_t>(member.server->process->descriptors());
+  if (member.name[0] != 'p') open -= static_cast<std::ptrdiff_t>(callers_->connections(member.number));
+  if (gateway_) open -= static_cast<std::ptrdiff_t>(gateway_->connections());
+  return open - static_cast<std::ptrdiff_t>(member.server->below.connections());
+}
+
+void EndingsPlay::count_descriptors() {
+  for (const auto& member : members_) member->own_descriptors = own_descriptors(*member);
+}
+
+void EndingsPlay::check_descriptors(Member& member, std::vector<std::string>& broken) {
+  if (!member.is_up || member.own_descriptors < 0) return;
+  const std::ptrdiff_t most = member.own_descriptors + kSpareDescriptors;
+  loop_.run_until([&] { return own_descriptors(member) <= most; }, kQuietSeconds);
+  const std::ptrdiff_t open = own_descriptors(member);
+  note(fmt::format("{} has {} descriptors beside connections, {} at first", member.name, open,
+                   member.own_descriptors));
+  if (open > most)
+    broken.push_back(fmt::format("{} once quiet: {} descriptors beside connections, {} after the start",
+                                 member.name, open, member.own_descriptors));
+}
+
+// Who is up and serves is on the list.
+void EndingsPlay::check_registry(std::vector<std::string>& broken) {
+  for (const auto& member : members_) {
+    if (member->name[0] == 'p' || !member->is_up) continue;
+    const Roster& roster = member->server->roster;
+    if (!loop_.run_until([&] { return roster.listed(); }, kQuietSeconds))
+      broken.push_back(member->name + " once quiet: not listed");
+  }
+}
+
+// What was read was answered or has lost its caller; what was started has ended.
+void EndingsPlay::check_counters(Member& member, std::vector<std::string>& broken) {
+  std::string wrong;
+  const double until = now() + kQuietSeconds;
+  do {
+    wrong.clear();
+    auto c = member.server->process->counters();
+    if (c["invariants.broken"] > 0) wrong = "an invariant is broken";
+    const std::uint64_t answered = c["requests.succeeded"] + c["requests.rejected"] + c["requests.failed"];
+    const std::uint64_t gone = c["requests.caller_gone"];
+    if (c["requests.read"] != answered + gone)
+      wrong = fmt::format("{} requests read, {} answered, {} without a caller", c["requests.read"], answered,
+                          gone);
+    const std::uint64_t ended =
+        c["runs.succeeded"] + c["runs.failed"] + c["runs.cancelled"] + c["runs.not_started"];
+    if (member.name[0] != 'f' && c["runs.started"] > ended + c["runs.resumed"])
+      wrong = fmt::format("{} runs started, {} ended", c["runs.started"], ended);
+    if (!wrong.empty()) loop_.run_for(0.2);
+  } while (!wrong.empty() && now() < until);
+  if (!wrong.empty()) broken.push_back(member.name + " once quiet: " + wrong);
+}
+
+// Forwarders first: a planner ends once nothing is open there.
+void EndingsPlay::leave(std::vector<std::string>& broken) {
+  for (const char level : {'f', 'p', 'r'}) {
+    for (const auto& member : members_) {
+      if (member->name[0] == level && member->is_up) member->server->notice();
+    }
+    for (const auto& member : members_) {
+      if (member->name[0] != level || !member->is_up) continue;
+      if (!member->server->ended()) broken.push_back(member->name + " does not end by its stop");
+    }
+  }
+}
+
+// A request may be lost with a kill without notice, or where it crosses an orderly close. One on a new
+// connection that is closed with nothing run has failed and is not lost, says the service page: a crowd has
+// newcomers turned away.
+void EndingsPlay::check_losses(std::vector<std::string>& broken) const {
+  std::set<std::uint64_t> ran;
+  for (const RunSeen& run : journal_.runs) ran.insert(run.request);
+  for (const auto& [request, t] : journal_.tries) {
+    for (const Answer& answer : t.answers) {
+      if (answer.kind == AnswerKind::kBad)
+        broken.push_back(fmt::format("{} {:016x} has an invalid answer", t.key, request));
+    }
+    const Life& life = journal_.lives.at(static_cast<std::size_t>(t.life));
+    if (!t.lost || life.killed || !t.answers.empty()) continue;
+    if (drawn_.is_wide && drawn_.has_crowd && t.connection_was_new && !ran.contains(request)) continue;
+    if (t.lost_at - t.sent <= (t.read_late ? kLateCrossingSeconds : kCrossingSeconds)) continue;
+    broken.push_back(fmt::format("{} {:016x} was lost in life {}, {:.0f} ms after it was sent", t.key,
+                                 request, t.life, (t.lost_at - t.sent) * 1000));
+  }
+}
+
+void EndingsPlay::check_rules_of_service(std::vector<std::string>& broken) const {
+  RuleLimits limits;
+  if (drawn_.keeps_results) limits.keyed = {"close"};
+  limits.replies_name_calls = true;
+  limits.starts_are_sent_again = drawn_.is_wide;
+  // Runs that wait for their calls take no cores.
+  if (drawn_.calls_in_a_row == 0)
+    limits.survivable = 8 * 2 * std::max(1, std::max(drawn_.planners, drawn_.backends));
+  const Verdict verdict = check_rules(journal_, limits);
+  broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
+}
+
+}  // namespace damsonspoke::standins
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -64,6 +64,11 @@
   std::ofstream(operators_path()) << filled;
 }
 
+void Server::move_runtime() {
+  runtime.move();
+  write_config();
+}
+
 void Server::write_config() {
   using nlohmann::json;
   const auto at = [](std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); };
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -71,6 +71,8 @@
   std::uint16_t port() const { return listens_; }  // of its present life
   bool ended();                                    // after the notice; waits up to its stop
   void write_operators(const std::string& text);
+  // Its runtime listens at another address, and its configuration says so from now on.
+  void move_runtime();
   std::string folder() const { return folder_.path("."); }
   std::string store_path() const { return folder_.path("results"); }
   std::string operators_path() const { return folder_.path("operator.conf"); }
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -30,6 +30,9 @@
   bool lost = false;     // its connection ended before an answer
   double lost_at = -1;   // s; when it did
   bool refused = false;  // never sent
+  bool read_late =
+      false;  // its caller did not look at its connection for a while: the times tell when it did
+  bool connection_was_new = false;  // when lost: nothing had been answered on its connection
   bool unnumbered =
       false;  // the program gave its request a number of its own: its runs are known by key alone
   std::vector<Answer> answers;
@@ -92,6 +95,9 @@
   double rounding = 0.001;          // s; callers tell in whole milliseconds when a request came
   int survivable = 0;               // requests running at once; 0: any
   bool replies_name_calls = false;  // the layer below does: each other reply has been changed
+  // Links of runtimes are cut: a retryable request's start may be sent again after its end. Where a request's
+  // number is the program's own, its runs count as one then.
+  bool starts_are_sent_again = false;
 };
 
 struct Verdict {
--- a/standins/loop.cpp
+++ b/standins/loop.cpp
@@ -61,11 +61,12 @@
   return fd;
 }
 
-int connected_socket(std::uint16_t port, const std::string& from) {
+int connected_socket(std::uint16_t port, const std::string& from, int receive_bytes) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = loopback(port);
   sockaddr_in mine = loopback(0);
   ::inet_pton(AF_INET, from.c_str(), &mine.sin_addr);
+  if (receive_bytes > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
   if (fd < 0 || ::bind(fd, reinterpret_cast<const sockaddr*>(&mine), sizeof mine) != 0 ||
       ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     ::close(fd);
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -7,7 +7,9 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace damsonspoke::standins {
@@ -103,6 +105,12 @@
   return 0;
 }
 
+std::size_t Process::descriptors() const {
+  std::error_code gone;
+  std::filesystem::directory_iterator open(fmt::format("/proc/{}/fd", pid_), gone);
+  return gone ? 0 : static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 std::map<std::string, std::uint64_t> Process::counters() {
   std::map<std::string, std::uint64_t> seen;
   lines_.clear();
--- a/standins/process.h
+++ b/standins/process.h
@@ -28,6 +28,7 @@
   int status() const { return status_; }  // exit status, or minus the signal
   pid_t pid() const { return pid_; }
   long resident_kb() const;
+  std::size_t descriptors() const;  // that are open
   double processor_time() const { return standins::processor_time(pid_); }
   // Asks for the counters and reads them.
   std::map<std::string, std::uint64_t> counters();
