Crossings against the client of the runtime alone: a start that may be sent again, commands without a link

What is issued while there is no link goes out once on the next one, in order. The two commands that are to tell what may be sent again are behind one function each.

--- /dev/null
+++ b/tests/runtime_client_crossings.cpp
@@ -0,0 +1,258 @@
+// The client of the runtime against a bare socket, with the reactor standing still while the other side
+// writes or ends the link: what is sent once more on the next link, and what is not. CTest compares with
+// tests/traces/runtime_client_crossings_NAME.txt. usage: runtime_client_crossings - SCENARIO
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "peers/runtime/client.h"
+#include "scenarios.h"
+#include "stepped_reactor.h"
+
+using namespace damsonspoke;
+
+namespace {
+
+constexpr std::size_t kOutputBytes = 256 * 1024;  // of commands that may wait in the client
+constexpr int kSmallReceiveBytes = 4 * 1024;
+constexpr int kLargeReceiveBytes = 1024 * 1024;
+constexpr std::size_t kBodyBytes = 2 * 1024;
+constexpr int kStartsPerTurn = 8;
+constexpr int kMostTurns = 1000;
+constexpr double kTurnSeconds = 0.002;
+constexpr double kStepSeconds = 0.01;
+constexpr int kMostSteps = 300;  // of waiting for what should come
+constexpr int kQuietSteps = 20;  // in which a second command would come
+
+// A listener on loopback; what came is looked at only when the test says so.
+class BareRuntime {
+ public:
+  BareRuntime() {
+    listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    if (::bind(listener_, reinterpret_cast<sockaddr*>(&at), size) != 0) std::abort();
+    if (::listen(listener_, 8) != 0) std::abort();
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  ~BareRuntime() {
+    close_link();
+    ::close(listener_);
+  }
+  std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
+  // Of links that connect from now on.
+  void set_receive_bytes(int bytes) { ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes); }
+  bool accept_link() {
+    link_ = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    return link_ >= 0;
+  }
+  bool has_link() const { return link_ >= 0; }
+  void say(const std::string& text) {
+    if (::send(link_, text.data(), text.size(), MSG_NOSIGNAL) < 0) fmt::print("(cannot say it)\n");
+  }
+  // What has come on the link; with a patience, all until its end.
+  std::string heard(int patience_ms = 0) {
+    std::string all;
+    char bytes[65536];
+    for (;;) {
+      pollfd one{link_, POLLIN, 0};
+      if (::poll(&one, 1, patience_ms) <= 0) return all;
+      const ssize_t got = ::recv(link_, bytes, sizeof bytes, MSG_DONTWAIT);
+      if (got <= 0) return all;
+      all.append(bytes, static_cast<std::size_t>(got));
+    }
+  }
+  void close_link() {
+    if (link_ >= 0) ::close(link_);
+    link_ = -1;
+  }
+
+ private:
+  int listener_ = -1, link_ = -1;
+  std::uint16_t port_ = 0;
+};
+
+struct Client : peers::RuntimeEvents {
+  Client() : log(Level::kError) {}
+  ~Client() override { stepped.end(); }
+  void on_runtime_ready(bool, double) override {}
+  void on_run_ended(RequestId id, Outcome, double, std::string_view) override { ++ends[id]; }
+  void on_call_requested(RequestId id, std::uint64_t, std::string_view) override { ++calls[id]; }
+  void on_self_test_result(std::uint64_t, bool) override {}
+  void on_not_started(RequestId) override { ++not_started; }
+  void on_runtime_restarted(const std::unordered_set<RequestId>&) override { ++restarts; }
+
+  // Lets the client run until this has come.
+  bool hears(const std::string& part) {
+    for (int i = 0; i < kMostSteps && in.find(part) == std::string::npos; ++i) {
+      stepped.run_for(kStepSeconds);
+      if (!bare.has_link() && !bare.accept_link()) continue;
+      in += bare.heard();
+    }
+    return in.find(part) != std::string::npos;
+  }
+  // On a new link: its gauges are answered, which `right_after` follows in the same write.
+  void synchronize(const std::string& state, const std::string& right_after = "") {
+    hears("sync ");
+    bare.say("ready " + state + "\r\n");
+    hears("gauges ");
+    const std::size_t at = in.find("gauges ") + 7;
+    in += bare.heard();
+    bare.say("load " + in.substr(at, in.find("\r\n", at) - at) + " 0.25 1\r\n" + right_after);
+    for (int i = 0; i < kQuietSteps; ++i) {
+      stepped.run_for(kStepSeconds);
+      in += bare.heard();
+    }
+  }
+  void cut() {
+    bare.close_link();
+    in.clear();
+  }
+  int count(const std::string& part) const { return count_in(in, part); }
+  static int count_in(const std::string& text, const std::string& part) {
+    int n = 0;
+    for (std::size_t at = 0; (at = text.find(part, at)) != std::string::npos; at += part.size()) ++n;
+    return n;
+  }
+
+  SteppedReactor stepped;
+  BareRuntime bare;
+  Counters counters;
+  Logger log;
+  std::map<RequestId, int> ends, calls;
+  int not_started = 0, restarts = 0;
+  std::string in;
+  peers::RuntimeClient runtime{stepped.reactor, bare.address(), kOutputBytes, {}, *this, counters, log};
+};
+
+// The two commands of the port whose arguments tell what may be sent a second time.
+void start(Client& client, RequestId id, const std::string& body, bool /*may_repeat*/) {
+  client.runtime.start(id, "push", body);
+}
+void send_reply(Client& client, RequestId id, const std::string& reply, std::uint64_t /*notice*/,
+                bool /*may_be_skipped*/) {
+  client.runtime.send_reply(id, reply);
+}
+
+std::string start_of(RequestId id) { return fmt::format("start {:016x} ", id); }
+std::string whole_start(RequestId id, const std::string& body) {
+  return fmt::format("start {:016x} push {}\r\n{}\r\n", id, body.size(), body);
+}
+
+// Guards against a start that runs twice, or never, where the client's own output fills up: the other side
+// reads nothing until the client gives the link up. What had reached the other side whole is not sent again;
+// all that had not goes out on the next link, once.
+void overflow_once() {
+  Client client;
+  client.bare.set_receive_bytes(kSmallReceiveBytes);
+  client.hears("sync 0");
+  client.bare.set_receive_bytes(kLargeReceiveBytes);  // the next link takes all
+  client.synchronize("hot 0");
+  const std::string body(kBodyBytes, 'b');
+  RequestId last = 0;
+  const auto given_up = [&] { return client.counters[Count::kRuntimeBroken] > 0; };
+  for (int turn = 0; turn < kMostTurns && !given_up(); ++turn) {
+    for (int i = 0; i < kStartsPerTurn; ++i) start(client, ++last, body, false);
+    client.stepped.run_for(kTurnSeconds);
+  }
+  const std::string first_link = client.bare.heard(200);
+  client.cut();
+  client.synchronize("hot 900");
+  int first = 0, again = 0, missing = 0, twice_on_one = 0;
+  for (RequestId id = 1; id <= last; ++id) {
+    const int before = Client::count_in(first_link, whole_start(id, body));
+    const int after = client.count(whole_start(id, body));
+    first += before;
+    again += before > 0 && after > 0;
+    missing += before + after == 0;
+    twice_on_one += before > 1 || after > 1;
+  }
+  say("the link was given up, with starts on both sides of its end",
+      first > 0 && first < static_cast<int>(last));
+  say("none of those that had arrived came again", again == 0);
+  say("each came on one link at least", missing == 0);
+  say("none came twice on one link", twice_on_one == 0);
+}
+
+// Guards against a second start of a run that ends right behind the gauges of the next link.
+void start_crosses_end(bool may_repeat) {
+  Client client;
+  client.synchronize("hot 0");
+  start(client, 1, "body", may_repeat);
+  client.hears("body\r\n");
+  client.cut();
+  client.synchronize("hot 900", "end 1 0000000000000001 complete 20 0\r\n\r\n");
+  fmt::print("starts on the second link: {}, ends: {}\n", client.count(start_of(1)), client.ends[1]);
+}
+void start_once() { start_crosses_end(false); }
+void start_repeatable() { start_crosses_end(true); }
+
+// Guards against a reply that is taken for the next call's, and against a run that nobody lets go on.
+void reply_crosses_call(bool may_be_skipped) {
+  Client client;
+  client.synchronize("hot 0");
+  start(client, 1, "body", true);
+  client.hears("body\r\n");
+  client.bare.say("wants 1 0000000000000001 5\r\nfirst\r\n");
+  client.stepped.run_for(kStepSeconds);
+  for (int i = 0; i < kMostSteps && client.calls[1] == 0; ++i) client.stepped.run_for(kStepSeconds);
+  send_reply(client, 1, "reply", 1, may_be_skipped);
+  client.hears("reply\r\n");
+  client.cut();
+  client.synchronize("hot 900", "wants 2 0000000000000001 6\r\nsecond\r\n");
+  fmt::print("on the second link: give {}, omit of the first call {}; calls asked for: {}\n",
+             client.count("give 0000000000000001 "), client.count("omit 0000000000000001 1\r\n"),
+             client.calls[1]);
+}
+void reply_skippable() { reply_crosses_call(true); }
+void reply_needed() { reply_crosses_call(false); }
+
+// Guards against commands that wait for a link and are lost, or come twice: a start, a reply, a stop and a
+// resumption that were issued while there was none go out once, in their order.
+void issued_without_link() {
+  Client client;
+  client.synchronize("hot 0");
+  for (RequestId id = 1; id <= 2; ++id) start(client, id, "body", false);
+  client.hears(start_of(2));
+  client.bare.say("wants 1 0000000000000001 5\r\nfirst\r\nend 2 0000000000000002 cancelled 5 0\r\n\r\n");
+  for (int i = 0; i < kMostSteps && client.ends[2] == 0; ++i) client.stepped.run_for(kStepSeconds);
+  client.cut();
+  for (int i = 0; i < kMostSteps && client.counters[Count::kRuntimeBroken] == 0; ++i)
+    client.stepped.run_for(kStepSeconds);
+  send_reply(client, 1, "reply", 1, false);
+  client.runtime.resume(2);
+  start(client, 3, "body", false);
+  client.runtime.stop(3);
+  client.synchronize("hot 900");
+  fmt::print("starts: {} {} {}, give: {}, cont: {}, stop: {}\n", client.count(start_of(1)),
+             client.count(start_of(2)), client.count(start_of(3)), client.count("give "),
+             client.count("cont "), client.count("stop "));
+  const bool in_order = client.in.find("give ") < client.in.find("cont ") &&
+                        client.in.find("cont ") < client.in.find("start ") &&
+                        client.in.find("start ") < client.in.find("stop ");
+  say("in their order", in_order);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::string unused;
+  return run_scenario(argc, argv, unused,
+                      {{"overflow_once", overflow_once},
+                       {"start_once", start_once},
+                       {"start_repeatable", start_repeatable},
+                       {"reply_skippable", reply_skippable},
+                       {"reply_needed", reply_needed},
+                       {"issued_without_link", issued_without_link}});
+}
