--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -2,6 +2,7 @@
 // of events in which sending it again would be wrong. The program between scripted peers; the runtime ends a
 // run, or asks for its next call, right behind the gauges whose answer lets the program send again. CTest
 // compares with tests/traces/link_crossings_NAME.txt. usage: link_crossings BINARY SCENARIO
+#include "scenarios.h"
 #include "scripted_site.h"
 
 using namespace damsonspoke::standins::scripted;
@@ -466,50 +467,42 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> kScenarios[] = {
-      {"start_dedup", start_dedup},
-      {"start_fragile", start_fragile},
-      {"start_retryable", start_retryable},
-      {"lost_dedup", lost_dedup},
-      {"lost_fragile", lost_fragile},
-      {"reply_retryable_skippable", reply_retryable_skippable},
-      {"reply_retryable", reply_retryable},
-      {"reply_fragile_skippable", reply_fragile_skippable},
-      {"reply_fragile", reply_fragile},
-      {"reply_lost_skippable", reply_lost_skippable},
-      {"reply_lost_needed", reply_lost_needed},
-      {"runs_on_dedup", runs_on_dedup},
-      {"runs_on_fragile", runs_on_fragile},
-      {"runs_on_retryable", runs_on_retryable},
-      {"waits_dedup", waits_dedup},
-      {"waits_fragile", waits_fragile},
-      {"resumption_crosses_end", resumption_crosses_end},
-      {"resumption_crosses_pause", resumption_crosses_pause},
-      {"resumption_lost", resumption_lost},
-      {"stop_paused_fragile", stop_paused_fragile},
-      {"stop_dropped_fragile", stop_dropped_fragile},
-      {"stop_dropped_retryable", stop_dropped_retryable},
-      {"overdue_dedup", overdue_dedup},
-      {"stop_lost", stop_lost},
-      {"moved_dedup", moved_dedup},
-      {"moved_fragile", moved_fragile},
-      {"reply_moved_skippable", reply_moved_skippable},
-      {"reply_moved_needed", reply_moved_needed},
-      {"gap_dedup", gap_dedup},
-      {"anew_100ms_dedup", anew_100ms_dedup},
-      {"anew_300ms_dedup", anew_300ms_dedup},
-      {"anew_100ms_fragile", anew_100ms_fragile},
-      {"anew_300ms_fragile", anew_300ms_fragile},
-      {"ready_read_late", ready_read_late},
-      {"proven_50ms", proven_50ms},
-      {"proven_100ms", proven_100ms},
-      {"proven_200ms", proven_200ms}};
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::signal(SIGPIPE, SIG_IGN);
-  if (argc == 3) binary = argv[1];
-  for (const auto& [name, play] : kScenarios) {
-    if (argc == 3 && std::strcmp(argv[2], name) == 0) return play(), 0;
-  }
-  std::fprintf(stderr, "usage: link_crossings BINARY SCENARIO\n");
-  return 2;
+  return run_scenario(argc, argv, binary,
+                      {{"start_dedup", start_dedup},
+                       {"start_fragile", start_fragile},
+                       {"start_retryable", start_retryable},
+                       {"lost_dedup", lost_dedup},
+                       {"lost_fragile", lost_fragile},
+                       {"reply_retryable_skippable", reply_retryable_skippable},
+                       {"reply_retryable", reply_retryable},
+                       {"reply_fragile_skippable", reply_fragile_skippable},
+                       {"reply_fragile", reply_fragile},
+                       {"reply_lost_skippable", reply_lost_skippable},
+                       {"reply_lost_needed", reply_lost_needed},
+                       {"runs_on_dedup", runs_on_dedup},
+                       {"runs_on_fragile", runs_on_fragile},
+                       {"runs_on_retryable", runs_on_retryable},
+                       {"waits_dedup", waits_dedup},
+                       {"waits_fragile", waits_fragile},
+                       {"resumption_crosses_end", resumption_crosses_end},
+                       {"resumption_crosses_pause", resumption_crosses_pause},
+                       {"resumption_lost", resumption_lost},
+                       {"stop_paused_fragile", stop_paused_fragile},
+                       {"stop_dropped_fragile", stop_dropped_fragile},
+                       {"stop_dropped_retryable", stop_dropped_retryable},
+                       {"overdue_dedup", overdue_dedup},
+                       {"stop_lost", stop_lost},
+                       {"moved_dedup", moved_dedup},
+                       {"moved_fragile", moved_fragile},
+                       {"reply_moved_skippable", reply_moved_skippable},
+                       {"reply_moved_needed", reply_moved_needed},
+                       {"gap_dedup", gap_dedup},
+                       {"anew_100ms_dedup", anew_100ms_dedup},
+                       {"anew_300ms_dedup", anew_300ms_dedup},
+                       {"anew_100ms_fragile", anew_100ms_fragile},
+                       {"anew_300ms_fragile", anew_300ms_fragile},
+                       {"ready_read_late", ready_read_late},
+                       {"proven_50ms", proven_50ms},
+                       {"proven_100ms", proven_100ms},
+                       {"proven_200ms", proven_200ms}});
 }
--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -46,6 +46,8 @@
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
     port_ = ntohs(at.sin_port);
   }
+  BareRuntime(const BareRuntime&) = delete;
+  BareRuntime& operator=(const BareRuntime&) = delete;
   ~BareRuntime() {
     close_link();
     ::close(listener_);
@@ -85,6 +87,8 @@
 
 struct Client : peers::RuntimeEvents {
   Client() : log(Level::kError) {}
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
   ~Client() override { stepped.end(); }
   void on_runtime_ready(bool, double) override {}
   void on_run_ended(RequestId id, Outcome, double, std::string_view) override { ++ends[id]; }
