Nothing is written on a link that the runtime has closed, and its last notices are read before anything is sent again

Change: before a command is written the system is asked whether the link has ended; if so the command waits for the next link, as it never left. What was read with the mark of the missed notices is handled whole before the unproven is sent again. Tests: link_ends_closed_unseen and link_ends_end_behind_gauges. The forced crossings put the end, or the next call, behind the gauges in one write, where it is now read in time; it follows 50 ms later now, before the runtime reads what the program sent meanwhile, so that the two still cross.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -215,6 +215,13 @@
   }
 }
 
+bool Connection::peer_has_closed() const {
+  if (state_ != State::kOpen) return false;
+  char byte;
+  const ssize_t got = ::recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 bool Connection::nothing_to_read() const {
   char byte;
   return ::recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -92,6 +92,9 @@
   // Bytes that came from the peer, and that the system took for it, since it was made.
   std::uint64_t bytes_in() const { return bytes_in_; }
   std::uint64_t bytes_out() const { return bytes_out_; }
+  // The peer has closed its side, or the connection is broken, with nothing before that to read: asks the
+  // system.
+  bool peer_has_closed() const;
   bool nothing_to_read() const;  // neither bytes nor the peer's end: asks the system, not the reactor
   std::uint64_t tag = 0;         // the owner's name for it
 
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -129,6 +129,7 @@
   is_moving_ = false;
   is_runtime_up_ = false;
   is_synchronized_ = false;
+  has_missed_notices_ = false;
   gauges_requested_at_ = -1;
 }
 
@@ -159,6 +160,7 @@
     used += read.length;
     handle_notice(read.notice);
   }
+  if (connection.open() && has_missed_notices_) on_synchronized();
   return used;
 }
 
@@ -265,8 +267,9 @@
   gauges_requested_at_ = -1;
   ledger_.mark_arrived(sent_before_gauges_);
   store_gauges(notice.gauges, now);
-  if (!is_synchronized_) return on_synchronized();
-  if (!is_moving_ || next_link_) return;
+  // The ends of runs may stand behind the answer: they are read before anything is sent again.
+  if (!is_synchronized_) has_missed_notices_ = true;
+  if (!is_synchronized_ || !is_moving_ || next_link_) return;
   ledger_.has_unproven() ? request_gauges() : finish_move();
 }
 
@@ -294,6 +297,7 @@
 // All missed notices have been read.
 void RuntimeClient::on_synchronized() {
   is_synchronized_ = true;
+  has_missed_notices_ = false;
   const std::size_t waiting = ledger_.waiting_starts();
   if (waiting > 0) log_.info("runtime", "{} runs may not have been started, their ends are awaited", waiting);
   counters_.add(Count::kRuntimeInDoubt, waiting);
@@ -313,7 +317,11 @@
   if (takes_commands()) send(outgoing);
 }
 
+// What is not written goes over the next link: nothing reads a link that the runtime has closed, and what is
+// written there would be in doubt.
 void RuntimeClient::send(const CommandLedger::Outgoing& command) {
+  if (!link_ || !link_->connected()) return;
+  if (link_->peer_has_closed()) return link_->close(net::End::kBroken);
   write(command.text);
   ledger_.mark_sent(command.key, stream_bytes_, net::monotonic_now());
 }
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -84,6 +84,7 @@
   std::shared_ptr<net::Connection> next_link_;  // replaces link_ once it is connected
   std::uint64_t stream_bytes_ = 0;              // given to link_ since it was made
   bool is_runtime_up_ = false;                  // the runtime has said so on this link
+  bool has_missed_notices_ = false;             // their mark was read, what stands behind it may not be yet
   bool is_synchronized_ = false;                // the missed notices were read on this link
   bool is_moving_ = false;                      // commands wait for the link to another address
   bool was_ready_ = false;                      // on any link
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -31,7 +32,8 @@
 namespace damsonspoke::standins::scripted {
 
 using Clock = std::chrono::steady_clock;
-inline constexpr double kPatience = 10;  // s; for whatever is expected, far above what it takes
+constexpr std::chrono::milliseconds kReadingTime{50};  // of the program, on a crowded machine too
+inline constexpr double kPatience = 10;                // s; for whatever is expected, far above what it takes
 
 inline std::string binary;      // the program under test
 inline bool debug_log = false;  // it tells more, as at level debug
@@ -207,8 +209,8 @@
   }
   bool answers_gauges = true;
   int answered_gauges = 0;
-  // Said right behind the next answer to gauges, in the same write: nothing that the program sends on reading
-  // that answer can come before it.
+  // Said after the next answer to gauges, once the program has had time to read that, and before anything is
+  // read that it sends then: its commands and this cross.
   void runtime_says_after_gauges(const std::string& text) {
     std::printf("runtime says right after its gauges: %s\n", replaced(text, "\r\n", " / ").c_str());
     after_gauges_ = text + "\r\n";
@@ -420,6 +422,11 @@
     }
     return true;
   }
+  void say_after_gauges() {
+    if (waits_for_link_ || after_gauges_.empty()) return;
+    std::this_thread::sleep_for(kReadingTime);
+    put(runtime_, std::exchange(after_gauges_, {}));
+  }
   void take(int fd) {
     if (fd == runtime_listener_) {
       runtime_ = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
@@ -447,8 +454,8 @@
         if (line.rfind("gauges ", 0) != 0) {
           runtime_lines_.push_back(line);
         } else if (answers_gauges && runtime_ >= 0) {
-          const std::string more = waits_for_link_ ? std::string() : std::exchange(after_gauges_, {});
-          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n" + more);
+          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n");
+          say_after_gauges();
           ++answered_gauges;
         }
       }
--- a/tests/link_ends.cpp
+++ b/tests/link_ends.cpp
@@ -415,6 +415,44 @@
   fmt::print("after its own: starts sent {}\n", link.count("start "));
 }
 
+// Guards against a start that is sent again though the end of its run has come: that stands behind the gauges
+// in the same bytes.
+void end_behind_gauges() {
+  Link link;
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  link.catches_up();
+  link.start(1);
+  link.hears("start 0000000000000001");
+  link.breaks();
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 5000\r\n");
+  link.hears("gauges ", false);
+  const std::size_t at = link.in.find("gauges ");
+  const std::string tag = link.in.substr(at + 7, link.in.find("\r\n", at) - at - 7);
+  Bare::say(link.bare.newest(),
+            "load " + tag + " 0.25 1\r\nend 1 0000000000000001 complete 20 6\r\nresult\r\n");
+  link.hears("start ");
+  fmt::print("the end: {}, starts on the new link: {}\n", link.ends_of(1), link.count("start "));
+}
+
+// Guards against a start that is lost on a link which the runtime has closed, when nobody here has seen its
+// end yet: it never left, so it goes over the next link, also where it must not run twice.
+void closed_unseen() {
+  Link link;
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  link.catches_up();
+  link.bare.close(link.bare.newest(), false);
+  link.in.clear();
+  link.start(1, false);  // the reactor stands still
+  link.hears("sync 0");
+  Bare::say(link.bare.newest(), "ready hot 5000\r\n");
+  link.hears("start 0000000000000001");
+  fmt::print("starts on the new link: {}, in doubt: {}\n", link.count("start "),
+             link.counters[Count::kRuntimeInDoubt]);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -426,5 +464,7 @@
                        {"cut", cut},
                        {"notices_cut", notices_cut},
                        {"anew", anew},
-                       {"old_gauges", old_gauges}});
+                       {"old_gauges", old_gauges},
+                       {"end_behind_gauges", end_behind_gauges},
+                       {"closed_unseen", closed_unseen}});
 }
--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -95,6 +95,7 @@
   void on_call_requested(RequestId id, std::uint64_t, std::string_view) override { ++calls[id]; }
   void on_self_test_result(std::uint64_t, bool) override {}
   void on_not_started(RequestId) override { ++not_started; }
+  void on_run_given_up(RequestId) override { ++given_up; }
   void on_runtime_restarted(const std::unordered_set<RequestId>&) override { ++restarts; }
 
   // Lets the client run until this has come.
@@ -106,14 +107,17 @@
     }
     return in.find(part) != std::string::npos;
   }
-  // On a new link: its gauges are answered, which `right_after` follows in the same write.
+  // On a new link: its gauges are answered, which `right_after` follows before what the client sends then is
+  // read.
   void synchronize(const std::string& state, const std::string& right_after = "") {
     hears("sync ");
     bare.say("ready " + state + "\r\n");
     hears("gauges ");
     const std::size_t at = in.find("gauges ") + 7;
     in += bare.heard();
-    bare.say("load " + in.substr(at, in.find("\r\n", at) - at) + " 0.25 1\r\n" + right_after);
+    bare.say("load " + in.substr(at, in.find("\r\n", at) - at) + " 0.25 1\r\n");
+    stepped.run_for(kStepSeconds);
+    bare.say(right_after);
     for (int i = 0; i < kQuietSteps; ++i) {
       stepped.run_for(kStepSeconds);
       in += bare.heard();
@@ -135,18 +139,19 @@
   Counters counters;
   Logger log;
   std::map<RequestId, int> ends, calls;
-  int not_started = 0, restarts = 0;
+  int not_started = 0, given_up = 0, restarts = 0;
   std::string in;
   peers::RuntimeClient runtime{stepped.reactor, bare.address(), kOutputBytes, {}, *this, counters, log};
 };
 
-// The two commands of the port whose arguments tell what may be sent a second time.
-void start(Client& client, RequestId id, const std::string& body, bool /*may_repeat*/) {
-  client.runtime.start(id, "push", body);
+constexpr double kSecondsUntilDue = 30;  // above what any scenario takes
+
+void start(Client& client, RequestId id, const std::string& body, bool may_repeat) {
+  client.runtime.start({id, "push", body, may_repeat, kSecondsUntilDue});
 }
-void send_reply(Client& client, RequestId id, const std::string& reply, std::uint64_t /*notice*/,
-                bool /*may_be_skipped*/) {
-  client.runtime.send_reply(id, reply);
+void send_reply(Client& client, RequestId id, const std::string& reply, std::uint64_t notice,
+                bool may_be_skipped) {
+  client.runtime.send_reply(id, reply, {notice, may_be_skipped});
 }
 
 std::string start_of(RequestId id) { return fmt::format("start {:016x} ", id); }
