--- a/tests/tier/fault_histories.cpp
+++ b/tests/tier/fault_histories.cpp
@@ -28,18 +28,18 @@
         again.play();
         return;
       }
-      const History::Totals t = history.totals();
-      all.requests += t.requests;
-      all.succeeded += t.succeeded;
-      all.rejected += t.rejected;
-      all.failed += t.failed;
-      all.second += t.second;
-      all.fenced += t.fenced;
-      all.proven += t.proven;
-      all.dropped += t.dropped;
-      all.lost += t.lost;
-      all.asked += t.asked;
-      all.known += t.known;
+      const History::Totals totals = history.totals();
+      all.requests += totals.requests;
+      all.succeeded += totals.succeeded;
+      all.rejected += totals.rejected;
+      all.failed += totals.failed;
+      all.retries += totals.retries;
+      all.fences += totals.fences;
+      all.proven_not_run += totals.proven_not_run;
+      all.stale_answers += totals.stale_answers;
+      all.lost_with_epoch += totals.lost_with_epoch;
+      all.key_lookups += totals.key_lookups;
+      all.key_lookup_hits += totals.key_lookup_hits;
     }
   }
   std::printf("%d histories: one answer each and in time, no second run, credits right, windows kept\n",
@@ -50,10 +50,10 @@
   std::printf("acked %s, nacked %s, failed %s\n", share(all.succeeded, 0.5), share(all.rejected, 0.02),
               share(all.failed, 0.005));
   std::printf("second tries %s, fences %s, proofs %s, answers dropped %s, lost with a life %s\n",
-              share(all.second, 0.005), share(all.fenced, 0.005), share(all.proven, 0.003),
-              share(all.dropped, 0.001), share(all.lost, 0.002));
-  std::printf("former homes asked %s, answered by them %s\n", share(all.asked, 0.005),
-              share(all.known, 0.001));
+              share(all.retries, 0.005), share(all.fences, 0.005), share(all.proven_not_run, 0.003),
+              share(all.stale_answers, 0.001), share(all.lost_with_epoch, 0.002));
+  std::printf("former homes asked %s, answered by them %s\n", share(all.key_lookups, 0.005),
+              share(all.key_lookup_hits, 0.001));
 }
 
 }  // namespace
--- a/tests/tier/fault_history.cpp
+++ b/tests/tier/fault_history.cpp
@@ -22,7 +22,7 @@
 }
 
 std::string History::play() {
-  while (!events_.empty() && broken_.empty() && now_ < 60) {
+  while (!events_.empty() && broken_.empty() && now_ < kMaxHistorySeconds) {
     const Event event = events_.top();
     events_.pop();
     now_ = std::max(now_, event.at);
@@ -38,24 +38,24 @@
 }
 
 History::Totals History::totals() const {
-  Totals t;
+  Totals sums;
   for (const auto& [id, request] : requests_) {
-    ++t.requests;
-    t.succeeded += request.succeeded;
-    t.rejected += request.rejected;
-    t.failed += request.failed;
+    ++sums.requests;
+    sums.succeeded += request.succeeded;
+    sums.rejected += request.rejected;
+    sums.failed += request.failed;
   }
-  for (const auto& f : forwarders_) {
-    const DispatchCounters& c = f->dispatch.counters();
-    t.second += static_cast<int>(c.retries);
-    t.fenced += static_cast<int>(c.fences);
-    t.proven += static_cast<int>(c.proven_not_run);
-    t.dropped += static_cast<int>(c.stale_answers);
-    t.lost += static_cast<int>(c.lost_with_epoch);
-    t.asked += static_cast<int>(c.key_lookups);
-    t.known += static_cast<int>(c.key_lookup_hits);
+  for (const auto& forwarder : forwarders_) {
+    const DispatchCounters& counters = forwarder->dispatch.counters();
+    sums.retries += static_cast<int>(counters.retries);
+    sums.fences += static_cast<int>(counters.fences);
+    sums.proven_not_run += static_cast<int>(counters.proven_not_run);
+    sums.stale_answers += static_cast<int>(counters.stale_answers);
+    sums.lost_with_epoch += static_cast<int>(counters.lost_with_epoch);
+    sums.key_lookups += static_cast<int>(counters.key_lookups);
+    sums.key_lookup_hits += static_cast<int>(counters.key_lookup_hits);
   }
-  return t;
+  return sums;
 }
 
 double History::chance() { return random_() / 4294967296.0; }
@@ -160,13 +160,14 @@
     }
   }
   for (const auto& f : forwarders_) {
-    after(chance() * kSpread, [this, &f, names] {
+    after(chance() * kReloadSpreadSeconds, [this, &f, names] {
       note("f" + std::to_string(f->number) + " has a list of " + std::to_string(names.size()) + ", with " +
            names.front() + " first");
       f->dispatch.set_planners(names, now_);
     });
   }
-  if (static_cast<int>(requests_.size()) < max_requests_) after(kSpread + chance() * 4, [this] { relist(); });
+  if (static_cast<int>(requests_.size()) < max_requests_)
+    after(kReloadSpreadSeconds + chance() * 4, [this] { relist(); });
 }
 
 }  // namespace damsonspoke::tier
--- a/tests/tier/fault_history.h
+++ b/tests/tier/fault_history.h
@@ -26,20 +26,36 @@
  public:
   History(std::uint64_t seed, int requests, bool tell);
 
-  // Empty: nothing broke. Else what did.
+  // What broke first; empty: nothing did.
   std::string play();
 
   struct Totals {
-    int requests = 0, succeeded = 0, rejected = 0, failed = 0, second = 0, fenced = 0, proven = 0,
-        dropped = 0, lost = 0, asked = 0, known = 0;
+    int requests = 0;
+    int succeeded = 0;
+    int rejected = 0;
+    int failed = 0;
+    int retries = 0;
+    int fences = 0;
+    int proven_not_run = 0;
+    int stale_answers = 0;
+    int lost_with_epoch = 0;
+    int key_lookups = 0;
+    int key_lookup_hits = 0;
   };
   Totals totals() const;
 
  private:
-  static constexpr int kForwarders = 2, kPlanners = 4, kCores = 2;
-  static constexpr double kWindow = 1, kSpread = 0.5,
-                          kLongest = 1.3;         // s: of keys, of reloads, that a request waits
-  static constexpr double kForwarderSilence = 1;  // s without a frame after which it gives a link up
+  static constexpr int kForwarders = 2;
+  static constexpr int kPlanners = 4;
+  static constexpr int kCores = 2;
+  static constexpr double kKeyWindowSeconds = 1;
+  static constexpr double kReloadSpreadSeconds = 0.5;
+  static constexpr double kLongestWaitSeconds = 1.3;     // of a request
+  static constexpr double kForwarderSilenceSeconds = 1;  // without a frame after which it gives a link up
+  static constexpr double kSessionGraceSeconds = 0.75;   // that a planner keeps a session without a link
+  static constexpr double kMaxHistorySeconds = 60;
+  static constexpr double kNever = 1e18;  // s
+  static constexpr double kMicrosecondsPerSecond = 1e6;
   struct Event {
     double at = 0;
     std::uint64_t number = 0;
@@ -90,24 +106,25 @@
     int running = 0;
   };
   struct Forwarder : DispatchSink {
-    Forwarder(History& h, int n)
-        : history(h),
-          number(n),
+    Forwarder(History& of, int its_number)
+        : history(of),
+          number(its_number),
           dispatch(
-              terms(), 1, {"p1", "p2", "p3", "p4"}, *this, [&h] { return h.chance(); }, 0) {}
-    static DispatchOptions terms() {
-      DispatchOptions t;
-      t.route_by_subject = true;
-      t.startup_wait = 0.25;
-      t.key_ownership = {kSpread + kLongest, kWindow + 2 * kLongest};
-      return t;
+              options(), 1, {"p1", "p2", "p3", "p4"}, *this, [&of] { return of.chance(); }, 0) {}
+    static DispatchOptions options() {
+      DispatchOptions options;
+      options.route_by_subject = true;
+      options.startup_wait = 0.25;
+      options.key_ownership = {kReloadSpreadSeconds + kLongestWaitSeconds,
+                               kKeyWindowSeconds + 2 * kLongestWaitSeconds};
+      return options;
     }
     void send(int planner, Attempt attempt, RequestId request, double left, bool known_only) override {
       wt::Submit submit;
       submit.lookup_only = known_only;
       submit.attempt = attempt;
       submit.request = request;
-      submit.remaining_us = static_cast<std::uint32_t>(left * 1e6);
+      submit.remaining_us = static_cast<std::uint32_t>(left * kMicrosecondsPerSecond);
       const auto& picker = dispatch.picker();
       if (picker.open_attempts(planner) > static_cast<int>(window[planner]))
         history.fail("planner " + std::to_string(planner) + " was sent more than its window");
@@ -128,19 +145,19 @@
       wake_time = time;
       history.at(std::max(time, history.now_), [this, time] {
         if (wake_time != time) return;
-        wake_time = 1e18;
+        wake_time = kNever;
         dispatch.on_timer(history.now_);
       });
     }
     History& history;
     const int number;
-    double wake_time = 1e18;
+    double wake_time = kNever;
     std::shared_ptr<Link> links[kPlanners];
     std::uint32_t window[kPlanners] = {};
     Dispatch dispatch;
   };
 
-  double chance();
+  double chance();  // from 0 to under 1
   void at(double time, std::function<void()> what);
   void after(double delay, std::function<void()> what);
   void note(const std::string& what);
@@ -149,11 +166,12 @@
 
   // ---- Callers.
   void next_request();
+  // `how`: 'a' succeeded, 'n' rejected, 'f' failed.
   void answered(RequestId id, char how);
 
   // ---- Links.
   void connect(int f, int p);
-  double delay();
+  double delay();  // s, of a frame on its way
   void out(const std::shared_ptr<Link>& link, const wt::Message& message, Attempt attempt = 0);
   void in(const std::shared_ptr<Link>& link, const wt::Message& message);
   // The forwarder hears of the break now, the planner some time later or by the next hello. Of what was under
--- a/tests/tier/fault_history_links.cpp
+++ b/tests/tier/fault_history_links.cpp
@@ -62,7 +62,7 @@
   if (!link || !link->here || !link->there) return;
   note("p" + std::to_string(link->planner) + " loses the link of f" + std::to_string(link->forwarder));
   planner_loses(link);
-  after(chance() * kForwarderSilence, [this, link] { break_link(link); });
+  after(chance() * kForwarderSilenceSeconds, [this, link] { break_link(link); });
 }
 
 void History::planner_loses(const std::shared_ptr<Link>& link) {
--- a/tests/tier/fault_history_planners.cpp
+++ b/tests/tier/fault_history_planners.cpp
@@ -36,8 +36,8 @@
   planner.memory = std::move(kept);
   planner.up = true;
   planner.epoch = ++next_epoch_ << 32;  // far apart, as random ones are
-  planner.holdings =
-      std::make_unique<ForwarderSessions>(ForwarderSessionsOptions{0.75, 4096, 8, 64}, planner.epoch);
+  planner.holdings = std::make_unique<ForwarderSessions>(
+      ForwarderSessionsOptions{kSessionGraceSeconds, 4096, 8, 64}, planner.epoch);
 }
 
 void History::kill(int p) {
@@ -118,7 +118,7 @@
   const std::uint64_t mark = requests_[held.request].mark;
   const auto known = planner.memory.find(mark);
   const bool over = known != planner.memory.end() && known->second.state > Memory::kRunning &&
-                    now_ >= known->second.admitted + kWindow;
+                    now_ >= known->second.admitted + kKeyWindowSeconds;
   if (known != planner.memory.end() && !over) {
     if (known->second.state == Memory::kEnded) {
       tell(planner, held, wt::Result::kSucceeded);
@@ -161,7 +161,7 @@
     Memory& memory = planner.memory.at(mark);
     memory.state = Memory::kRunning;
     const auto before = ran_.find(mark);
-    if (before != ran_.end() && memory.admitted < before->second + kWindow)
+    if (before != ran_.end() && memory.admitted < before->second + kKeyWindowSeconds)
       fail("key " + std::to_string(mark) + " ran twice within its window");
     ran_[mark] = memory.admitted;
   }
--- a/tests/tier/forwarder_program.cpp
+++ b/tests/tier/forwarder_program.cpp
@@ -313,12 +313,13 @@
 
 constexpr double kLongPatience = 2;  // s; settling waits for two tries of it
 
+constexpr double kFreshSeconds = 0.05;  // of a run that has just begun
+
 // Whether a run that callers asked this forwarder for has just begun.
 bool has_fresh_run(const Journal& journal, int life) {
-  constexpr double kFresh = 0.05;  // s
   return std::any_of(journal.runs.begin(), journal.runs.end(), [&](const RunSeen& run) {
     const auto found = journal.tries.find(run.request);
-    return found != journal.tries.end() && found->second.life == life && run.began > now() - kFresh;
+    return found != journal.tries.end() && found->second.life == life && run.began > now() - kFreshSeconds;
   });
 }
 
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -17,6 +17,8 @@
 
 std::string binary;
 
+constexpr int kMayHaveRun = static_cast<int>(wt::Result::kFailed);
+
 struct Play {
   explicit Play(double work, int sockets = 512) : Play(site(sockets), work_of(work)) {}
   Play(const SiteSpec& site, const Runtime::Options& runtime)
@@ -124,8 +126,9 @@
 // waits to run here: for the same forwarder, on its next link, for another forwarder that names its routes
 // otherwise, after its caller has gone.
 void id_in_use() {
-  constexpr int kMayHaveRun = static_cast<int>(wt::Result::kFailed);
-  constexpr std::uint64_t kRunning = 6001, kWaiting = 6003, kEnded = 6004;
+  const std::uint64_t running = 6001;
+  const std::uint64_t waiting = 6003;
+  const std::uint64_t ended = 6004;
   Play play(0.4);
   const auto ran = [&play](std::uint64_t request) {
     return std::count_if(play.journal.runs.begin(), play.journal.runs.end(),
@@ -136,32 +139,31 @@
   wt::Hello without_routes = Link::hello_of("f2", 8);
   without_routes.routes = {"unheard-of"};
   other.send(without_routes);
-  first.submit(1, kRunning).submit(2, 6002).submit(3, kWaiting);
+  first.submit(1, running).submit(2, 6002).submit(3, waiting);
   play.loop.run_for(0.1);
-  say("two run, one waits", ran(kRunning) == 1 && ran(6002) == 1 && ran(kWaiting) == 0);
-  say("by its forwarder while it runs", first.submit(11, kRunning).answer(11, 0.2) == kMayHaveRun);
-  say("while it waits", first.submit(12, kWaiting).answer(12, 0.2) == kMayHaveRun);
+  say("two run, one waits", ran(running) == 1 && ran(6002) == 1 && ran(waiting) == 0);
+  say("by its forwarder while it runs", first.submit(11, running).answer(11, 0.2) == kMayHaveRun);
+  say("while it waits", first.submit(12, waiting).answer(12, 0.2) == kMayHaveRun);
   say("by another forwarder, with a route that is not known here",
-      other.submit(1, kRunning).answer(1, 0.2) == kMayHaveRun);
+      other.submit(1, running).answer(1, 0.2) == kMayHaveRun);
   Link next(play);
   next.hello("f1", 7);
-  say("on the forwarder's next link", next.submit(13, kRunning).answer(13, 0.2) == kMayHaveRun);
+  say("on the forwarder's next link", next.submit(13, running).answer(13, 0.2) == kMayHaveRun);
   say("all are answered where they were first",
       next.answer(1) == 0 && next.answer(2) == 0 && next.answer(3) == 0);
-  say("each ran once", ran(kRunning) == 1 && ran(kWaiting) == 1);
+  say("each ran once", ran(running) == 1 && ran(waiting) == 1);
   next.answers.erase(1);
-  say("an attempt that has ended, sent again: nothing", next.submit(1, kRunning).answer(1, 0.2) == -1);
-  say("nothing ran for it", ran(kRunning) == 1);
+  say("an attempt that has ended, sent again: nothing", next.submit(1, running).answer(1, 0.2) == -1);
+  say("nothing ran for it", ran(running) == 1);
   say("the id of one that has ended, in a new attempt: a request of its own",
-      next.submit(14, kEnded).answer(14) == 0 && next.submit(15, kEnded).answer(15) == 0 && ran(kEnded) == 2);
+      next.submit(14, ended).answer(14) == 0 && next.submit(15, ended).answer(15) == 0 && ran(ended) == 2);
   play.end();
 }
 
 // Guards against a second run, or the proof that there was none, of a request that must not run twice and
 // whose forwarder has died: the one that is asked next gives the same id and body.
 void keyed_id_in_use() {
-  constexpr int kMayHaveRun = static_cast<int>(wt::Result::kFailed);
-  constexpr std::uint64_t kRequest = 7001;
+  const std::uint64_t request = 7001;
   SiteSpec spec = Play::site(512);
   spec.types = {{"close", "dedup", 1, 2, 20, 1}};
   spec.operators = "results\n    enabled on\n    store STORE\n";
@@ -177,14 +179,14 @@
     dies.send(hello("f1", 7));
     // Rejected until the store is open.
     for (std::uint64_t attempt = 1; attempt <= 50 && play.journal.runs.empty(); ++attempt) {
-      dies.submit(attempt, kRequest);
+      dies.submit(attempt, request);
       play.loop.run_for(0.05);
     }
   }
   after.send(hello("f2", 8));
-  say("while it runs: it may have run", after.submit(1, kRequest).answer(1, 0.2) == kMayHaveRun);
-  say("with an id of its own: joined", after.submit(2, kRequest + 1).answer(2) == 0);
-  say("after it has ended: its result", after.submit(3, kRequest).answer(3) == 0);
+  say("while it runs: it may have run", after.submit(1, request).answer(1, 0.2) == kMayHaveRun);
+  say("with an id of its own: joined", after.submit(2, request + 1).answer(2) == 0);
+  say("after it has ended: its result", after.submit(3, request).answer(3) == 0);
   say("it ran once", play.journal.runs.size() == 1);
   play.end();
 }
