--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -1,7 +1,6 @@
 #include "rehearsal.h"
 
 #include <fmt/format.h>
-#include <sys/wait.h>
 
 #include <algorithm>
 #include <csignal>
@@ -13,9 +12,10 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr double kComeUp = 20;  // s; dozens of processes on a crowded machine
-constexpr double kSettle = 5;   // s beyond the longest wait of a request
-constexpr double kAgree = 45;   // s until views agree: the dead are tried every 20 s
+constexpr double kComeUp = 20;          // s; dozens of processes on a crowded machine
+constexpr double kSettle = 5;           // s beyond the longest wait of a request
+constexpr double kBetweenViews = 0.25;  // s
+constexpr double kAgree = 45;           // s until views agree: the dead are tried every 20 s
 
 bool steps_clocks(const RehearsalScript& script) {
   return std::any_of(script.faults.begin(), script.faults.end(),
@@ -54,10 +54,7 @@
 }
 
 Rehearsal::~Rehearsal() {
-  for (const pid_t pid : burners_) {
-    ::kill(pid, SIGKILL);
-    ::waitpid(pid, nullptr, 0);
-  }
+  end_burners();
   for (const auto& one : members_) {
     if (one->paused) one->server->process->signal(SIGCONT);
   }
@@ -160,7 +157,7 @@
       one->server->on_line = [this, name = one->name](const std::string& line) {
         look_at_line(name, line);
         if (!log_folder.empty())
-          std::ofstream(log_folder + "/" + name + ".log", std::ios::app) << line << '\n';
+          std::ofstream(fmt::format("{}/{}.log", log_folder, name), std::ios::app) << line << '\n';
       };
       members_.push_back(std::move(one));
     }
@@ -192,28 +189,24 @@
 
 // ---- The play.
 
-Played Rehearsal::play() {
-  Played out;
-  const auto tell = [this](const std::string& text) {
-    if (on_progress) on_progress(text);
-  };
+void Rehearsal::tell(const std::string& progress) const {
+  if (on_progress) on_progress(progress);
+}
+
+bool Rehearsal::come_up() {
   tell(fmt::format("{} processes come up", members_.size()));
-  out.came_up = std::all_of(members_.begin(), members_.end(), [this](const auto& one) {
+  const bool all_up = std::all_of(members_.begin(), members_.end(), [this](const auto& one) {
     start(one->name);
     return one->up;
   });
-  out.came_up =
-      out.came_up && loop.run_until(
-                         [this] {
-                           return std::all_of(members_.begin(), members_.end(), [](const auto& one) {
-                             return one->name[0] == 'p' || one->server->roster.listed();
-                           });
-                         },
-                         kComeUp);
-  if (!out.came_up) return out;
-  began_ = now();
-  last_start_seconds_ = 0;
-  for (const FaultSpec& fault : script.faults) out.marks.push_back(text_of(fault));
+  const auto all_listed = [this] {
+    return std::all_of(members_.begin(), members_.end(),
+                       [](const auto& one) { return one->name[0] == 'p' || one->server->roster.listed(); });
+  };
+  return all_up && loop.run_until(all_listed, kComeUp);
+}
+
+void Rehearsal::play_steps() {
   while (!steps_.empty() && steps_.begin()->first < script.lasts) {
     const auto step = steps_.extract(steps_.begin());
     loop.run_until([&] { return now() >= began_ + step.key(); }, script.lasts + 1);
@@ -221,10 +214,9 @@
                      journal.tries.size()));
     step.mapped()();
   }
-  // What comes back after a start is judged from when the process is up, however long a crowded machine
-  // takes.
-  out.lasted = script.lasts + last_start_seconds_;
-  loop.run_until([&] { return now() >= began_ + out.lasted; }, out.lasted + 1);
+}
+
+void Rehearsal::settle(Played& out) {
   callers_.want_more(false);
   for (; !steps_.empty(); steps_.erase(steps_.begin())) steps_.begin()->second();  // faults end with the play
   for (const auto& one : members_) start(one->name);
@@ -232,24 +224,51 @@
   for (const LoadRequest& request : script.requests) longest = std::max(longest, request.timeout);
   out.settled = loop.run_until([this] { return callers_.open() == 0 && callers_.still_wanted() == 0; },
                                longest + kSettle);
-  if (script.members) {
-    tell("views are to agree");
-    const double until = now() + kAgree;
-    while (!(out.views_differ = compare_views()).empty() && now() < until) loop.run_for(0.25);
-  }
-  if (before_end) before_end();
-  tell("judging");
+}
+
+void Rehearsal::compare_all_views(Played& out) {
+  if (!script.members) return;
+  tell("views are to agree");
+  const double until = now() + kAgree;
+  while (!(out.views_differ = compare_views()).empty() && now() < until) loop.run_for(kBetweenViews);
+}
+
+void Rehearsal::sum_counters(Played& out) const {
   for (const auto& one : members_) {
     if (!one->up) continue;
     for (const auto& [name, value] : one->server->process->counters()) out.counters[name] += value;
   }
-  out.deaths_found = deaths_found_;
-  out.deaths_wrong = deaths_wrong_;
+}
+
+bool Rehearsal::leave() {
   for (const auto& one : members_) begin_leaving(one->name);
-  out.left_in_order = true;
+  bool in_order = true;
   for (const auto& one : members_) {
-    if (one->leaving) out.left_in_order &= one->server->ended();
+    if (one->leaving) in_order &= one->server->ended();
   }
+  return in_order;
+}
+
+Played Rehearsal::play() {
+  Played out;
+  out.came_up = come_up();
+  if (!out.came_up) return out;
+  began_ = now();
+  last_start_seconds_ = 0;
+  for (const FaultSpec& fault : script.faults) out.marks.push_back(text_of(fault));
+  play_steps();
+  // What comes back after a start is judged from when the process is up, however long a crowded machine
+  // takes.
+  out.lasted = script.lasts + last_start_seconds_;
+  loop.run_until([&] { return now() >= began_ + out.lasted; }, out.lasted + 1);
+  settle(out);
+  compare_all_views(out);
+  if (before_end) before_end();
+  tell("judging");
+  sum_counters(out);
+  out.deaths_found = deaths_found_;
+  out.deaths_wrong = deaths_wrong_;
+  out.left_in_order = leave();
   judge(out, began_);
   if (!log_folder.empty()) write_journal(journal, began_, log_folder + "/journal.txt");
   return out;
--- a/standins/rehearsal.h
+++ b/standins/rehearsal.h
@@ -44,6 +44,8 @@
 class Rehearsal {
  public:
   Rehearsal(std::string binary, RehearsalScript script);
+  Rehearsal(const Rehearsal&) = delete;
+  Rehearsal& operator=(const Rehearsal&) = delete;
   ~Rehearsal();
   Played play();
 
@@ -80,7 +82,20 @@
   std::vector<std::string> group(const std::string& name) const;
   std::vector<std::pair<std::string, std::string>> pairs(const FaultSpec& fault) const;
   void plan();
+  using ProcessAct = std::function<void(const std::string& name)>;
+  // Acts on each process of the fault's group at that time of the play.
+  void over_group(const FaultSpec& fault, double at, const ProcessAct& act);
   void plan_one(const FaultSpec& fault);
+  void plan_life(const FaultSpec& fault);
+  void plan_replacement(const FaultSpec& fault);
+  void plan_pause(const FaultSpec& fault);
+  void plan_clock_step(const FaultSpec& fault);
+  void plan_crowd(const FaultSpec& fault);
+  void plan_limit(const FaultSpec& fault);
+  void plan_hidden_folder(const FaultSpec& fault);
+  void plan_reload(const FaultSpec& fault);
+  void plan_dependency(const FaultSpec& fault);
+  void end_burners();
   void plan_pairs(const FaultSpec& fault);
   void weather(const FaultSpec& fault, const std::function<void(Weather&)>& change,
                const std::function<void(Weather&)>& back);
@@ -92,6 +107,16 @@
   void pause(const std::string& name, double seconds);
   void step_clock(const std::string& name, double seconds);
   void out_of_reach(const std::string& name, double from, double to);
+  void tell(const std::string& progress) const;
+  // Whether all processes came up and are listed.
+  bool come_up();
+  void play_steps();
+  // Load ends, faults end, all are up again, and tries end.
+  void settle(Played& out);
+  void compare_all_views(Played& out);
+  void sum_counters(Played& out) const;
+  // Whether all left in order.
+  bool leave();
   void judge(Played& out, double began);
   void look_at_line(const std::string& by, const std::string& line);
   std::string compare_views();
--- a/standins/rehearsal_faults.cpp
+++ b/standins/rehearsal_faults.cpp
@@ -14,9 +14,11 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr double kResumed = 0.3;  // s after a pause in which what waited is caught up with
-constexpr double kBorne = 1.95;   // s that a member may stand still and is not called dead
-constexpr int kFull = 4096;       // bytes that a file may have on a full disk
+constexpr double kResumed = 0.3;        // s after a pause in which what waited is caught up with
+constexpr double kBorne = 1.95;         // s that a member may stand still and is not called dead
+constexpr double kReplacedAfter = 0.4;  // s from the notice to leave until the successor starts
+constexpr double kReadWithin = 0.1;     // s in which a process reads its configuration again
+constexpr int kFull = 4096;             // bytes that a file may have on a full disk
 
 pid_t burner() {
   const pid_t pid = ::fork();
@@ -162,91 +164,123 @@
   }
 }
 
+void Rehearsal::over_group(const FaultSpec& fault, double at, const ProcessAct& act) {
+  add(at, [this, fault, act] {
+    for (const std::string& name : group(fault.who[0])) act(name);
+  });
+}
+
 void Rehearsal::plan_one(const FaultSpec& fault) {
-  const auto over_group = [this, fault](const std::function<void(const std::string&)>& act) {
-    return [this, fault, act] {
-      for (const std::string& name : group(fault.who[0])) act(name);
-    };
-  };
-  const auto limited = [this](const std::string& name, __rlimit_resource what, rlim_t to) {
-    Member& one = member(name);
-    if (one.up) limit(one.server->process->pid(), what, to);
-  };
-  if (fault.what == "kill") add(fault.at, over_group([this](const std::string& n) { kill(n); }));
-  if (fault.what == "start") add(fault.at, over_group([this](const std::string& n) { start(n); }));
-  if (fault.what == "leave") add(fault.at, over_group([this](const std::string& n) { begin_leaving(n); }));
-  if (fault.what == "replace") {
-    const std::vector<std::string> names = group(fault.who[0]);
-    for (std::size_t i = 0; i < names.size(); ++i) {
-      const double at = fault.at + fault.lasts * static_cast<double>(i) / static_cast<double>(names.size());
-      add(at, [this, name = names[i]] { begin_leaving(name); });
-      add(at + 0.4, [this, name = names[i]] { start(name); });
-    }
-  }
-  if (fault.what == "pause") {
-    add(fault.at, over_group([this, fault](const std::string& n) { pause(n, fault.lasts); }));
-    add(fault.at + fault.lasts, over_group([this](const std::string& n) {
-          Member& one = member(n);
-          if (one.paused) one.server->process->signal(SIGCONT);
-          one.paused = false;
-        }));
-  }
-  if (fault.what == "step" || fault.what == "step_back") {
-    const double by = fault.what == "step" ? fault.amount : -fault.amount;
-    add(fault.at, over_group([this, by](const std::string& n) { step_clock(n, by); }));
-  }
-  if (fault.what == "crowd") {
-    add(fault.at, [this, fault] {
-      for (int i = 0; i < static_cast<int>(fault.amount); ++i) burners_.push_back(burner());
-    });
-    add(fault.at + fault.lasts, [this] {
-      for (const pid_t pid : burners_) {
-        ::kill(pid, SIGKILL);
-        ::waitpid(pid, nullptr, 0);
-      }
-      burners_.clear();
-    });
-  }
-  if (fault.what == "descriptors" || fault.what == "full") {
-    const auto what = fault.what == "full" ? RLIMIT_FSIZE : RLIMIT_NOFILE;
-    const auto to = fault.what == "full" ? rlim_t{kFull} : static_cast<rlim_t>(fault.amount);
-    add(fault.at, over_group([limited, what, to](const std::string& n) { limited(n, what, to); }));
-    add(fault.at + fault.lasts,
-        over_group([limited, what](const std::string& n) { limited(n, what, RLIM_INFINITY); }));
-  }
-  if (fault.what == "hide") {
-    const auto moved = [this](const std::string& name, bool away) {
-      std::error_code ignored;
-      const std::string folder = std::filesystem::path(member(name).server->folder()).parent_path();
-      std::filesystem::rename(away ? folder : folder + "-away", away ? folder + "-away" : folder, ignored);
-    };
-    add(fault.at, over_group([moved](const std::string& n) { moved(n, true); }));
-    add(fault.at + fault.lasts, over_group([moved](const std::string& n) { moved(n, false); }));
+  using Planner = void (Rehearsal::*)(const FaultSpec&);
+  static const std::map<std::string, Planner> kPlanners = {{"kill", &Rehearsal::plan_life},
+                                                           {"start", &Rehearsal::plan_life},
+                                                           {"leave", &Rehearsal::plan_life},
+                                                           {"replace", &Rehearsal::plan_replacement},
+                                                           {"pause", &Rehearsal::plan_pause},
+                                                           {"step", &Rehearsal::plan_clock_step},
+                                                           {"step_back", &Rehearsal::plan_clock_step},
+                                                           {"crowd", &Rehearsal::plan_crowd},
+                                                           {"descriptors", &Rehearsal::plan_limit},
+                                                           {"full", &Rehearsal::plan_limit},
+                                                           {"hide", &Rehearsal::plan_hidden_folder},
+                                                           {"reload", &Rehearsal::plan_reload},
+                                                           {"below_takes", &Rehearsal::plan_dependency}};
+  const auto found = kPlanners.find(fault.what);
+  if (found != kPlanners.end()) (this->*found->second)(fault);
+}
+
+void Rehearsal::plan_life(const FaultSpec& fault) {
+  over_group(fault, fault.at, [this, what = fault.what](const std::string& name) {
+    if (what == "kill") kill(name);
+    if (what == "start") start(name);
+    if (what == "leave") begin_leaving(name);
+  });
+}
+
+// One after the other over the fault's time.
+void Rehearsal::plan_replacement(const FaultSpec& fault) {
+  const std::vector<std::string> names = group(fault.who[0]);
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const double at = fault.at + fault.lasts * static_cast<double>(i) / static_cast<double>(names.size());
+    add(at, [this, name = names[i]] { begin_leaving(name); });
+    add(at + kReplacedAfter, [this, name = names[i]] { start(name); });
   }
-  if (fault.what == "reload") {
-    add(fault.at, over_group([this, fault](const std::string& name) {
-          Member& one = member(name);
-          if (!one.up) return;
-          std::ifstream in(one.server->operators_path());
-          const std::string good{std::istreambuf_iterator<char>(in), {}};
-          if (!fault.word.empty())
-            std::ofstream(one.server->operators_path()) << good << "results\n  entries -1\n";
-          one.server->process->signal(SIGHUP);
-          if (!fault.word.empty()) {
-            loop.run_for(0.1);
-            std::ofstream(one.server->operators_path()) << good;
-          }
-        }));
+}
+
+void Rehearsal::plan_pause(const FaultSpec& fault) {
+  over_group(fault, fault.at, [this, lasts = fault.lasts](const std::string& name) { pause(name, lasts); });
+  over_group(fault, fault.at + fault.lasts, [this](const std::string& name) {
+    Member& one = member(name);
+    if (one.paused) one.server->process->signal(SIGCONT);
+    one.paused = false;
+  });
+}
+
+void Rehearsal::plan_clock_step(const FaultSpec& fault) {
+  const double seconds = fault.what == "step" ? fault.amount : -fault.amount;
+  over_group(fault, fault.at, [this, seconds](const std::string& name) { step_clock(name, seconds); });
+}
+
+void Rehearsal::plan_crowd(const FaultSpec& fault) {
+  add(fault.at, [this, fault] {
+    for (int i = 0; i < static_cast<int>(fault.amount); ++i) burners_.push_back(burner());
+  });
+  add(fault.at + fault.lasts, [this] { end_burners(); });
+}
+
+void Rehearsal::end_burners() {
+  for (const pid_t pid : burners_) {
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
   }
-  if (fault.what == "below_takes") {
-    const auto set = [this](double takes) {
-      return [this, takes] {
-        for (const auto& one : members_) one->server->below.options.takes = takes;
-      };
+  burners_.clear();
+}
+
+void Rehearsal::plan_limit(const FaultSpec& fault) {
+  const auto resource = fault.what == "full" ? RLIMIT_FSIZE : RLIMIT_NOFILE;
+  const auto most = fault.what == "full" ? rlim_t{kFull} : static_cast<rlim_t>(fault.amount);
+  const auto set = [this, resource](const std::string& name, rlim_t to) {
+    Member& one = member(name);
+    if (one.up) limit(one.server->process->pid(), resource, to);
+  };
+  over_group(fault, fault.at, [set, most](const std::string& name) { set(name, most); });
+  over_group(fault, fault.at + fault.lasts, [set](const std::string& name) { set(name, RLIM_INFINITY); });
+}
+
+void Rehearsal::plan_hidden_folder(const FaultSpec& fault) {
+  const auto move = [this](const std::string& name, bool away) {
+    std::error_code ignored;
+    const std::string folder = std::filesystem::path(member(name).server->folder()).parent_path();
+    const std::string hidden = folder + "-away";
+    std::filesystem::rename(away ? folder : hidden, away ? hidden : folder, ignored);
+  };
+  over_group(fault, fault.at, [move](const std::string& name) { move(name, true); });
+  over_group(fault, fault.at + fault.lasts, [move](const std::string& name) { move(name, false); });
+}
+
+// With a word: by a file that can't be used, which is put right again.
+void Rehearsal::plan_reload(const FaultSpec& fault) {
+  over_group(fault, fault.at, [this, is_bad = !fault.word.empty()](const std::string& name) {
+    Member& one = member(name);
+    if (!one.up) return;
+    std::ifstream in(one.server->operators_path());
+    const std::string good{std::istreambuf_iterator<char>(in), {}};
+    if (is_bad) std::ofstream(one.server->operators_path()) << good << "results\n  entries -1\n";
+    one.server->process->signal(SIGHUP);
+    if (!is_bad) return;
+    loop.run_for(kReadWithin);
+    std::ofstream(one.server->operators_path()) << good;
+  });
+}
+
+void Rehearsal::plan_dependency(const FaultSpec& fault) {
+  const auto set = [this](double takes) {
+    return [this, takes] {
+      for (const auto& one : members_) one->server->below.options.takes = takes;
     };
-    add(fault.at, set(fault.amount));
-    add(fault.at + fault.lasts, set(script.below_takes));
-  }
+  };
+  add(fault.at, set(fault.amount));
+  add(fault.at + fault.lasts, set(script.below_takes));
 }
 
 void Rehearsal::plan() {
--- a/standins/rehearsal_search.cpp
+++ b/standins/rehearsal_search.cpp
@@ -38,10 +38,11 @@
   }
 
   FaultSpec fault(double from, double to) {
-    static const char* const kinds[] = {"kill",   "pause", "cut",         "part", "reset", "refuse", "delay",
-                                        "narrow", "crowd", "descriptors", "full", "hide",  "reload", "leave"};
+    static const char* const kKinds[] = {"kill",   "pause", "cut",    "part",  "reset",
+                                         "refuse", "delay", "narrow", "crowd", "descriptors",
+                                         "full",   "hide",  "reload", "leave"};
     FaultSpec out;
-    out.what = kinds[below(std::size(kinds))];
+    out.what = kKinds[below(std::size(kKinds))];
     const auto tenths = [](double t) { return std::round(t * 10) / 10; };
     out.at = tenths(from + (to - from) * chance());
     out.lasts = std::max(0.1, tenths((to - out.at) * chance()));
--- a/standins/rehearsal_verdict.cpp
+++ b/standins/rehearsal_verdict.cpp
@@ -11,19 +11,95 @@
 namespace {
 
 constexpr double kFoundLate = 12;   // s after an end in which it may still be told
+constexpr double kNever = 1e300;    // s
 constexpr double kAskPatience = 2;  // s
 
+// Who was served in time, by what was asked for: a request and its further tries are one thing.
+class Service {
+ public:
+  Service(const RehearsalScript& script, double began, Played& out)
+      : script_(script), began_(began), out_(out) {}
+
+  void count_try(const Try& attempt) {
+    ++tries_;
+    Thing& thing = things_[name_of(attempt)];
+    thing.first = std::min(thing.first, attempt.sent);
+    for (const LoadRequest& request : script_.requests) {
+      if (request.name == attempt.type) thing.request = &request;
+    }
+    SecondSeen& second = second_of(attempt.sent);
+    ++second.tries;
+    for (const Answer& answer : attempt.answers) {
+      second.rejected += answer.kind == AnswerKind::kRejected;
+      second.failed += answer.kind != AnswerKind::kRejected && answer.kind != AnswerKind::kSucceeded;
+    }
+  }
+
+  // Once all tries are counted: a thing's time runs from its first.
+  void count_answers(const Try& attempt) {
+    Thing& thing = things_[name_of(attempt)];
+    const double due = thing.first + thing.request->target;
+    for (const Answer& answer : attempt.answers)
+      thing.served |= answer.kind == AnswerKind::kSucceeded && answer.at <= due;
+  }
+
+  void sum_up() {
+    Share all;
+    Share last;
+    for (const auto& [name, thing] : things_) {
+      const double worth = thing.request->priority_weight;
+      const double served = thing.served ? worth : 0;
+      SecondSeen& second = second_of(thing.first);
+      second.asked += worth;
+      second.served += served;
+      all.add(worth, served);
+      if (thing.first >= began_ + out_.lasted - script_.judged) last.add(worth, served);
+    }
+    out_.served = all.share();
+    out_.served_last = last.share();
+    if (!things_.empty())
+      out_.attempts_a_request = static_cast<double>(tries_) / static_cast<double>(things_.size());
+  }
+
+ private:
+  struct Thing {
+    double first = kNever;  // s, when it was first asked for
+    const LoadRequest* request = nullptr;
+    bool served = false;
+  };
+  struct Share {
+    double asked = 0;
+    double served = 0;
+    void add(double worth, double got) {
+      asked += worth;
+      served += got;
+    }
+    [[nodiscard]] double share() const { return asked > 0 ? served / asked : 0; }
+  };
+  static std::string name_of(const Try& attempt) { return attempt.type + ' ' + attempt.key; }
+  SecondSeen& second_of(double at) {
+    const double place = std::clamp(at - began_, 0.0, out_.lasted);
+    return out_.seconds[static_cast<std::size_t>(place)];
+  }
+
+  const RehearsalScript& script_;
+  const double began_;
+  Played& out_;
+  int tries_ = 0;
+  std::map<std::string, Thing> things_;
+};
+
 }  // namespace
 
 std::vector<std::string> Played::broken() const {
   std::vector<std::string> out = verdict.broken;
-  if (!came_up) out.push_back("the fleet does not come up");
-  if (came_up && !settled) out.push_back("some tries never end");
-  for (const std::string& wrong : deaths_wrong) out.push_back(wrong);
-  if (!views_differ.empty()) out.push_back(views_differ);
-  if (came_up && !left_in_order) out.push_back("not all leave in order");
+  if (!came_up) out.emplace_back("the fleet does not come up");
+  if (came_up && !settled) out.emplace_back("some tries never end");
+  for (const std::string& wrong : deaths_wrong) out.emplace_back(wrong);
+  if (!views_differ.empty()) out.emplace_back(views_differ);
+  if (came_up && !left_in_order) out.emplace_back("not all leave in order");
   const auto invariants = counters.find("invariants.broken");
-  if (invariants != counters.end() && invariants->second > 0) out.push_back("an invariant is broken");
+  if (invariants != counters.end() && invariants->second > 0) out.emplace_back("an invariant is broken");
   return out;
 }
 
@@ -85,51 +161,15 @@
   // its count says nothing of the crowd.
   if (script.calls <= 0) limits.survivable = 8 * script.cores * std::max(script.relays, script.planners);
   out.verdict = check_rules(journal, limits);
-  struct Thing {
-    double first = 1e300;
-    const LoadRequest* request = nullptr;
-    bool served = false;
-  };
-  std::map<std::string, Thing> things;
   out.seconds.resize(static_cast<std::size_t>(out.lasted) + 1);
-  int tries = 0;
-  const auto second_of = [&](double at) -> SecondSeen& {
-    const double place = std::clamp(at - began, 0.0, out.lasted);
-    return out.seconds[static_cast<std::size_t>(place)];
-  };
-  for (const auto& [number, t] : journal.tries) {
-    if (t.refused || t.sent < began) continue;
-    ++tries;
-    Thing& thing = things[t.type + ' ' + t.key];
-    thing.first = std::min(thing.first, t.sent);
-    for (const LoadRequest& request : script.requests) {
-      if (request.name == t.type) thing.request = &request;
-    }
-    SecondSeen& second = second_of(t.sent);
-    ++second.tries;
-    for (const Answer& a : t.answers) {
-      second.rejected += a.kind == AnswerKind::kRejected;
-      second.failed += a.kind != AnswerKind::kRejected && a.kind != AnswerKind::kSucceeded;
-    }
-  }
-  for (const auto& [number, t] : journal.tries) {
-    if (t.refused || t.sent < began) continue;
-    Thing& thing = things[t.type + ' ' + t.key];
-    for (const Answer& a : t.answers)
-      thing.served |= a.kind == AnswerKind::kSucceeded && a.at <= thing.first + thing.request->target;
+  Service service(script, began, out);
+  for (const auto& [number, attempt] : journal.tries) {
+    if (!attempt.refused && attempt.sent >= began) service.count_try(attempt);
   }
-  double asked = 0, served = 0, asked_last = 0, served_last = 0;
-  for (const auto& [key, thing] : things) {
-    const double worth = thing.request->priority_weight, got = thing.served ? worth : 0;
-    SecondSeen& second = second_of(thing.first);
-    second.asked += worth, second.served += got;
-    asked += worth, served += got;
-    if (thing.first >= began + out.lasted - script.judged) asked_last += worth, served_last += got;
+  for (const auto& [number, attempt] : journal.tries) {
+    if (!attempt.refused && attempt.sent >= began) service.count_answers(attempt);
   }
-  out.served = asked > 0 ? served / asked : 0;
-  out.served_last = asked_last > 0 ? served_last / asked_last : 0;
-  out.attempts_a_request =
-      things.empty() ? 0 : static_cast<double>(tries) / static_cast<double>(things.size());
+  service.sum_up();
 }
 
 }  // namespace damsonspoke::standins
