--- a/tests/tier/fault_history_planners.cpp
+++ b/tests/tier/fault_history_planners.cpp
@@ -102,8 +102,8 @@
       ForwarderSessions::SubmitResult::kAccepted)
     return;
   const Held held{submit.request, link.known_as, submit.attempt, now_ + submit.remaining_us * 1e-6};
-  if (planner.manner == Manner::kRejections || planner.open.contains(submit.request))
-    return tell(planner, held, wt::Result::kRejected);
+  if (planner.open.contains(submit.request)) return tell(planner, held, wt::Result::kFailed);
+  if (planner.manner == Manner::kRejections) return tell(planner, held, wt::Result::kRejected);
   if (requests_[held.request].mark != 0) {
     if (!reserve_key(planner, held, submit.lookup_only)) return;
   } else if (submit.lookup_only) {
