--- a/tests/tier/fault_history_planners.cpp
+++ b/tests/tier/fault_history_planners.cpp
@@ -36,8 +36,8 @@
   planner.memory = std::move(kept);
   planner.up = true;
   planner.epoch = ++next_epoch_ << 32;  // far apart, as random ones are
-  planner.holdings =
-      std::make_unique<ForwarderSessions>(ForwarderSessionsOptions{0.75, 4096, 8, 64}, planner.epoch);
+  planner.holdings = std::make_unique<ForwarderSessions>(
+      ForwarderSessionsOptions{kSessionGraceSeconds, 4096, 8, 64}, planner.epoch);
 }
 
 void History::kill(int p) {
@@ -102,8 +102,8 @@
       ForwarderSessions::SubmitResult::kAccepted)
     return;
   const Held held{submit.request, link.known_as, submit.attempt, now_ + submit.remaining_us * 1e-6};
-  if (planner.manner == Manner::kRejections || planner.open.contains(submit.request))
-    return tell(planner, held, wt::Result::kRejected);
+  if (planner.open.contains(submit.request)) return tell(planner, held, wt::Result::kFailed);
+  if (planner.manner == Manner::kRejections) return tell(planner, held, wt::Result::kRejected);
   if (requests_[held.request].mark != 0) {
     if (!reserve_key(planner, held, submit.lookup_only)) return;
   } else if (submit.lookup_only) {
@@ -118,7 +118,7 @@
   const std::uint64_t mark = requests_[held.request].mark;
   const auto known = planner.memory.find(mark);
   const bool over = known != planner.memory.end() && known->second.state > Memory::kRunning &&
-                    now_ >= known->second.admitted + kWindow;
+                    now_ >= known->second.admitted + kKeyWindowSeconds;
   if (known != planner.memory.end() && !over) {
     if (known->second.state == Memory::kEnded) {
       tell(planner, held, wt::Result::kSucceeded);
@@ -161,7 +161,7 @@
     Memory& memory = planner.memory.at(mark);
     memory.state = Memory::kRunning;
     const auto before = ran_.find(mark);
-    if (before != ran_.end() && memory.admitted < before->second + kWindow)
+    if (before != ran_.end() && memory.admitted < before->second + kKeyWindowSeconds)
       fail("key " + std::to_string(mark) + " ran twice within its window");
     ran_[mark] = memory.admitted;
   }
