Late readers of the soak write until their connections have ended, as the process counts

Half of what a late reader writes falls into that time now. The runtime's test has no destructor of its own, and constants of the draw are static, for the linter.

--- a/standins/endings_draw.cpp
+++ b/standins/endings_draw.cpp
@@ -19,7 +19,8 @@
 bool one_in(pcg64& random, unsigned n) { return random() % n == 0; }
 
 std::size_t members_of(const EndingsFleet& fleet) {
-  return static_cast<std::size_t>(fleet.planners + fleet.forwarders + fleet.backends);
+  return static_cast<std::size_t>(fleet.planners) + static_cast<std::size_t>(fleet.forwarders) +
+         static_cast<std::size_t>(fleet.backends);
 }
 
 double event_time(pcg64& random) {
@@ -67,8 +68,8 @@
 
 EndingsEvent draw_narrow_event(pcg64& random, std::size_t member, double when) {
   using enum EndingsEventKind;
-  constexpr std::array kKinds = {kNotice,    kNotice,   kNotice, kKill,      kReload,
-                                 kBadReload, kCounters, kPause,  kCutRuntime};
+  static constexpr std::array kKinds = {kNotice,    kNotice,   kNotice, kKill,      kReload,
+                                        kBadReload, kCounters, kPause,  kCutRuntime};
   EndingsEvent event{when, member, kKinds[random() % kKinds.size()], 0};
   if (event.kind == kPause) event.seconds = draw_chance(random) * kLongestPauseSeconds;
   return event;
@@ -155,8 +156,8 @@
 
 std::optional<EndingsCrowd> draw_endings_crowd(pcg64& random, const EndingsFleet& fleet) {
   if (!fleet.has_crowd) return std::nullopt;
-  constexpr std::array kShapes = {FloodShape::kSilent, FloodShape::kReset, FloodShape::kDrip,
-                                  FloodShape::kJunk};
+  static constexpr std::array kShapes = {FloodShape::kSilent, FloodShape::kReset, FloodShape::kDrip,
+                                         FloodShape::kJunk};
   EndingsCrowd crowd;
   crowd.shape = kShapes[random() % kShapes.size()];
   crowd.at = 0.5 + draw_chance(random);
--- a/standins/endings_play.cpp
+++ b/standins/endings_play.cpp
@@ -24,11 +24,15 @@
 constexpr double kUpSeconds = 20;
 constexpr int kWritesAtTheEnd = 12;
 constexpr int kLateReaders = 3;
-constexpr int kOwedToLateReaders = 8;     // requests, asked at the notice
-constexpr int kWritesOfLateReaders = 12;  // while connections end
-constexpr double kLateWritesFrom = 0.2;   // s before the stop
+constexpr int kOwedToLateReaders = 8;         // requests, asked at the notice
+constexpr int kWritesOfLateReaders = 24;      // while connections end
+constexpr double kLateWritesFrom = 0.2;       // s before the stop
+constexpr double kConnectionsEndFrom = 0.12;  // s before the stop: connections are ended in order
 constexpr double kLateWritesUntil =
-    0.09;  // s before the stop: the process waits for its peers' ends until 0.06 s
+    0.08;  // s before the stop as the process counts; it waits for its peers until 0.06 s
+constexpr double kLatestWrite = 0.06;  // s before the stop as counted here
+constexpr double kHeardSoonSeconds =
+    0.03;                                // from the notice to its line in the log; else the log was read late
 constexpr double kLateReadFrom = 0.03;   // s before the stop
 constexpr double kLateReadWithin = 0.1;  // s
 constexpr std::size_t kLateResultBytes = 3500;
@@ -220,18 +224,24 @@
       callers_->ask_on(reader, flow, key, key + ' ');
     }
     for (int j = 0; j < kWritesOfLateReaders; ++j) {
-      const double before = kLateWritesUntil + chance() * (kLateWritesFrom - kLateWritesUntil);
+      // Half of them as connections end.
+      const double from = j % 2 == 0 ? kLateWritesFrom : kConnectionsEndFrom;
+      const double before = kLatestWrite + chance() * (from - kLatestWrite);
       const std::string key = fmt::format("late-{}-{}", name, j);
-      write_late(reader, flow, key, member.stop_at - before, member.stop_at - kLateWritesUntil);
+      write_late(member, reader, flow, key, member.stop_at - before);
     }
   }
 }
 
-// By timers of the loop, which go on while another process is started; none is written after its time.
-void EndingsPlay::write_late(int reader, const Flow& flow, const std::string& key, double when,
-                             double until) {
-  loop_.at(when, [this, reader, flow, key, until] {
-    if (now() < until) callers_->ask_on(reader, flow, key, key + ' ');
+// By timers of the loop, which go on while another process is started. None is written after its time: the
+// process counts from when it heard of the notice.
+void EndingsPlay::write_late(const Member& member, int reader, const Flow& flow, const std::string& key,
+                             double when) {
+  loop_.at(when, [this, reader, flow, key, life = member.server->life_number()] {
+    const Life& of = journal_.lives.at(static_cast<std::size_t>(life));
+    const bool is_heard_soon = of.heard_at >= 0 && of.heard_at - of.leave_at < kHeardSoonSeconds;
+    const double since = is_heard_soon ? of.heard_at : of.leave_at;
+    if (now() < since + kStopSeconds - kLateWritesUntil) callers_->ask_on(reader, flow, key, key + ' ');
   });
 }
 
--- a/standins/endings_play.h
+++ b/standins/endings_play.h
@@ -63,7 +63,7 @@
   void give_notice(Member& member);
   void write_at_the_end(const Member& member);
   void read_late_at_the_end(const Member& member);
-  void write_late(int reader, const Flow& flow, const std::string& key, double when, double until);
+  void write_late(const Member& member, int reader, const Flow& flow, const std::string& key, double when);
   void pause_at_the_end(Member& member);
   void move_runtime(Member& member);
   void take_registry_down(Member& member, double seconds);
--- a/tests/standins/runtime_test.cpp
+++ b/tests/standins/runtime_test.cpp
@@ -18,7 +18,7 @@
     runtime_.new_life(0);
     connect();
   }
-  ~RuntimeTest() override { disconnect(); }
+  void TearDown() override { disconnect(); }
 
   static Runtime::Options options() {
     Runtime::Options options;
