--- /dev/null
+++ b/src/peers/runtime/process_identity.cpp
@@ -0,0 +1,20 @@
+#include "peers/runtime/process_identity.h"
+
+#include <algorithm>
+
+namespace damsonspoke::peers {
+
+bool RuntimeProcessIdentity::is_another_process(const RuntimeGreeting& greeting) {
+  const double earliest_start = greeting.requested_at - greeting.up_seconds;
+  const double latest_start = greeting.received_at - greeting.up_seconds;
+  const bool is_another = started_by_ && earliest_start > *started_by_;
+  // It may have come up long after it was asked.
+  started_by_ = std::max(greeting.requested_at, latest_start);
+  return is_another;
+}
+
+void RuntimeProcessIdentity::on_answer(double requested_at) {
+  if (started_by_) started_by_ = std::max(*started_by_, requested_at);
+}
+
+}  // namespace damsonspoke::peers
--- a/src/stages/command_sender.cpp
+++ b/src/stages/command_sender.cpp
@@ -1,12 +1,16 @@
 #include "stages/command_sender.h"
 
+#include "net/reactor.h"
+
 namespace damsonspoke::stages {
 
 void CommandSender::start(InFlightRequest& request) {
   counters_.add(Count::kRunsStarted);
   request.run = RunStage::kRunning;
   request.started = true;
-  peers_.runtime->start(request.id, request.route_name, request.body);
+  const bool may_repeat = request.route_settings.idempotency == Idempotency::kIdempotent;
+  peers_.runtime->start(
+      {request.id, request.route_name, request.body, may_repeat, request.deadline - net::unix_now()});
 }
 
 void CommandSender::resume(InFlightRequest& request) {
@@ -30,7 +34,8 @@
 void CommandSender::deliver_reply(InFlightRequest& request, std::string_view reply) {
   request.run = RunStage::kRunning;
   request.call_body.clear();
-  peers_.runtime->send_reply(request.id, reply);
+  const bool may_be_skipped = request.route_settings.value_without_call > 0;
+  peers_.runtime->send_reply(request.id, reply, {request.call_notice, may_be_skipped});
 }
 
 void CommandSender::skip_call(InFlightRequest& request) {
--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -179,8 +179,10 @@
   void runtime_comes_up(const std::string& state = "hot 0") {
     if (!pump([&] { return !runtime_lines_.empty(); })) return;
     std::printf("runtime hears: %s\n", taken(runtime_lines_).c_str());
-    put(runtime_, "ready " + state + "\r\n");
+    runtime_is_ready(state);
   }
+  // Without the words, which may hang on the clock.
+  void runtime_is_ready(const std::string& state) { put(runtime_, "ready " + state + "\r\n"); }
   void comes_up() {
     runtime_comes_up();
     roster_hears("HERE n1 on");
@@ -204,6 +206,25 @@
     runtime_lines_.clear();
   }
   bool answers_gauges = true;
+  int answered_gauges = 0;
+  // Said right behind the next answer to gauges, in the same write: nothing that the program sends on reading
+  // that answer can come before it.
+  void runtime_says_after_gauges(const std::string& text) {
+    std::printf("runtime says right after its gauges: %s\n", replaced(text, "\r\n", " / ").c_str());
+    after_gauges_ = text + "\r\n";
+  }
+  // The same on the next link, whatever the present one is still asked.
+  void runtime_says_after_gauges_of_next_link(const std::string& text) {
+    runtime_says_after_gauges(text);
+    waits_for_link_ = true;
+  }
+  // All that comes from the program in this time.
+  std::vector<std::string> runtime_lines_within(double seconds) {
+    pause(seconds);
+    std::vector<std::string> lines(runtime_lines_.begin(), runtime_lines_.end());
+    runtime_lines_.clear();
+    return lines;
+  }
 
   // ---- The layer below.
   void below_hears(int lines = 1) {
@@ -402,6 +423,7 @@
   void take(int fd) {
     if (fd == runtime_listener_) {
       runtime_ = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+      waits_for_link_ = false;
       return;
     }
     if (fd == below_listener_) {
@@ -425,7 +447,9 @@
         if (line.rfind("gauges ", 0) != 0) {
           runtime_lines_.push_back(line);
         } else if (answers_gauges && runtime_ >= 0) {
-          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n");
+          const std::string more = waits_for_link_ ? std::string() : std::exchange(after_gauges_, {});
+          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n" + more);
+          ++answered_gauges;
         }
       }
     } else if (fd == below_) {
@@ -457,6 +481,8 @@
   Remembering remembering_;
   int runtime_listener_ = -1, below_listener_ = -1, roster_ = -1, log_ = -1, runtime_ = -1, below_ = -1;
   std::string config_path_;
+  std::string after_gauges_;
+  bool waits_for_link_ = false;  // what follows the gauges is said on the next link only
   pid_t pid_ = -1;
   std::map<std::string, std::string> buffers_;
   std::deque<std::string> runtime_lines_, below_lines_, reports_, log_lines_;
