--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -149,7 +149,7 @@
   }
   if (!own && best >= 0 && count >= options_.connections) return best;
   const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
-  const int fd = port == 0 ? -1 : connected_socket(port, options_.from);
+  const int fd = port == 0 ? -1 : connected_socket(port, options_.from, {0, options_.connect_patience});
   if (fd < 0) return -1;
   ++dialled_;
   links_[fd].server = server;
@@ -204,7 +204,8 @@
 
 int Callers::open_late_reader(int server, double read_at) {
   const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
-  const int fd = port == 0 ? -1 : connected_socket(port, options_.from, kLateReaderBytes);
+  const int fd =
+      port == 0 ? -1 : connected_socket(port, options_.from, {kLateReaderBytes, options_.connect_patience});
   if (fd < 0) return -1;
   ++dialled_;
   links_[fd].server = server;
--- a/standins/callers.h
+++ b/standins/callers.h
@@ -39,6 +39,7 @@
     std::uint64_t seed = 1;
     std::string from = "127.0.0.1";  // where they connect from
     unsigned hotels = 1;             // whose requests they pass on, as callers' numbers from 1
+    double connect_patience = 0;     // s, after which a connection counts as refused; 0: the system's
     bool ignores_no_more = false;    // connections that were asked for no more are used until they end
   };
   Callers(Loop& loop, Journal& journal, Options options);
--- a/standins/endings_play.cpp
+++ b/standins/endings_play.cpp
@@ -42,7 +42,9 @@
 constexpr double kEndPauseLatest = 0.005;  // s that it may begin late; otherwise it is left out
 constexpr int kWritesInEndPause = 6;
 constexpr double kCountSeconds = 0.25;  // after the start, and before the first event
-constexpr double kPatience = 1;         // s, of most callers
+constexpr double kConnectPatience =
+    0.02;                        // s; a listener that is about to close lets connections wait for 1 s
+constexpr double kPatience = 1;  // s, of most callers
 constexpr double kKeyWindow = 20;
 
 const char* const kAjpRoutes =
@@ -61,6 +63,7 @@
   load.connections = 4;
   load.seed = seed;
   load.ignores_no_more = true;
+  if (fleet.is_wide) load.connect_patience = kConnectPatience;
   return load;
 }
 
--- a/standins/loop.cpp
+++ b/standins/loop.cpp
@@ -61,14 +61,31 @@
   return fd;
 }
 
-int connected_socket(std::uint16_t port, const std::string& from, int receive_bytes) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+namespace {
+
+// Whether a connection that has begun is made in time.
+bool is_made(int fd, double patience) {
+  pollfd made{fd, POLLOUT, 0};
+  if (::poll(&made, 1, static_cast<int>(patience * 1000)) <= 0) return false;
+  int error = 0;
+  socklen_t size = sizeof error;
+  return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+}  // namespace
+
+int connected_socket(std::uint16_t port, const std::string& from, ConnectOptions options) {
+  const int waits = options.patience > 0 ? SOCK_NONBLOCK : 0;
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | waits, 0);
   const sockaddr_in address = loopback(port);
   sockaddr_in mine = loopback(0);
   ::inet_pton(AF_INET, from.c_str(), &mine.sin_addr);
-  if (receive_bytes > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
-  if (fd < 0 || ::bind(fd, reinterpret_cast<const sockaddr*>(&mine), sizeof mine) != 0 ||
-      ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+  const int bytes = options.receive_bytes;
+  if (fd >= 0 && bytes > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  bool good = fd >= 0 && ::bind(fd, reinterpret_cast<const sockaddr*>(&mine), sizeof mine) == 0;
+  if (good && ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    good = waits != 0 && errno == EINPROGRESS && is_made(fd, options.patience);
+  if (!good) {
     ::close(fd);
     return -1;
   }
--- a/standins/loop.h
+++ b/standins/loop.h
@@ -17,9 +17,12 @@
 int listening_socket(std::uint16_t& port);
 int datagram_socket(std::uint16_t& port);
 int accepted_socket(int listener);  // non-blocking; -1: none
-// Non-blocking from then on; -1: refused. `from`: an address of 127.0.0.0/8. `receive_bytes`: of its buffer
-// in the system; 0: as it is set there.
-int connected_socket(std::uint16_t port, const std::string& from = "127.0.0.1", int receive_bytes = 0);
+struct ConnectOptions {
+  int receive_bytes = 0;  // of its buffer in the system; 0: as it is set there
+  double patience = 0;    // s, after which it counts as refused; 0: as long as the system waits
+};
+// Non-blocking from then on; -1: refused. `from`: an address of 127.0.0.0/8.
+int connected_socket(std::uint16_t port, const std::string& from = "127.0.0.1", ConnectOptions options = {});
 
 class Loop {
  public:
