The soak's forwarders reach a planner by one address, as the owner of a key follows from it

Now all forwarders share one way to each planner; its faults are those of both, as before. No check has changed.

--- a/standins/endings_play.cpp
+++ b/standins/endings_play.cpp
@@ -67,6 +67,8 @@
   return load;
 }
 
+constexpr const char* kForwarders = "forwarders";  // all of them, as a host between processes
+
 }  // namespace
 
 EndingsPlay::EndingsPlay(std::string binary, std::uint64_t seed, std::string folder)
@@ -127,14 +129,15 @@
   members_.push_back(std::move(member));
 }
 
-// Where a forwarder reaches them.
-std::string EndingsPlay::planners_for(const std::string& forwarder) {
+// Where all forwarders reach them: the owner of a key follows from the planners' addresses, which have to be
+// the same for each.
+std::string EndingsPlay::addresses_of_planners() {
   std::string out;
   for (const auto& member : members_) {
     if (member->name[0] != 'p') continue;
     const std::string address = member->server->address();
     const auto port = static_cast<std::uint16_t>(std::atoi(address.c_str() + address.rfind(':') + 1));
-    out += between_ ? fmt::format(" 127.0.0.1:{}", between_->path(forwarder, member->name, port))
+    out += between_ ? fmt::format(" 127.0.0.1:{}", between_->path(kForwarders, member->name, port))
                     : ' ' + address;
   }
   return out;
@@ -144,7 +147,7 @@
   for (int i = 1; i <= drawn_.planners; ++i) add_member("plan", fmt::format("p{}", i), 0, "");
   for (int i = 0; i < drawn_.forwarders; ++i) {
     const std::string name = fmt::format("f{}", i + 1);
-    add_member("forward", name, i, "forward\n    planners" + planners_for(name) + '\n');
+    add_member("forward", name, i, "forward\n    planners" + addresses_of_planners() + '\n');
   }
   std::string more;
   if (drawn_.limits_connections) more += "gate\n    enabled on\n    known-after 10\n";
@@ -296,18 +299,13 @@
   note(fmt::format("the links of {} are {}", planner.name, cut ? "cut" : "whole again"));
   Weather weather;
   weather.cut = cut;
-  for (const auto& member : members_) {
-    if (member->name[0] != 'f') continue;
-    between_->set(member->name, planner.name, weather);
-    between_->set(planner.name, member->name, weather);
-  }
+  between_->set(kForwarders, planner.name, weather);
+  between_->set(planner.name, kForwarders, weather);
 }
 
 void EndingsPlay::reset_levels(const Member& planner) {
   note(fmt::format("the links of {} are reset", planner.name));
-  for (const auto& member : members_) {
-    if (member->name[0] == 'f') between_->reset(member->name, planner.name);
-  }
+  between_->reset(kForwarders, planner.name);
 }
 
 // Tries in the moments in which the listener closes, connections end and the process exits.
--- a/standins/endings_play.h
+++ b/standins/endings_play.h
@@ -47,7 +47,7 @@
   };
 
   void build();
-  [[nodiscard]] std::string planners_for(const std::string& forwarder);
+  [[nodiscard]] std::string addresses_of_planners();
   [[nodiscard]] SiteSpec site_of(const std::string& command, const std::string& name) const;
   void add_member(const std::string& command, const std::string& name, int number, const std::string& more);
   void draw_timeline();
