endings_signals_held looks at the held signals while the configuration is not read yet

Seen: "signals are held back: NO" for a forwarder, once, beside other builds and tests (load 12). The test looked every millisecond for the time between the start and the handlers, and met none of it: the play took 7.2 s, its two patiences of 2 and 3 s and the rest. Now the configuration is a pipe that the program waits on, so that time lasts until the test has looked and sent its signal. The three checks are the same.

--- a/tests/endings.cpp
+++ b/tests/endings.cpp
@@ -1,6 +1,11 @@
 // The instants in which something is still owed as a connection, or the process, comes to its end. Each
 // crossing is forced: the program stands still (SIGSTOP) while its peers write, so that bytes lie unread when
 // it decides. CTest compares with tests/traces/endings_NAME.txt. usage: endings BINARY SCENARIO
+#include <sys/stat.h>
+
+#include <fstream>
+#include <stdexcept>
+
 #include "fleet.h"
 #include "scenarios.h"
 #include "scripted_site.h"
@@ -466,6 +471,28 @@
   return false;
 }
 
+// A configuration whose reader waits until it is told: signals can be looked at and sent in between.
+class HeldConfiguration {
+ public:
+  explicit HeldConfiguration(std::string path) : path_(std::move(path)) {
+    std::ifstream in(path_);
+    text_ = {std::istreambuf_iterator<char>(in), {}};
+    ::unlink(path_.c_str());
+    if (::mkfifo(path_.c_str(), 0600) != 0) throw std::runtime_error("cannot make a pipe");
+  }
+  // Whoever reads the path later finds a file.
+  void release() {
+    std::ofstream waiting_reader(path_);
+    ::unlink(path_.c_str());
+    std::ofstream(path_) << text_;
+    waiting_reader << text_;
+  }
+
+ private:
+  std::string path_;
+  std::string text_;
+};
+
 // Guards against a process that dies of a signal (status -1, -10, -15) in place of status 0: one that comes
 // before the handlers are there or once they are gone, as the soak of endings found it.
 void signals_held() {
@@ -478,13 +505,15 @@
     Journal journal;
     Callers callers(loop, journal, {});
     Server server(loop, journal, callers, binary, spec, {});
+    HeldConfiguration configuration(server.folder() + "/config.json");
     bool held = false;
-    server.on_spawned = [&held](pid_t pid) {
+    server.on_spawned = [&](pid_t pid) {
       for (int i = 0; i < 2000 && !held; ++i) {
         held = holds_back(pid, SIGHUP);
         if (!held) ::usleep(1000);
       }
       if (held) ::kill(pid, SIGHUP);
+      configuration.release();
     };
     std::printf("-- %s\n", command);
     say("it starts", server.start());
