What a review of the fix found: what waits in doubt is given up, late greetings, refused resumptions, moves

Cause: only starts were given up. Now all that waits in doubt is, when its request is due, without a new link too (link_crossings_reply_lost_frees_memory, CommandLedger.AReplyInDoubt...). - A restarted runtime that greets late passed for the one before, and its notices for duplicates. Cause: only when the greeting was asked for counted. Now also until when it was looked for in vain, every 10 ms (link_crossings_anew_greets_late, RuntimeProcessIdentity.*). - A key started anew where its run had been paused and could not be resumed ("unknown", nack cont; not new): "never ran" was taken from the resumption. It is an unknown outcome now (link_crossings_resumption_refused_nack, _unknown). - A start that the runtime lost in its last 50 ms stayed proven where the break was noticed late (not new). The loss now begins 50 ms before the last question that was answered (CommandLedger.ABreakThatIsNoticedLate...). - By reading: a second move, or one after a refusal, waits for the old link as well; a move that meets a break counts as a break; runtime.in_doubt counts once a command.

--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -68,8 +68,8 @@
   virtual void on_self_test_result(std::uint64_t tag, bool is_good) = 0;
   // A start or a resumption was not carried out: nothing runs.
   virtual void on_not_started(RequestId id) = 0;
-  // The start of the run may have been lost, its request is due, and no end is awaited any longer. One may
-  // come all the same.
+  // The start of the run, or a reply that it waits for, may have been lost, its request is due, and no end is
+  // awaited any longer. One may come all the same.
   virtual void on_run_given_up(RequestId id) = 0;
   // The runtime was restarted: its runs are lost, how far they came is unknown. `unsent`: the requests whose
   // start was never sent.
@@ -130,6 +130,7 @@
 struct RequestedCall {
   std::uint64_t notice = 0;     // the number of the notice that asked for it
   bool may_be_skipped = false;  // the run may go on without it
+  double seconds_left = 0;      // until the request of the run is due
 };
 
 class RuntimePort {
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -16,6 +16,7 @@
 constexpr double kSilenceCheckSeconds = 0.25;
 constexpr double kMoveSeconds =
     0.1;  // for what the old link has taken to arrive, before the new one is opened
+constexpr double kGreetingLookSeconds = 0.01;  // between two looks for the `ready` of a new link
 constexpr double kGiveUpMarginSeconds = 0.05;  // behind the due time, at which the request is answered
 constexpr double kMaxGaugeAgeSeconds = 0.5;
 constexpr std::size_t kMaxInputBytes = 256 * 1024;  // a line with its payload is under 70 KiB
@@ -56,6 +57,7 @@
 
 RuntimeClient::~RuntimeClient() {
   reactor_.cancel(connect_timer_);
+  reactor_.cancel(greeting_timer_);
   reactor_.cancel(move_timer_);
   reactor_.cancel(give_up_timer_);
   reactor_.cancel(silence_timer_);
@@ -71,15 +73,21 @@
   });
 }
 
-// The runtime replaces the old link when it takes the new one, and does not read on. So that nothing is lost
-// with the old one, commands wait from now on, and the new link is opened once those before them have
-// arrived.
 void RuntimeClient::move_to(const std::string& address) {
   if (address == address_) return;
   address_ = address;
-  if (next_link_) next_link_->close();
+  const bool is_connecting = next_link_ != nullptr;
+  if (is_connecting) next_link_->close();
   next_link_.reset();
   reactor_.cancel(connect_timer_);
+  if (!is_moving_) return open_next_link();
+  if (is_connecting) connect();  // else once the old link has answered
+}
+
+// The runtime replaces the old link when it takes the new one, and does not read on. So that nothing is lost
+// with the old one, commands wait from now on, and the new link is opened once those before them have
+// arrived.
+void RuntimeClient::open_next_link() {
   if (!takes_commands() || !ledger_.has_unproven()) return connect();
   is_moving_ = true;
   request_gauges();
@@ -94,15 +102,26 @@
 void RuntimeClient::on_connected(net::Connection& /*connection*/) {
   counters_.add(Count::kRuntimeLinks);
   if (link_) {
+    const bool is_broken = !link_->connected() || link_->peer_has_closed();
     link_->close();
-    on_link_lost(*link_, false);
+    on_link_lost(*link_, is_broken);
   }
   link_ = std::move(next_link_);
   reactor_.cancel(connect_timer_);
   stream_bytes_ = 0;
   last_input_at_ = net::monotonic_now();
-  sync_sent_at_ = last_input_at_;
+  link_alive_at_ = last_input_at_;
+  greeting_absent_until_ = last_input_at_;
   write(wire::encode_sync(last_notice_));
+  look_for_greeting();
+}
+
+// Tells a greeting that was written late from one that is read late.
+void RuntimeClient::look_for_greeting() {
+  reactor_.cancel(greeting_timer_);
+  if (!link_ || is_runtime_up_ || !was_ready_) return;
+  if (link_->connected() && link_->nothing_to_read()) greeting_absent_until_ = net::monotonic_now();
+  greeting_timer_ = reactor_.after(kGreetingLookSeconds, [this] { look_for_greeting(); });
 }
 
 void RuntimeClient::on_end_of_input(net::Connection& connection) { connection.close(net::End::kBroken); }
@@ -111,7 +130,7 @@
   if (&connection == next_link_.get()) {  // refused
     next_link_.reset();
     reactor_.cancel(connect_timer_);
-    connect_timer_ = reactor_.after(kReconnectSeconds, [this] { connect(); });
+    connect_timer_ = reactor_.after(kReconnectSeconds, [this] { open_next_link(); });
     is_moving_ = false;  // the old link serves on
     if (takes_commands()) send_waiting_commands();
   } else if (&connection == link_.get()) {
@@ -124,7 +143,12 @@
 }
 
 void RuntimeClient::on_link_lost(const net::Connection& link, bool by_peer) {
-  ledger_.on_link_lost({net::monotonic_now(), link.bytes_out(), by_peer});
+  const LinkLoss loss{net::monotonic_now(), link_alive_at_, link.bytes_out(), by_peer};
+  const std::size_t in_doubt = ledger_.on_link_lost(loss);
+  counters_.add(Count::kRuntimeInDoubt, in_doubt);
+  if (in_doubt > 0)
+    log_.info("runtime", "{} starts and replies may be lost, their runs' notices are awaited", in_doubt);
+  schedule_give_up();
   reactor_.cancel(move_timer_);
   is_moving_ = false;
   is_runtime_up_ = false;
@@ -220,7 +244,8 @@
 void RuntimeClient::handle_ready(const wire::Notice& notice) {
   is_runtime_up_ = true;
   const double up_seconds = notice.ms * kSecondsPerMs;
-  const bool is_another = process_.is_another_process({sync_sent_at_, net::monotonic_now(), up_seconds});
+  const bool is_another =
+      process_.is_another_process({greeting_absent_until_, net::monotonic_now(), up_seconds});
   if (!was_ready_) {
     was_ready_ = true;
     log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
@@ -264,6 +289,7 @@
   const double wait_us = (now - gauges_requested_at_) * kUsPerSecond;
   counters_.most(Count::kGaugesMostUs, static_cast<std::uint64_t>(wait_us));
   process_.on_answer(gauges_requested_at_);
+  link_alive_at_ = gauges_requested_at_;
   gauges_requested_at_ = -1;
   ledger_.mark_arrived(sent_before_gauges_);
   store_gauges(notice.gauges, now);
@@ -298,10 +324,6 @@
 void RuntimeClient::on_synchronized() {
   is_synchronized_ = true;
   has_missed_notices_ = false;
-  const std::size_t waiting = ledger_.waiting_starts();
-  if (waiting > 0) log_.info("runtime", "{} runs may not have been started, their ends are awaited", waiting);
-  counters_.add(Count::kRuntimeInDoubt, waiting);
-  schedule_give_up();
   send_waiting_commands();
 }
 
@@ -349,6 +371,7 @@
   RuntimeCommand command;
   command.text = wire::encode_give(id, reply);
   command.in_doubt = call.may_be_skipped ? InDoubt::kReplace : InDoubt::kWait;
+  command.give_up_at = net::monotonic_now() + call.seconds_left + kGiveUpMarginSeconds;
   if (call.may_be_skipped) command.replacement = wire::encode_omit(id, call.notice);
   issue({id, false}, std::move(command));
 }
@@ -362,16 +385,16 @@
   if (is_synchronized_) write(wire::encode_self_test(tag));
 }
 
-// ---- Starts in doubt.
+// ---- Starts and replies in doubt.
 
 void RuntimeClient::schedule_give_up() {
   reactor_.cancel(give_up_timer_);
   const std::optional<double> next = ledger_.next_give_up();
-  if (next) give_up_timer_ = reactor_.at(*next, [this] { give_up_due_starts(); });
+  if (next) give_up_timer_ = reactor_.at(*next, [this] { give_up_due_requests(); });
 }
 
-void RuntimeClient::give_up_due_starts() {
-  for (const RequestId id : ledger_.starts_to_give_up(net::monotonic_now())) {
+void RuntimeClient::give_up_due_requests() {
+  for (const RequestId id : ledger_.requests_to_give_up(net::monotonic_now())) {
     ledger_.erase(id);
     events_.on_run_given_up(id);
   }
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -53,7 +53,9 @@
 
   void connect();
   void on_link_lost(const net::Connection& link, bool by_peer);
+  void open_next_link();
   void finish_move();
+  void look_for_greeting();
   void handle_notice(const wire::Notice& notice);
   void handle_run_end(const wire::Notice& notice);
   void handle_call_wanted(const wire::Notice& notice);
@@ -70,7 +72,7 @@
   void write(std::string_view text);
   [[nodiscard]] bool takes_commands() const { return is_synchronized_ && !is_moving_; }
   void schedule_give_up();
-  void give_up_due_starts();
+  void give_up_due_requests();
   void check_silence();
 
   net::Reactor& reactor_;
@@ -88,7 +90,8 @@
   bool is_synchronized_ = false;                // the missed notices were read on this link
   bool is_moving_ = false;                      // commands wait for the link to another address
   bool was_ready_ = false;                      // on any link
-  double sync_sent_at_ = 0;                     // on this link
+  double link_alive_at_ = 0;                    // it answered what was asked at this time
+  double greeting_absent_until_ = 0;            // on this link
   RuntimeProcessIdentity process_;
   std::uint64_t last_notice_ = 0;
   std::uint64_t requested_notice_ = 0;  // the missing one for which the link was opened anew
@@ -100,6 +103,7 @@
   double gauges_at_ = -1e9;
   double last_input_at_ = 0;
   net::Reactor::TimerId connect_timer_;
+  net::Reactor::TimerId greeting_timer_;
   net::Reactor::TimerId move_timer_;
   net::Reactor::TimerId give_up_timer_;
   net::Reactor::TimerId silence_timer_;
--- a/src/peers/runtime/command_ledger.cpp
+++ b/src/peers/runtime/command_ledger.cpp
@@ -6,10 +6,18 @@
 namespace damsonspoke::peers {
 namespace {
 
-// The runtime may lose commands that it has read in the last 50 ms before a link breaks, also where it has
-// answered a later one; the rest is for the time until the break is noticed.
+// The runtime may lose commands that it has read in this time before a link breaks, also where it has
+// answered a later one.
+constexpr double kLossSeconds = 0.05;
+// The same, and the time until a break is usually noticed.
 constexpr double kLossWindowSeconds = 0.25;
 
+// What was sent before this time and has arrived was not lost with the link. The break came after the last
+// answer was asked for, however late it was noticed.
+double loss_begins_at(const LinkLoss& loss) {
+  return std::min(loss.at - kLossWindowSeconds, loss.alive_at - kLossSeconds);
+}
+
 void replace(RuntimeCommand& command) {
   command.text = std::move(command.replacement);
   command.replacement.clear();
@@ -56,7 +64,7 @@
 
 void CommandLedger::settle_loss(Entry& entry, const LinkLoss& loss) {
   if (entry.delivery == Delivery::kArrived) {
-    const bool may_be_lost = loss.by_peer && entry.sent_at >= loss.at - kLossWindowSeconds;
+    const bool may_be_lost = loss.by_peer && entry.sent_at >= loss_begins_at(loss);
     if (may_be_lost) entry.delivery = Delivery::kInDoubt;
   } else if (entry.delivery == Delivery::kSent) {
     const bool has_left = entry.stream_end <= loss.bytes_taken;
@@ -66,11 +74,15 @@
   }
 }
 
-void CommandLedger::on_link_lost(const LinkLoss& loss) {
+std::size_t CommandLedger::on_link_lost(const LinkLoss& loss) {
+  std::size_t newly_waiting = 0;
   for (auto& [id, entries] : requests_) {
+    const bool waited = waits_in_doubt(entries.run);
     settle_loss(entries.run, loss);
     settle_loss(entries.stop, loss);
+    if (!waited && waits_in_doubt(entries.run)) ++newly_waiting;
   }
+  return newly_waiting;
 }
 
 bool CommandLedger::is_sendable(const Entry& entry) {
@@ -118,33 +130,26 @@
   return found != requests_.end() && found->second.run.send_count > 1;
 }
 
-// ---- Starts in doubt that wait.
-
-bool CommandLedger::is_waiting_start(const Entry& entry) {
-  return entry.command.is_start && entry.delivery == Delivery::kInDoubt &&
-         entry.command.in_doubt == InDoubt::kWait;
-}
+// ---- What waits in doubt.
 
-std::size_t CommandLedger::waiting_starts() const {
-  return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [](const auto& request) {
-    return is_waiting_start(request.second.run);
-  }));
+bool CommandLedger::waits_in_doubt(const Entry& entry) {
+  return entry.delivery == Delivery::kInDoubt && entry.command.in_doubt == InDoubt::kWait;
 }
 
 std::optional<double> CommandLedger::next_give_up() const {
   std::optional<double> next;
   for (const auto& [id, entries] : requests_) {
-    if (!is_waiting_start(entries.run)) continue;
+    if (!waits_in_doubt(entries.run)) continue;
     const double give_up_at = entries.run.command.give_up_at;
     next = std::min(next.value_or(give_up_at), give_up_at);
   }
   return next;
 }
 
-std::vector<RequestId> CommandLedger::starts_to_give_up(double now) const {
+std::vector<RequestId> CommandLedger::requests_to_give_up(double now) const {
   std::vector<RequestId> ids;
   for (const auto& [id, entries] : requests_) {
-    if (is_waiting_start(entries.run) && entries.run.command.give_up_at <= now) ids.push_back(id);
+    if (waits_in_doubt(entries.run) && entries.run.command.give_up_at <= now) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
   return ids;
--- a/src/peers/runtime/command_ledger.h
+++ b/src/peers/runtime/command_ledger.h
@@ -34,12 +34,13 @@
   InDoubt in_doubt = InDoubt::kSendAgain;
   std::string replacement;  // of kReplace
   bool is_start = false;    // nothing runs before it has arrived
-  double give_up_at = 0;    // of a start that waits in doubt: from then on its end is awaited no longer
+  double give_up_at = 0;    // of one that waits in doubt: from then on no notice is awaited
 };
 
 // How a link ended.
 struct LinkLoss {
   double at = 0;                  // when this was noticed
+  double alive_at = 0;            // it answered what was asked at this time
   std::uint64_t bytes_taken = 0;  // of the stream, by the system
   bool by_peer = true;            // false: it was replaced while it worked
 };
@@ -70,7 +71,8 @@
   // Whether a command on this link is not known to have arrived.
   [[nodiscard]] bool has_unproven() const;
 
-  void on_link_lost(const LinkLoss& loss);
+  // How many commands wait in doubt from now on.
+  std::size_t on_link_lost(const LinkLoss& loss);
   // What goes over the new link, in the order in which it was issued; the caller marks each as sent.
   [[nodiscard]] std::vector<Outgoing> take_sendable();
 
@@ -83,10 +85,10 @@
 
   // Whether the command of the run was sent more than once.
   [[nodiscard]] bool is_repeated(RequestId id) const;
-  // Starts in doubt that wait: how many, when the first is to be given up, and which are by now.
-  [[nodiscard]] std::size_t waiting_starts() const;
+  // Of the requests whose starts or replies wait in doubt: when the first is to be given up, and which are by
+  // now.
   [[nodiscard]] std::optional<double> next_give_up() const;
-  [[nodiscard]] std::vector<RequestId> starts_to_give_up(double now) const;
+  [[nodiscard]] std::vector<RequestId> requests_to_give_up(double now) const;
 
  private:
   enum class Delivery {
@@ -111,7 +113,7 @@
 
   static void settle_loss(Entry& entry, const LinkLoss& loss);
   [[nodiscard]] static bool is_sendable(const Entry& entry);
-  [[nodiscard]] static bool is_waiting_start(const Entry& entry);
+  [[nodiscard]] static bool waits_in_doubt(const Entry& entry);
 
   std::unordered_map<RequestId, RequestEntries> requests_;
   std::uint64_t last_number_ = 0;
--- a/src/peers/runtime/process_identity.h
+++ b/src/peers/runtime/process_identity.h
@@ -8,14 +8,14 @@
 
 // A `ready`, which answers a `sync` and tells for how long the process has been up.
 struct RuntimeGreeting {
-  double requested_at = 0;  // the `sync` was sent
+  double absent_until = 0;  // not written before this time: asked for, or looked for in vain
   double received_at = 0;
   double up_seconds = 0;
 };
 
-// A process has started before it answered anything, and a greeting was written after it was asked for. So a
-// process that started after the last answer is another, and however late a greeting is read, the same
-// process never passes for another.
+// A process has started before it answered anything, and a greeting was written after it was asked for, and
+// after it was last looked for in vain. So a process that is younger than the last answer is another, and
+// however late a greeting is read, the same process never passes for another.
 class RuntimeProcessIdentity {
  public:
   // Whether the greeting comes from another process than the one before; false for the first one.
--- a/src/stages/command_sender.cpp
+++ b/src/stages/command_sender.cpp
@@ -35,7 +35,8 @@
   request.run = RunStage::kRunning;
   request.call_body.clear();
   const bool may_be_skipped = request.route_settings.value_without_call > 0;
-  peers_.runtime->send_reply(request.id, reply, {request.call_notice, may_be_skipped});
+  peers_.runtime->send_reply(request.id, reply,
+                             {request.call_notice, may_be_skipped, request.deadline - net::unix_now()});
 }
 
 void CommandSender::skip_call(InFlightRequest& request) {
--- a/src/stages/completion_handler.cpp
+++ b/src/stages/completion_handler.cpp
@@ -34,6 +34,9 @@
   // A stopped run whose request still waits for an answer goes on later.
   const bool continues = outcome == Outcome::kCancelled && !request->answered;
   request->run = continues && pauses_ ? RunStage::kPaused : RunStage::kNone;
+  if (request->run == RunStage::kPaused) request->was_paused = true;
+  // A resumption that was not carried out does not undo the part that ran.
+  if (outcome == Outcome::kObsolete && request->was_paused) outcome = Outcome::kError;
   const bool answer_follows = replay_.on_run_ended(*request, outcome, result);
   if (outcome == Outcome::kOk && !answer_follows) in_flight_.succeed(*request, result);
   // kObsolete: nothing was started, since for the runtime the request is over.
--- a/src/stages/in_flight_requests.h
+++ b/src/stages/in_flight_requests.h
@@ -35,6 +35,7 @@
   bool answered = false;  // or its caller has gone
   RunStage run = RunStage::kNone;
   bool started = false;           // its run was ever asked of the runtime
+  bool was_paused = false;        // its run was stopped after a part of it
   std::uint64_t call_notice = 0;  // number of the runtime's notice that asked for the call
   std::string call_body;          // of the call, until it is over
 
--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -464,11 +464,76 @@
 void proven_100ms() { start_proven(0.1); }
 void proven_200ms() { start_proven(0.2); }
 
+// Guards against memory that is held for ever, where the reply to a call that a run needs was lost.
+void reply_lost_frees_memory() {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "pull", large(900, "a").c_str());
+  site.runtime_hears(2);
+  site.runtime_says("wants 1 " + kId1 + " 5\r\nfirst");
+  site.below_hears(2);
+  site.below_says(kId1 + " ok 9\r\nreply one");
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  site.runtime_comes_up("hot 900");
+  how_often(site, "give");
+  caller_fails(site, caller);
+  site.pause(kReleaseSeconds);
+  site.send_request(caller, 3, "push", large(1500, "b").c_str());
+  how_often(site, "start " + kId3);
+  site.counters({"requests.read", "requests.failed", "requests.rejected", "runs.given_up"});
+}
+
+// Guards against a key that starts anew, where its run was paused and could not be resumed: a part of it ran.
+void resumption_refused(const std::string& answer) {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kDedup).c_str());
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_hears();
+  site.runtime_says(answer);
+  caller_fails(site, caller);
+  site.send_request(caller, 2, "push", with_limit(1500, kDedup).c_str());
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.failed", "runs.started"});
+}
+void resumption_refused_nack() { resumption_refused("nack cont " + kId1); }
+void resumption_refused_unknown() { resumption_refused("end 2 " + kId1 + " unknown 0 0\r\n"); }
+
+// Guards against a runtime that takes the place of another at once, greets late, and passes for it: its
+// notices, numbered from 1, were not heard.
+void anew_greets_late() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kFragile).c_str());
+  site.runtime_hears(2);
+  for (int i = 1; i < 4; ++i) site.runtime_says("info " + std::to_string(i) + " a remark");
+  site.pause(kReleaseSeconds);
+  site.runtime_breaks();
+  site.runtime_hears();
+  site.pause(kQuietSeconds);
+  site.runtime_is_ready("hot 250");
+  caller_fails(site, caller);
+  site.send_request(caller, 2, "push", with_limit(1500, kFragile).c_str());
+  how_often(site, "start " + kId2);
+  site.runtime_says(ended(1, kId2));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   return run_scenario(argc, argv, binary,
-                      {{"start_dedup", start_dedup},
+                      {{"reply_lost_frees_memory", reply_lost_frees_memory},
+                       {"resumption_refused_nack", resumption_refused_nack},
+                       {"resumption_refused_unknown", resumption_refused_unknown},
+                       {"anew_greets_late", anew_greets_late},
+                       {"start_dedup", start_dedup},
                        {"start_fragile", start_fragile},
                        {"start_retryable", start_retryable},
                        {"lost_dedup", lost_dedup},
--- a/tests/net/listener_test.cpp
+++ b/tests/net/listener_test.cpp
@@ -39,6 +39,8 @@
   explicit Crowd(std::uint16_t port) {
     for (int i = 0; i < kNewcomers; ++i) clients.push_back(connected_client(port));
   }
+  Crowd(const Crowd&) = delete;
+  Crowd& operator=(const Crowd&) = delete;
   ~Crowd() {
     for (const int fd : clients) ::close(fd);
   }
--- a/tests/runtime/command_ledger_histories.cpp
+++ b/tests/runtime/command_ledger_histories.cpp
@@ -246,7 +246,7 @@
 
   void deliver_notices() {
     for (; is_up_ && told_ < runtime_.notices.size(); ++told_)
-      downstream_.push_back({now_ + way(), runtime_.notices[told_]});
+      downstream_.emplace_back(now_ + way(), runtime_.notices[told_]);
     double latest = 0;
     while (!downstream_.empty()) {
       latest = std::max(latest, downstream_.front().first);  // in order
@@ -273,6 +273,7 @@
   void hear_gauges(std::uint64_t tag) {
     if (tag != gauges_tag_) return;
     ledger_.mark_arrived(sent_before_gauges_);
+    alive_at_ = gauges_requested_at_;
     if (is_synchronized_) return;
     is_synchronized_ = true;
     for (const CommandLedger::Outgoing& outgoing : ledger_.take_sendable()) send(outgoing);
@@ -287,6 +288,7 @@
       command.text = text_of({Verb::kReply, reply.id, reply.call, 0});
       command.in_doubt = request.may_skip ? InDoubt::kReplace : InDoubt::kWait;
       command.replacement = text_of({Verb::kSkip, reply.id, reply.call, 0});
+      command.give_up_at = request.due;
       issue({reply.id, false}, std::move(command));
       return true;
     });
@@ -294,6 +296,7 @@
 
   void request_gauges() {
     gauges_at_ = now_ + kGaugesSeconds;
+    gauges_requested_at_ = now_;
     sent_before_gauges_ = ledger_.last_sent();
     push({Verb::kGauges, 0, 0, ++gauges_tag_});
   }
@@ -308,7 +311,7 @@
       if (sent.command.verb == Verb::kStart) requests_[sent.command.id].was_taken = true;
     }
     lost_ += static_cast<int>(upstream_.size());
-    ledger_.on_link_lost({now_, taken, true});
+    ledger_.on_link_lost({now_, alive_at_, taken, true});
     upstream_.clear();
     downstream_.clear();
     is_up_ = is_synchronized_ = false;
@@ -325,7 +328,7 @@
   }
 
   void end_due_requests() {
-    for (const RequestId id : ledger_.starts_to_give_up(now_)) {
+    for (const RequestId id : ledger_.requests_to_give_up(now_)) {
       Request& request = requests_[id];
       if (now_ < request.due) ++broken_.given_up_early;
       request.is_over = request.was_given_up = true;
@@ -350,6 +353,8 @@
   double break_at_ = -1;
   double reconnect_at_ = 0;
   double gauges_at_ = 0;
+  double gauges_requested_at_ = 0;
+  double alive_at_ = 0;
   double last_arrival_ = 0;
   std::size_t told_ = 0;
   std::size_t heard_ = 0;
--- a/tests/runtime/command_ledger_test.cpp
+++ b/tests/runtime/command_ledger_test.cpp
@@ -38,10 +38,10 @@
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kWait));
   ledger.mark_sent({kId, false}, 5, 1);
-  ledger.on_link_lost({1.1, 4, true});  // its last byte has not left
+  ledger.on_link_lost({1.1, 1.1, 4, true});  // its last byte has not left
   EXPECT_EQ(sent_over_new_link(ledger, 1.2), std::vector<std::string>{"start"});
   ledger.mark_arrived(ledger.last_sent());
-  ledger.on_link_lost({9, 5, true});
+  ledger.on_link_lost({9, 9, 5, true});
   EXPECT_TRUE(sent_over_new_link(ledger, 9.1).empty());
 }
 
@@ -50,40 +50,59 @@
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kWait, 3));
   ledger.mark_sent({kId, false}, 5, 1);
-  ledger.on_link_lost({1.1, 5, true});
+  ledger.on_link_lost({1.1, 1.1, 5, true});
   EXPECT_TRUE(sent_over_new_link(ledger, 1.2).empty());
-  EXPECT_EQ(ledger.waiting_starts(), 1U);
   EXPECT_EQ(ledger.next_give_up(), 3);
-  EXPECT_TRUE(ledger.starts_to_give_up(2.9).empty());
-  EXPECT_EQ(ledger.starts_to_give_up(3), std::vector<RequestId>{kId});
+  EXPECT_TRUE(ledger.requests_to_give_up(2.9).empty());
+  EXPECT_EQ(ledger.requests_to_give_up(3), std::vector<RequestId>{kId});
 }
 
 TEST(CommandLedger, AStartInDoubtStaysSoOverFurtherLinks) {
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kWait, 9));
   ledger.mark_sent({kId, false}, 5, 1);
-  ledger.on_link_lost({1.1, 5, true});
-  ledger.on_link_lost({5, 0, true});
+  ledger.on_link_lost({1.1, 1.1, 5, true});
+  ledger.on_link_lost({5, 5, 0, true});
   EXPECT_TRUE(sent_over_new_link(ledger, 5.1).empty());
-  EXPECT_EQ(ledger.waiting_starts(), 1U);
 }
 
 TEST(CommandLedger, AStartInDoubtIsSentAgainWhereItMayRunTwice) {
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kSendAgain));
   ledger.mark_sent({kId, false}, 5, 1);
-  ledger.on_link_lost({1.1, 5, true});
+  ledger.on_link_lost({1.1, 1.1, 5, true});
   EXPECT_EQ(sent_over_new_link(ledger, 1.2), std::vector<std::string>{"start"});
   EXPECT_TRUE(ledger.is_repeated(kId));
 }
 
+// Guards against memory and a place that are held for ever by a run whose reply was lost.
+TEST(CommandLedger, AReplyInDoubtIsGivenUpWhenItsRequestIsDue) {
+  CommandLedger ledger;
+  RuntimeCommand reply = command("give", InDoubt::kWait);
+  reply.give_up_at = 3;
+  ledger.add({kId, false}, reply);
+  ledger.mark_sent({kId, false}, 4, 1);
+  EXPECT_EQ(ledger.on_link_lost({1.1, 1.1, 4, true}), 1U);
+  EXPECT_EQ(ledger.on_link_lost({1.3, 1.3, 0, true}), 0U);
+  EXPECT_EQ(ledger.requests_to_give_up(3), std::vector<RequestId>{kId});
+}
+
+// Guards against a start that is lost though it seemed proven, where the break is noticed late.
+TEST(CommandLedger, ABreakThatIsNoticedLateLeavesInDoubtWhatWasSentBeforeIt) {
+  CommandLedger ledger;
+  ledger.add({kId, false}, start(InDoubt::kWait, 9));
+  ledger.mark_sent({kId, false}, 5, 1);
+  ledger.mark_arrived(ledger.last_sent());
+  EXPECT_EQ(ledger.on_link_lost({1.8, 1.01, 5, true}), 1U);
+}
+
 // A runtime may lose what it read shortly before a break, though it has answered something later.
 TEST(CommandLedger, WhatArrivedShortlyBeforeABreakIsInDoubt) {
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kSendAgain));
   ledger.mark_sent({kId, false}, 5, 1);
   ledger.mark_arrived(ledger.last_sent());
-  ledger.on_link_lost({1.04, 5, true});
+  ledger.on_link_lost({1.04, 1.04, 5, true});
   EXPECT_EQ(sent_over_new_link(ledger, 1.1).size(), 1U);
 }
 
@@ -94,7 +113,7 @@
   EXPECT_TRUE(ledger.has_unproven());
   ledger.mark_arrived(ledger.last_sent());
   EXPECT_FALSE(ledger.has_unproven());
-  ledger.on_link_lost({1.04, 5, false});
+  ledger.on_link_lost({1.04, 1.04, 5, false});
   EXPECT_TRUE(sent_over_new_link(ledger, 1.1).empty());
 }
 
@@ -106,7 +125,7 @@
   ledger.add({kId + 1, false}, start(InDoubt::kSendAgain));
   ledger.mark_sent({kId + 1, false}, 10, 1);
   ledger.mark_arrived(before_request);
-  ledger.on_link_lost({9, 10, true});
+  ledger.on_link_lost({9, 9, 10, true});
   EXPECT_EQ(ledger.take_sendable().size(), 1U);
 }
 
@@ -119,9 +138,9 @@
   replaceable.replacement = "omit";
   ledger.add({kId + 1, false}, replaceable);
   ledger.mark_sent({kId + 1, false}, 8, 1);
-  ledger.on_link_lost({1.1, 8, true});
+  ledger.on_link_lost({1.1, 1.1, 8, true});
   EXPECT_EQ(sent_over_new_link(ledger, 1.2), std::vector<std::string>{"omit"});
-  ledger.on_link_lost({1.3, 4, true});
+  ledger.on_link_lost({1.3, 1.3, 4, true});
   EXPECT_EQ(sent_over_new_link(ledger, 1.4), std::vector<std::string>{"omit"});
 }
 
@@ -137,7 +156,7 @@
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kWait));
   ledger.mark_sent({kId, false}, 5, 1);
-  ledger.on_link_lost({1.1, 5, true});
+  ledger.on_link_lost({1.1, 1.1, 5, true});
   ledger.add({kId + 1, false}, start(InDoubt::kWait));
   EXPECT_EQ(ledger.on_restart(), std::unordered_set<RequestId>{kId + 1});
   EXPECT_EQ(sent_over_new_link(ledger, 2), std::vector<std::string>{"start"});
--- a/tests/runtime/process_identity_test.cpp
+++ b/tests/runtime/process_identity_test.cpp
@@ -40,6 +40,15 @@
   EXPECT_FALSE(identity.is_another_process({14.1, 14.101, 0.1}));
 }
 
+// Guards against a runtime that takes its link at once and greets late: it passed for the one before.
+TEST(RuntimeProcessIdentity, AProcessThatIsLookedForInVainBeforeItGreetsIsNoOlderThanThat) {
+  RuntimeProcessIdentity identity;
+  EXPECT_FALSE(identity.is_another_process({10, 10.001, 2}));
+  identity.on_answer(10.95);
+  // It took the link at 11 and came up at once; looked for in vain until 11.29.
+  EXPECT_TRUE(identity.is_another_process({11.29, 11.3, 0.3}));
+}
+
 // Guards against a runtime that is restarted soon after it was first heard of and passes for the old one.
 TEST(RuntimeProcessIdentity, AProcessThatStartedAfterTheLastAnswerIsAnother) {
   RuntimeProcessIdentity identity;
