--- a/tests/tier/fault_history.cpp
+++ b/tests/tier/fault_history.cpp
@@ -1,6 +1,8 @@
 // A history as a whole: its callers, its troubles, and what is checked.
 #include "fault_history.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -31,7 +33,7 @@
   }
   if (broken_.empty()) {
     for (const auto& [id, request] : requests_) {
-      if (request.answers == 0 && !request.gone) fail("op " + std::to_string(id) + " was never answered");
+      if (request.answers == 0 && !request.gone) fail(fmt::format("op {} was never answered", id));
     }
   }
   return broken_;
@@ -78,9 +80,8 @@
   for (const auto& f : forwarders_) {
     for (int p = 0; p < kPlanners; ++p) {
       if (f->dispatch.picker().open_attempts(p) != f->dispatch.attempts().open_attempts_at(p))
-        fail("credits of f" + std::to_string(f->number) + " at p" + std::to_string(p) + ": " +
-             std::to_string(f->dispatch.picker().open_attempts(p)) + " taken, " +
-             std::to_string(f->dispatch.attempts().open_attempts_at(p)) + " attempts in hand");
+        fail(fmt::format("credits of f{} at p{}: {} taken, {} attempts in hand", f->number, p,
+                         f->dispatch.picker().open_attempts(p), f->dispatch.attempts().open_attempts_at(p)));
     }
   }
 }
@@ -99,13 +100,13 @@
   request.bytes = 100;
   requests_[id].due = now_ + request.remaining_time;
   const int f = static_cast<int>(random_() % kForwarders);
-  note("op " + std::to_string(id) + " at f" + std::to_string(f));
+  note(fmt::format("op {} at f{}", id, f));
   Dispatch& dispatch = forwarders_[static_cast<std::size_t>(f)]->dispatch;
   dispatch.on_request(request, now_);
   if (random_() % 40 == 0) {
     after(chance() * 0.3, [this, id, &dispatch] {
       if (requests_[id].answers > 0) return;
-      note("caller of " + std::to_string(id) + " goes");
+      note(fmt::format("caller of {} goes", id));
       requests_[id].gone = true;
       dispatch.on_caller_gone(id, now_);
     });
@@ -115,16 +116,16 @@
 
 void History::answered(RequestId id, char how) {
   RequestSeen& request = requests_[id];
-  note("op " + std::to_string(id) + " is answered " + how);
+  note(fmt::format("op {} is answered {}", id, how));
   request.succeeded = how == 'a';
   request.rejected = how == 'n';
   request.failed = how == 'f';
-  if (++request.answers > 1) fail("op " + std::to_string(id) + " was answered twice");
-  if (request.gone) fail("op " + std::to_string(id) + " was answered to nobody");
-  if (now_ > request.due + 1e-6) fail("op " + std::to_string(id) + " was answered late");
-  if (how == 'n' && request.runs > 0) fail("op " + std::to_string(id) + " was nacked and had run");
+  if (++request.answers > 1) fail(fmt::format("op {} was answered twice", id));
+  if (request.gone) fail(fmt::format("op {} was answered to nobody", id));
+  if (now_ > request.due + 1e-6) fail(fmt::format("op {} was answered late", id));
+  if (how == 'n' && request.runs > 0) fail(fmt::format("op {} was nacked and had run", id));
   if (how == 'a' && request.runs == 0 && !ran_.contains(request.mark))
-    fail("op " + std::to_string(id) + " was acked and had not run");
+    fail(fmt::format("op {} was acked and had not run", id));
 }
 
 void History::trouble() {
@@ -161,8 +162,7 @@
   }
   for (const auto& f : forwarders_) {
     after(chance() * kReloadSpreadSeconds, [this, &f, names] {
-      note("f" + std::to_string(f->number) + " has a list of " + std::to_string(names.size()) + ", with " +
-           names.front() + " first");
+      note(fmt::format("f{} has a list of {}, with {} first", f->number, names.size(), names.front()));
       f->dispatch.set_planners(names, now_);
     });
   }
--- a/tests/tier/fault_history.h
+++ b/tests/tier/fault_history.h
@@ -2,6 +2,8 @@
 // and lose, in a seeded history.
 #pragma once
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <deque>
@@ -127,14 +129,13 @@
       submit.remaining_us = static_cast<std::uint32_t>(left * kMicrosecondsPerSecond);
       const auto& picker = dispatch.picker();
       if (picker.open_attempts(planner) > static_cast<int>(window[planner]))
-        history.fail("planner " + std::to_string(planner) + " was sent more than its window");
-      history.note("f" + std::to_string(number) + " sends op " + std::to_string(request) + " as " +
-                   std::to_string(attempt) + " to p" + std::to_string(planner));
+        history.fail(fmt::format("planner {} was sent more than its window", planner));
+      history.note(fmt::format("f{} sends op {} as {} to p{}", number, request, attempt, planner));
       history.out(links[planner], submit, attempt);
     }
     void cancel(int planner, Attempt attempt) override { history.out(links[planner], wt::Cancel{attempt}); }
     void fence(int planner, Attempt attempt) override {
-      history.note("f" + std::to_string(number) + " fences " + std::to_string(attempt));
+      history.note(fmt::format("f{} fences {}", number, attempt));
       history.out(links[planner], wt::Fence{attempt});
     }
     void reply(RequestId request, LocalReply how, double, bool) override {
--- a/tests/tier/fault_history_links.cpp
+++ b/tests/tier/fault_history_links.cpp
@@ -1,4 +1,6 @@
 // The links of a history, and what forwarders hear on them.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "fault_history.h"
@@ -16,7 +18,7 @@
   forwarder.links[p] = link;
   wt::Hello hello;
   hello.epoch = static_cast<std::uint64_t>(f) + 1;
-  hello.name = "f" + std::to_string(f);
+  hello.name = fmt::format("f{}", f);
   out(link, hello);
 }
 
@@ -43,7 +45,7 @@
 
 void History::break_link(const std::shared_ptr<Link>& link) {
   if (!link || !link->here) return;
-  note("link of f" + std::to_string(link->forwarder) + " and p" + std::to_string(link->planner) + " breaks");
+  note(fmt::format("link of f{} and p{} breaks", link->forwarder, link->planner));
   link->here = false;
   const int under_way = static_cast<int>(random_() % 6);
   link->cut_out = std::max(link->heard_out, link->sent_out - static_cast<int>(random_() % 4));
@@ -60,7 +62,7 @@
 
 void History::lose_at_planner(const std::shared_ptr<Link>& link) {
   if (!link || !link->here || !link->there) return;
-  note("p" + std::to_string(link->planner) + " loses the link of f" + std::to_string(link->forwarder));
+  note(fmt::format("p{} loses the link of f{}", link->planner, link->forwarder));
   planner_loses(link);
   after(chance() * kForwarderSilenceSeconds, [this, link] { break_link(link); });
 }
--- a/tests/tier/fault_history_planners.cpp
+++ b/tests/tier/fault_history_planners.cpp
@@ -1,4 +1,6 @@
 // The planners of a history: lives, sessions, keys and runs.
+#include <fmt/format.h>
+
 #include <cmath>
 #include <utility>
 
@@ -43,7 +45,7 @@
 void History::kill(int p) {
   Planner& planner = *planners_[static_cast<std::size_t>(p)];
   if (!planner.up) return;
-  note("p" + std::to_string(p) + " dies");
+  note(fmt::format("p{} dies", p));
   planner.up = false;
   planner.epoch = 0;
   for (const auto& f : forwarders_) {
@@ -107,7 +109,7 @@
   if (requests_[held.request].mark != 0) {
     if (!reserve_key(planner, held, submit.lookup_only)) return;
   } else if (submit.lookup_only) {
-    fail("op " + std::to_string(held.request) + " has no key and was asked about");
+    fail(fmt::format("op {} has no key and was asked about", held.request));
   }
   planner.open[held.request] = held;
   planner.line.push_back(held);
@@ -156,18 +158,17 @@
   Planner& planner = *planners_[static_cast<std::size_t>(p)];
   planner.started[held.request] = true;
   ++planner.running;
-  if (++requests_[held.request].runs > 1) fail("op " + std::to_string(held.request) + " ran twice");
+  if (++requests_[held.request].runs > 1) fail(fmt::format("op {} ran twice", held.request));
   if (const std::uint64_t mark = requests_[held.request].mark; mark != 0) {
     Memory& memory = planner.memory.at(mark);
     memory.state = Memory::kRunning;
     const auto before = ran_.find(mark);
     if (before != ran_.end() && memory.admitted < before->second + kKeyWindowSeconds)
-      fail("key " + std::to_string(mark) + " ran twice within its window");
+      fail(fmt::format("key {} ran twice within its window", mark));
     ran_[mark] = memory.admitted;
   }
-  if (requests_[held.request].rejected)
-    fail("op " + std::to_string(held.request) + " ran after it was nacked");
-  note("p" + std::to_string(p) + " runs op " + std::to_string(held.request));
+  if (requests_[held.request].rejected) fail(fmt::format("op {} ran after it was nacked", held.request));
+  note(fmt::format("p{} runs op {}", p, held.request));
   const std::uint64_t epoch = planner.epoch;
   const double takes = -std::log(1 - chance()) * 0.02 * (planner.manner == Manner::kSlow ? 10 : 1);
   after(takes, [this, p, epoch, held] { end_run(p, epoch, held); });
