A listener that closes accepts what still waits over many turns, not in one

Cause: Listener::close accepted all that waited, up to 1,024 connections, in one turn; at a full table each costs an eviction. Change: net/listener is a module of its own. It keeps newcomers out, accepts in slices of 5 ms (chosen), one a turn, and closes once nothing waits; a server that is quiet leaves once its listener has closed. Measured: Listener.ClosingTakesThoseThatWaitOverManyTurns fails on the old loop by its construction (20 of 20 newcomers before due work; not run on it, as the class was split).

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -238,13 +238,13 @@
   const double now = net::monotonic_now() - leaving_since_;
   if (!listening_ && now >= config_.stop_after - kPartMargin) front_->close_idle_connections();
   const bool quiet = in_flight_.unanswered() == 0 && front_->connections() == 0;
+  const bool is_done = quiet && !front_->is_listening() && reactor_.lingering_closes().empty();
   const bool grace_over = now > config_.site.admission.drain_grace;
   if (listening_ &&
       (now >= config_.stop_after - kListenMargin || (quiet && grace_over) || !admission_.begun())) {
     listening_ = false;
     front_->stop_listening();
-  } else if (!listening_ &&
-             ((quiet && reactor_.lingering_closes().empty()) || now >= config_.stop_after - kEndMargin)) {
+  } else if (!listening_ && (is_done || now >= config_.stop_after - kEndMargin)) {
     return stop();
   }
   reactor_.after(kLeaveLook, [this] { look_at_leaving(); });
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -137,12 +137,12 @@
   const double now = net::monotonic_now() - leaving_since_;
   if (!listening_ && now >= config_.stop_after - kPartMargin) callers_.close_idle_connections();
   const bool quiet = forward_.open() == 0 && callers_.connections() == 0;
+  const bool is_done = quiet && !callers_.is_listening() && reactor_.lingering_closes().empty();
   const bool grace_over = now > config_.site.admission.drain_grace;
   if (listening_ && (now >= config_.stop_after - kListenMargin || (quiet && grace_over))) {
     listening_ = false;
     callers_.stop_listening();
-  } else if (!listening_ &&
-             ((quiet && reactor_.lingering_closes().empty()) || now >= config_.stop_after - kEndMargin)) {
+  } else if (!listening_ && (is_done || now >= config_.stop_after - kEndMargin)) {
     log_.info("forwarder", "left after {:.2f} s, {} ops unanswered", now, forward_.open());
     return reactor_.stop();
   }
--- a/src/control/server.h
+++ b/src/control/server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/logger.h"
 
 namespace damsonspoke::control {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,8 +3,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Observer.h>
-#include <fcntl.h>
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,8 +10,6 @@
 
 #include <cerrno>
 #include <cstring>
-#include <stdexcept>
-#include <system_error>
 
 #include "net/lingering_close.h"
 
@@ -27,10 +23,6 @@
 constexpr std::size_t kReadAtOnce = 16 * 1024;   // bytes; then the other sockets get their turn
 constexpr int kReadsAtOnce = 8;                  // pieces; more than a peer that waits for answers sends
 constexpr std::size_t kKeptCapacity = 4 * 1024;  // bytes that a buffer may hold beyond what is in it
-constexpr int kAcceptAtOnce = 64;                // connections; then the other sockets get their turn
-constexpr double kAcceptSeconds = 0.001;         // s of a turn; a newcomer at a full table costs an eviction
-constexpr int kBacklog = 1024;                   // connections that may wait to be accepted
-constexpr double kAcceptRetry = 0.05;            // s; out of descriptors: until some are likely to be free
 
 void no_delay(int fd) {
   const int on = 1;
@@ -296,118 +288,4 @@
   guarded("error", [this] { close(End::kBroken); });
 }
 
-Listener::Listener(Reactor& reactor, const Poco::Net::SocketAddress& address, OnAccept on_accept)
-    : reactor_(reactor), on_accept_(std::move(on_accept)) {
-  fd_ = ::socket(address.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "cannot make a socket");
-  const int on = 1;
-  ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  socket_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd_));  // owns the descriptor from here
-  if (::bind(fd_, address.addr(), address.length()) != 0 || ::listen(fd_, kBacklog) != 0) {
-    throw std::system_error(errno, std::generic_category(), "cannot listen on " + address.toString());
-  }
-  port_ = socket_.address().port();
-  pause(false);
-}
-
-Listener::Listener(Reactor& reactor, int listening_fd, OnAccept on_accept)
-    : reactor_(reactor),
-      on_accept_(std::move(on_accept)),
-      fd_(listening_fd),
-      socket_(new Poco::Net::StreamSocketImpl(listening_fd)) {
-  pause(false);
-}
-
-Listener::~Listener() {
-  reactor_.cancel(retry_);
-  if (reserve_ >= 0) ::close(reserve_);
-  if (!open_) return;
-  pause(true);
-  socket_.close();
-}
-
-void Listener::pause(bool pause) {
-  if (!open_ || pause == paused_) return;
-  paused_ = pause;
-  const Poco::Observer<Listener, ReadableNotification> observer(*this, &Listener::on_readable);
-  pause ? reactor_.removeEventHandler(socket_, observer) : reactor_.addEventHandler(socket_, observer);
-}
-
-namespace {
-
-Accepted accept_from(int listening) {
-  Accepted out;
-  socklen_t size = sizeof out.from;
-  out.fd = ::accept4(listening, reinterpret_cast<sockaddr*>(&out.from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  return out;
-}
-
-}  // namespace
-
-void Listener::keep_reserve() {
-  keeps_reserve_ = true;
-  if (reserve_ < 0) reserve_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
-}
-
-// The reserve's descriptor for one newcomer. False: nobody came, or it could not be had again: no more of
-// this.
-bool Listener::accept_scarce() {
-  if (reserve_ < 0) return false;
-  ::close(reserve_);
-  Accepted accepted = accept_from(fd_);
-  accepted.scarce = true;
-  if (accepted.fd >= 0) on_accept_(accepted);
-  reserve_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
-  return accepted.fd >= 0 && reserve_ >= 0;
-}
-
-// False when descriptors have run out. Stops early once the time is used up, so that timers that are due and
-// the other sockets wait for one newcomer at most beyond that; the poll reports the rest at once.
-bool Listener::accept_some() {
-  if (keeps_reserve_ && reserve_ < 0) keep_reserve();
-  const double until = monotonic_now() + kAcceptSeconds;
-  for (int i = 0; i < kAcceptAtOnce && !paused_; ++i) {
-    const Accepted accepted = accept_from(fd_);
-    if (accepted.fd >= 0) {
-      on_accept_(accepted);
-    } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-      if (!accept_scarce()) return false;  // else one came, and the reserve is back: no spin
-    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-      return true;
-    }
-    if (monotonic_now() >= until) return true;
-  }
-  return true;
-}
-
-void Listener::on_readable(ReadableNotification* notification) {
-  notification->release();
-  guarded("accept", [this] {
-    if (accept_some()) return;
-    // Level-triggered: with no descriptor free the poll would return at once, again and again.
-    pause(true);
-    ++pauses_;
-    retry_ = reactor_.after(kAcceptRetry, [this] { pause(false); });
-  });
-}
-
-// A listener that closes takes down the connections that wait in it, with what callers have written to them.
-// So new ones are kept out first (the filter drops their first packet; the caller sends it again and finds
-// the address refused), then those that wait are taken, then it closes.
-void Listener::close() {
-  if (!open_) return;
-  sock_filter drop_all[] = {{BPF_RET | BPF_K, 0, 0, 0}};
-  sock_fprog program{1, drop_all};
-  ::setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
-  for (;;) {
-    const Accepted accepted = accept_from(fd_);
-    if (accepted.fd < 0) break;
-    on_accept_(accepted);
-  }
-  reactor_.cancel(retry_);
-  pause(true);
-  open_ = false;
-  socket_.close();
-}
-
 }  // namespace damsonspoke::net
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -4,7 +4,6 @@
 
 #include <Poco/Net/SocketNotification.h>
 #include <Poco/Net/StreamSocket.h>
-#include <sys/socket.h>
 
 #include <cstdint>
 #include <memory>
@@ -134,45 +133,4 @@
   bool ending_ = false;      // takes its leave once all is written
 };
 
-struct Accepted {
-  int fd = -1;  // the receiver's
-  sockaddr_storage from{};
-  bool scarce = false;  // it took the last descriptor that there was
-};
-
-// Accepts until nothing waits; out of descriptors it pauses instead of spinning.
-class Listener {
- public:
-  using OnAccept = std::function<void(const Accepted& accepted)>;
-  Listener(Reactor& reactor, const Poco::Net::SocketAddress& address, OnAccept on_accept);
-  // A socket that listens already, of any family.
-  Listener(Reactor& reactor, int listening_fd, OnAccept on_accept);
-  // Keeps one descriptor back. Out of descriptors, it is given for one newcomer at a time, marked as scarce,
-  // so that somebody can be told, or let in for another, before the pause.
-  void keep_reserve();
-  ~Listener();
-  void pause(bool pause);
-  bool paused() const { return paused_; }
-  std::uint64_t pauses() const { return pauses_; }
-  // Takes what still waits, then closes, with nothing lost in between.
-  void close();
-  bool open() const { return open_; }
-  std::uint16_t port() const { return port_; }
-
- private:
-  void on_readable(Poco::Net::ReadableNotification* notification);
-  bool accept_some();
-  bool accept_scarce();
-
-  Reactor& reactor_;
-  OnAccept on_accept_;
-  int fd_ = -1, reserve_ = -1;
-  bool keeps_reserve_ = false;
-  Poco::Net::StreamSocket socket_;
-  Reactor::TimerId retry_;
-  std::uint16_t port_ = 0;
-  std::uint64_t pauses_ = 0;
-  bool open_ = true, paused_ = true;
-};
-
 }  // namespace damsonspoke::net
--- a/src/peers/ajp/server.h
+++ b/src/peers/ajp/server.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "observability/logger.h"
 #include "peers/ajp/request_mapping.h"
@@ -57,6 +58,7 @@
 
   void close_idle_connections() override { announce_drain(); }
   void stop_listening() override { listener_.close(); }
+  [[nodiscard]] bool is_listening() const override { return listener_.is_open(); }
   [[nodiscard]] std::size_t connections() const override { return clients_.size(); }
   [[nodiscard]] std::uint16_t port() const override { return listener_.port(); }
 
--- a/src/peers/combined_server.h
+++ b/src/peers/combined_server.h
@@ -50,6 +50,7 @@
     first_->stop_listening();
     ajp_->stop_listening();
   }
+  [[nodiscard]] bool is_listening() const override { return first_->is_listening() || ajp_->is_listening(); }
   void close_idle_connections() override {
     first_->close_idle_connections();
     ajp_->close_idle_connections();
--- a/src/peers/connection_admission.h
+++ b/src/peers/connection_admission.h
@@ -17,6 +17,7 @@
 #include "conns/connection_limiter.h"
 #include "conns/minimum_byte_rate.h"
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "observability/logger.h"
 #include "settings/operator_file.h"
--- a/src/peers/json_rpc/server.h
+++ b/src/peers/json_rpc/server.h
@@ -11,6 +11,7 @@
 
 #include "catalog/catalog.h"
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "observability/logger.h"
 #include "peers/client_connection.h"
@@ -44,6 +45,7 @@
   void announce_drain() override;
 
   void stop_listening() override;
+  [[nodiscard]] bool is_listening() const override { return listener_.is_open(); }
   void close_idle_connections() override;
   [[nodiscard]] std::size_t connections() const override { return clients_.size(); }
   [[nodiscard]] std::uint16_t port() const override { return listener_.port(); }
--- a/src/peers/listener_admission.h
+++ b/src/peers/listener_admission.h
@@ -11,6 +11,7 @@
 
 #include "conns/connection_quota.h"
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "peers/client_connection.h"
 #include "peers/connection_admission.h"
--- a/src/peers/members/transport.cpp
+++ b/src/peers/members/transport.cpp
@@ -76,7 +76,6 @@
 
 void MembershipTransport::start() {
   is_started_ = true;
-  listener_->pause(false);
   view_.start(net::monotonic_now());
   log_.info("members", "{} of cluster {} at {}, {} seeds", view_.self().name, options_.cluster,
             options_.advertised_address, options_.seeds.size());
--- a/src/peers/members/transport.h
+++ b/src/peers/members/transport.h
@@ -16,6 +16,7 @@
 
 #include "members/membership_view.h"
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "observability/logger.h"
 #include "settings/operator_file.h"
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -110,7 +110,10 @@
 class RequestServer : public CallerPort {
  public:
   // No request that was written to this process is lost.
+  // Newcomers are kept out; connections that wait already are accepted over the next turns.
   virtual void stop_listening() = 0;
+  // False once stop_listening() has accepted the last one.
+  [[nodiscard]] virtual bool is_listening() const = 0;
   // Reads each connection once more and closes those that are idle then.
   virtual void close_idle_connections() = 0;
   [[nodiscard]] virtual std::size_t connections() const = 0;
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "net/connection.h"
+#include "net/listener.h"
 #include "observability/counters.h"
 #include "observability/logger.h"
 #include "peers/ports.h"
@@ -58,6 +59,7 @@
   void set_healthy(bool good) override;
 
   void stop_listening() override;
+  [[nodiscard]] bool is_listening() const override { return listener_.is_open(); }
   void close_idle_connections() override;
   std::size_t connections() const override { return links_.size(); }
   std::uint16_t port() const override { return listener_.port(); }
--- a/tests/net/listener_test.cpp
+++ b/tests/net/listener_test.cpp
@@ -1,4 +1,6 @@
 // The listener among the other work of the reactor.
+#include "net/listener.h"
+
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -12,7 +14,6 @@
 #include <vector>
 
 #include "net/address.h"
-#include "net/connection.h"
 #include "stepped_reactor.h"
 
 namespace damsonspoke::net {
@@ -69,5 +70,35 @@
   stepped.end();
 }
 
+// Guards against a process that is killed at its stop with requests unanswered: closing its listener took one
+// turn for all that waited, 460 connections in 160 ms.
+TEST(Listener, ClosingTakesThoseThatWaitOverManyTurns) {
+  SteppedReactor stepped;
+  std::atomic<int> accepted_count = 0;  // also read by the test's thread
+  std::atomic<bool> is_open = true;     // likewise
+  int accepted_before_due_work = -1;
+  Listener listener(stepped.reactor, parse_address("127.0.0.1:0"), [&](const Accepted& accepted) {
+    ++accepted_count;
+    std::this_thread::sleep_for(kNewcomerCost);
+    ::close(accepted.fd);
+  });
+  const Crowd crowd(listener.port());
+  stepped.reactor.post([&] {
+    listener.close();
+    stepped.reactor.post([&] { accepted_before_due_work = accepted_count; });
+  });
+  stepped.run_for([&] {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (is_open && std::chrono::steady_clock::now() < until) {
+      stepped.reactor.post_from_elsewhere([&] { is_open = listener.is_open(); });
+      std::this_thread::sleep_for(kNewcomerCost);
+    }
+  });
+  EXPECT_LT(accepted_before_due_work, 3);
+  EXPECT_EQ(accepted_count, kNewcomers);
+  EXPECT_FALSE(is_open);
+  stepped.end();
+}
+
 }  // namespace
 }  // namespace damsonspoke::net
