Runtime: a restart whose greeting is read late is told by the first notice of a younger start

A runtime that takes the place of another while the program stands still passed for it: its `ready` was not looked for meanwhile, so it could not be told from one of the same process. The new process counts its notices from 1; those up to the old mark were taken for duplicates, so that the end of a run was not heard: its request failed, and the next was nacked. A number up to the mark that `sync` told, about a start that was issued after the last link was lost, can come from no process that was heard before: it is a restart. The starts issued since that loss belong to the new process and go on. A repeat of an old notice about an old run is a duplicate as before (program_broken_link).

--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -112,7 +112,7 @@
   last_input_at_ = net::monotonic_now();
   link_alive_at_ = last_input_at_;
   greeting_absent_until_ = last_input_at_;
-  write(wire::encode_sync(last_notice_));
+  write(wire::encode_sync(synced_notice_ = last_notice_));
   look_for_greeting();
 }
 
@@ -210,7 +210,10 @@
 }
 
 // Notices come in the order of their numbers; whether this one is to be handled. A duplicate is not.
-bool RuntimeClient::accept_number(std::uint64_t number) {
+bool RuntimeClient::accept_number(std::uint64_t number, RequestId id) {
+  // No process told it before this link, as the start is younger: another one has greeted, which was read too
+  // late to be seen.
+  if (number <= synced_notice_ && ledger_.is_new_start(id)) on_restart();
   if (number <= last_notice_) {
     counters_.add(Count::kRuntimeRepeats);
     return false;
@@ -230,13 +233,13 @@
 }
 
 void RuntimeClient::handle_run_end(const wire::Notice& notice) {
-  if (!accept_number(notice.number)) return;
+  if (!accept_number(notice.number, notice.id)) return;
   ledger_.erase(notice.id);
   events_.on_run_ended(notice.id, outcome_of(notice.end), notice.ms * kSecondsPerMs, notice.body);
 }
 
 void RuntimeClient::handle_call_wanted(const wire::Notice& notice) {
-  if (!accept_number(notice.number)) return;
+  if (!accept_number(notice.number, notice.id)) return;
   ledger_.on_call_wanted(notice.id);
   events_.on_call_requested(notice.id, notice.number, notice.body);
 }
@@ -261,6 +264,7 @@
   counters_.add(Count::kRuntimeAnew);
   log_.warn("runtime", "restarted, its runs are lost");
   last_notice_ = 0;
+  synced_notice_ = 0;
   requested_notice_ = 0;
   events_.on_runtime_restarted(ledger_.on_restart());
 }
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -62,7 +62,7 @@
   void handle_ready(const wire::Notice& notice);
   void handle_gauges(const wire::Notice& notice);
   void handle_rejection(const wire::Notice& notice);
-  [[nodiscard]] bool accept_number(std::uint64_t number);
+  [[nodiscard]] bool accept_number(std::uint64_t number, RequestId id);
   void store_gauges(const std::vector<double>& values, double now);
   void on_restart();
   void on_synchronized();
@@ -94,6 +94,7 @@
   double greeting_absent_until_ = 0;            // on this link
   RuntimeProcessIdentity process_;
   std::uint64_t last_notice_ = 0;
+  std::uint64_t synced_notice_ = 0;     // the last one before this link
   std::uint64_t requested_notice_ = 0;  // the missing one for which the link was opened anew
   CommandLedger ledger_;
   std::uint64_t gauges_tag_ = 0;          // of the latest request for gauges
--- a/src/peers/runtime/command_ledger.cpp
+++ b/src/peers/runtime/command_ledger.cpp
@@ -76,6 +76,7 @@
 
 std::size_t CommandLedger::on_link_lost(const LinkLoss& loss) {
   std::size_t newly_waiting = 0;
+  last_before_link_ = last_number_;
   for (auto& [id, entries] : requests_) {
     const bool waited = waits_in_doubt(entries.run);
     settle_loss(entries.run, loss);
@@ -118,13 +119,20 @@
   std::unordered_set<RequestId> unsent;
   std::erase_if(requests_, [&](const auto& request) {
     const Entry& run = request.second.run;
-    const bool has_left = run.number == 0 || !run.command.is_start || run.delivery != Delivery::kUnsent;
+    const bool has_left = !is_new_start(request.first) &&
+                          (run.number == 0 || !run.command.is_start || run.delivery != Delivery::kUnsent);
     if (!has_left) unsent.insert(request.first);
     return has_left;
   });
   return unsent;
 }
 
+bool CommandLedger::is_new_start(RequestId id) const {
+  const auto found = requests_.find(id);
+  return found != requests_.end() && found->second.run.command.is_start &&
+         found->second.run.number > last_before_link_;
+}
+
 bool CommandLedger::is_repeated(RequestId id) const {
   const auto found = requests_.find(id);
   return found != requests_.end() && found->second.run.send_count > 1;
--- a/src/peers/runtime/command_ledger.h
+++ b/src/peers/runtime/command_ledger.h
@@ -80,9 +80,12 @@
   void on_call_wanted(RequestId id);
   // The run is over, or its request is.
   void erase(RequestId id) { requests_.erase(id); }
-  // The runtime was restarted: forgets all but the starts that never left, and returns their requests.
+  // The runtime was restarted: forgets all but the starts that only the new process may have heard of, and
+  // returns their requests.
   std::unordered_set<RequestId> on_restart();
 
+  // Whether it is a start that was issued after the last link was lost: no runtime heard of it before.
+  [[nodiscard]] bool is_new_start(RequestId id) const;
   // Whether the command of the run was sent more than once.
   [[nodiscard]] bool is_repeated(RequestId id) const;
   // Of the requests whose starts or replies wait in doubt: when the first is to be given up, and which are by
@@ -117,6 +120,7 @@
 
   std::unordered_map<RequestId, RequestEntries> requests_;
   std::uint64_t last_number_ = 0;
+  std::uint64_t last_before_link_ = 0;  // the last number as the last link was lost
   std::uint64_t last_position_ = 0;
 };
 
--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -98,6 +98,13 @@
   std::printf("caller hears: %s\n", is_rejection ? "rejected" : is_failure ? "failed" : answer.c_str());
 }
 
+// The answers to two requests, in either order.
+void caller_hears_of_both(Site& site, int caller) {
+  int answers = 0;
+  for (int i = 0; i < 2; ++i) answers += site.heard(caller).find("\"id\":") != std::string::npos;
+  std::printf("caller hears two answers: %s\n", answers == 2 ? "yes" : "no");
+}
+
 // Guards against a start that really was lost and is sent again, or holds its memory for ever: its request
 // fails when it is due, a repeat of its key starts nothing, and what needs the memory runs after that.
 void start_lost(const std::string& semantics) {
@@ -525,6 +532,35 @@
   site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
 }
 
+// Guards against a runtime that takes the place of another and passes for it where the program reads its
+// greeting late: the greeting was not looked for while the program stood still. The new process counts its
+// notices from 1.
+void anew_read_late() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kFragile).c_str());
+  site.runtime_hears(2);
+  for (int i = 1; i < 4; ++i) site.runtime_says("info " + std::to_string(i) + " a remark");
+  site.pause(kQuietSeconds);
+  site.runtime_breaks();
+  site.runtime_hears();
+  site.signal(SIGSTOP);
+  site.pause(kStoppedSeconds);
+  site.runtime_is_ready("hot 780");
+  site.signal(SIGCONT);
+  site.pause(kQuietSeconds);
+  site.send_request(caller, 2, "push", with_limit(1500, kFragile).c_str());
+  how_often(site, "start " + kId2);
+  site.runtime_says(ended(1, kId2));
+  caller_hears_of_both(site, caller);
+  site.send_request(caller, 3, "push", with_limit(1500, kFragile).c_str());
+  how_often(site, "start " + kId3);
+  site.runtime_says(ended(2, kId3));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.failed", "runtime.restarts"});
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -533,6 +569,7 @@
                        {"resumption_refused_nack", resumption_refused_nack},
                        {"resumption_refused_unknown", resumption_refused_unknown},
                        {"anew_greets_late", anew_greets_late},
+                       {"anew_read_late", anew_read_late},
                        {"start_dedup", start_dedup},
                        {"start_fragile", start_fragile},
                        {"start_retryable", start_retryable},
