Test: a run whose end is among notices that are passed over is held for ever

The notice that is missing is the end of a run that started a second before: its start has arrived and is older than what the broken link may have lost, so it is not in doubt and is never given up. A way: when a gap is passed over, each run whose start the ledger holds, or that waits for a call's reply, is given up once its request is due, as what waits in doubt is (no command is sent again for it).

--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -532,6 +532,35 @@
   site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
 }
 
+// Guards against memory that is held for ever, where the notice that is missing is the end of a run which
+// started long before: nothing is in doubt, and no other notice of that run comes. What runs only
+// beside nothing else starts after it.
+void gap_old_run(const std::string& semantics, bool is_lost = true) {
+  const bool keyed = semantics == kDedup;
+  Site site("", "", routes(semantics));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(1500, semantics).c_str());
+  site.send_request(caller, 2, "push",
+                    keyed ? R"("ram":10,"limit":3000,"key":"b")" : R"("ram":10,"limit":3000)");
+  site.runtime_hears(4);
+  site.pause(kReleaseSeconds);
+  site.runtime_says(ended(2, kId2));
+  site.runtime_comes_up("hot 2000");
+  if (!is_lost) site.runtime_says(ended(1, kId1));
+  site.runtime_says(ended(2, kId2));
+  site.caller_hears(caller);
+  is_lost ? caller_fails(site, caller) : site.caller_hears(caller);
+  site.pause(kReleaseSeconds);
+  site.send_request(caller, 3, "push", large(3000, keyed ? "c" : "").c_str());
+  how_often(site, "start " + kId3);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "requests.rejected",
+                 "runtime.gaps"});
+}
+void gap_old_run_dedup() { gap_old_run(kDedup); }
+void gap_old_run_fragile() { gap_old_run(kFragile); }
+void gap_old_run_comes() { gap_old_run(kFragile, false); }
+
 // Guards against a runtime that takes the place of another and passes for it where the program reads its
 // greeting late: the greeting was not looked for while the program stood still. The new process counts its
 // notices from 1.
@@ -570,6 +599,9 @@
                        {"resumption_refused_unknown", resumption_refused_unknown},
                        {"anew_greets_late", anew_greets_late},
                        {"anew_read_late", anew_read_late},
+                       {"gap_old_run_dedup", gap_old_run_dedup},
+                       {"gap_old_run_fragile", gap_old_run_fragile},
+                       {"gap_old_run_comes", gap_old_run_comes},
                        {"start_dedup", start_dedup},
                        {"start_fragile", start_fragile},
                        {"start_retryable", start_retryable},
