Test: commands wait while a connect to the runtime's new address hangs

After SIGHUP with an address that takes no connects and refuses none, the client holds its commands for 0.1 s and then for the whole connect (1 s), serves on the old link for 0.05 s, and begins again: nearly all starts wait, though the old link works. A way: what waits goes over the old link once the connect has lasted as long as the move may (0.1 s), and the next move after a connect that hung holds nothing back until it is connected.

runtime_client_crossings_moved_to_silence, expected and seen: starts: 10, come later than 200 ms on the old link: 0 starts: 10, come later than 200 ms on the old link: 8

--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -30,6 +30,8 @@
 constexpr double kTurnSeconds = 0.002;
 constexpr double kStepSeconds = 0.01;
 constexpr int kMostSteps = 300;  // of waiting for what should come
+constexpr int kCrowd = 8;  // more than a listener without a backlog takes
+constexpr RequestId kLastAtSilence = 11;
 constexpr int kQuietSteps = 20;  // in which a second command would come
 
 // A listener on loopback; what came is looked at only when the test says so.
@@ -159,6 +161,17 @@
   return fmt::format("start {:016x} push {}\r\n{}\r\n", id, body.size(), body);
 }
 
+// Those that were asked for and not answered yet.
+void answer_gauges(Client& client) {
+  for (std::size_t at = 0; (at = client.in.find("gauges ", at)) != std::string::npos;) {
+    const std::size_t tag = at + 7;
+    const std::size_t end = client.in.find("\r\n", tag);
+    if (end == std::string::npos) return;
+    client.bare.say("load " + client.in.substr(tag, end - tag) + " 0.25 1\r\n");
+    client.in.replace(at, 6, "asked!");
+  }
+}
+
 // Guards against a start that runs twice, or never, where the client's own output fills up: the other side
 // reads nothing until the client gives the link up. What had reached the other side whole is not sent again;
 // all that had not goes out on the next link, once.
@@ -253,6 +266,42 @@
   say("in their order", in_order);
 }
 
+// Guards against commands that wait for as long as a new address lets connects hang: until the new link is
+// up the old one serves.
+void moved_to_silence() {
+  Client client;
+  client.synchronize("hot 0");
+  const int full = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  if (::bind(full, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(full, 0) != 0) std::abort();
+  ::getsockname(full, reinterpret_cast<sockaddr*>(&at), &size);
+  std::vector<int> crowd;
+  for (int i = 0; i < kCrowd; ++i) {
+    crowd.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    static_cast<void>(::connect(crowd.back(), reinterpret_cast<sockaddr*>(&at), size));
+  }
+  start(client, 1, "body", false);
+  client.runtime.move_to(fmt::format("127.0.0.1:{}", ntohs(at.sin_port)));
+  client.stepped.run_for(kStepSeconds);
+  int late = 0;
+  for (RequestId id = 2; id <= kLastAtSilence; ++id) {
+    start(client, id, "body", false);
+    for (int i = 0; i < kQuietSteps; ++i) {
+      client.stepped.run_for(kStepSeconds);
+      client.in += client.bare.heard();
+      answer_gauges(client);
+    }
+    late += client.count(start_of(id)) == 0;
+  }
+  for (const int fd : crowd) ::close(fd);
+  ::close(full);
+  fmt::print("starts: {}, come later than {} ms on the old link: {}\n", kLastAtSilence - 1,
+             static_cast<int>(kQuietSteps * kStepSeconds * 1000), late);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -263,5 +312,6 @@
                        {"start_repeatable", start_repeatable},
                        {"reply_skippable", reply_skippable},
                        {"reply_needed", reply_needed},
-                       {"issued_without_link", issued_without_link}});
+                       {"issued_without_link", issued_without_link},
+                       {"moved_to_silence", moved_to_silence}});
 }
