--- a/tests/link_crossings.cpp
+++ b/tests/link_crossings.cpp
@@ -554,8 +554,8 @@
   site.pause(kReleaseSeconds);
   site.send_request(caller, 3, "push", large(3000, keyed ? "c" : "").c_str());
   how_often(site, "start " + kId3);
-  site.counters({"requests.read", "requests.succeeded", "requests.failed", "requests.rejected",
-                 "runtime.gaps"});
+  site.counters(
+      {"requests.read", "requests.succeeded", "requests.failed", "requests.rejected", "runtime.gaps"});
 }
 void gap_old_run_dedup() { gap_old_run(kDedup); }
 void gap_old_run_fragile() { gap_old_run(kFragile); }
--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -30,7 +30,7 @@
 constexpr double kTurnSeconds = 0.002;
 constexpr double kStepSeconds = 0.01;
 constexpr int kMostSteps = 300;  // of waiting for what should come
-constexpr int kCrowd = 8;  // more than a listener without a backlog takes
+constexpr int kCrowd = 8;        // more than a listener without a backlog takes
 constexpr RequestId kLastAtSilence = 11;
 constexpr int kQuietSteps = 20;  // in which a second command would come
 
