A run whose notices are lost for good is given up when its request is due

Callers saw: after the runtime had skipped a notice for good, large requests were rejected for ever; the run that the notice was about held its memory and its core. Cause: only commands in doubt were given up. A start that arrived long before the gap is not in doubt, and no notice of its run comes any more. Change: as a gap is passed over, each run that the runtime knows may be over, and is given up at its due time and the margin unless another notice about it comes. Nothing is sent again.

--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -227,6 +227,8 @@
       link_->close(net::End::kBroken);
       return false;
     }
+    ledger_.on_notices_lost();
+    schedule_give_up();
   }
   last_notice_ = number;
   return true;
--- a/src/peers/runtime/command_ledger.cpp
+++ b/src/peers/runtime/command_ledger.cpp
@@ -32,6 +32,7 @@
   entry = {};
   entry.number = ++last_number_;
   entry.command = std::move(command);
+  if (entry.command.give_up_at > 0) entries.give_up_at = entry.command.give_up_at;
   return {key, entry.command.text, false};
 }
 
@@ -110,9 +111,18 @@
   return in_order;
 }
 
+void CommandLedger::on_notices_lost() {
+  for (auto& [id, entries] : requests_) {
+    const bool is_known_there = entries.run.delivery != Delivery::kUnsent || entries.run.number == 0;
+    if (is_known_there) entries.may_be_over = true;
+  }
+}
+
 void CommandLedger::on_call_wanted(RequestId id) {
   const auto found = requests_.find(id);
-  if (found != requests_.end()) found->second.run = {};
+  if (found == requests_.end()) return;
+  found->second.run = {};
+  found->second.may_be_over = false;
 }
 
 std::unordered_set<RequestId> CommandLedger::on_restart() {
@@ -144,12 +154,14 @@
   return entry.delivery == Delivery::kInDoubt && entry.command.in_doubt == InDoubt::kWait;
 }
 
+bool CommandLedger::is_to_be_given_up(const RequestEntries& entries) {
+  return entries.may_be_over || waits_in_doubt(entries.run);
+}
+
 std::optional<double> CommandLedger::next_give_up() const {
   std::optional<double> next;
   for (const auto& [id, entries] : requests_) {
-    if (!waits_in_doubt(entries.run)) continue;
-    const double give_up_at = entries.run.command.give_up_at;
-    next = std::min(next.value_or(give_up_at), give_up_at);
+    if (is_to_be_given_up(entries)) next = std::min(next.value_or(entries.give_up_at), entries.give_up_at);
   }
   return next;
 }
@@ -157,7 +169,7 @@
 std::vector<RequestId> CommandLedger::requests_to_give_up(double now) const {
   std::vector<RequestId> ids;
   for (const auto& [id, entries] : requests_) {
-    if (waits_in_doubt(entries.run) && entries.run.command.give_up_at <= now) ids.push_back(id);
+    if (is_to_be_given_up(entries) && entries.give_up_at <= now) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
   return ids;
--- a/src/peers/runtime/command_ledger.h
+++ b/src/peers/runtime/command_ledger.h
@@ -76,6 +76,8 @@
   // What goes over the new link, in the order in which it was issued; the caller marks each as sent.
   [[nodiscard]] std::vector<Outgoing> take_sendable();
 
+  // Notices were lost for good: any run that was begun may have ended, or wait for a call, unheard of.
+  void on_notices_lost();
   // A notice tells that the run waits for a call: its last command has arrived.
   void on_call_wanted(RequestId id);
   // The run is over, or its request is.
@@ -88,8 +90,8 @@
   [[nodiscard]] bool is_new_start(RequestId id) const;
   // Whether the command of the run was sent more than once.
   [[nodiscard]] bool is_repeated(RequestId id) const;
-  // Of the requests whose starts or replies wait in doubt: when the first is to be given up, and which are by
-  // now.
+  // Of the requests whose starts or replies wait in doubt, or whose notices may be lost: when the first is to
+  // be given up, and which are by now.
   [[nodiscard]] std::optional<double> next_give_up() const;
   [[nodiscard]] std::vector<RequestId> requests_to_give_up(double now) const;
 
@@ -112,11 +114,14 @@
   struct RequestEntries {
     Entry run;
     Entry stop;
+    double give_up_at = 0;  // of its last start or reply
+    bool may_be_over = false;
   };
 
   static void settle_loss(Entry& entry, const LinkLoss& loss);
   [[nodiscard]] static bool is_sendable(const Entry& entry);
   [[nodiscard]] static bool waits_in_doubt(const Entry& entry);
+  [[nodiscard]] static bool is_to_be_given_up(const RequestEntries& entries);
 
   std::unordered_map<RequestId, RequestEntries> requests_;
   std::uint64_t last_number_ = 0;
