Commands no longer wait while a connect to the runtime's new address hangs

Callers saw: after SIGHUP with an address that does not answer, starts waited up to 1.1 s, again and again, though the old link worked. Cause: what waits for a move was released only by the end of the connect (1 s), and the next try held it again. Change: the old link serves on once a connect has taken 0.1 s; after a connect that hung nothing waits until one is made.

--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -69,13 +69,23 @@
   next_link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_),
                                            {kMaxInputBytes, output_bytes_});
   connect_timer_ = reactor_.after(kConnectTimeoutSeconds, [this] {
+    has_connect_hung_ = true;
     if (next_link_) next_link_->close(net::End::kRefused);
   });
+  if (is_moving_) move_timer_ = reactor_.after(kMoveSeconds, [this] { release_commands(); });
+}
+
+// The old link serves on.
+void RuntimeClient::release_commands() {
+  reactor_.cancel(move_timer_);
+  is_moving_ = false;
+  if (takes_commands()) send_waiting_commands();
 }
 
 void RuntimeClient::move_to(const std::string& address) {
   if (address == address_) return;
   address_ = address;
+  has_connect_hung_ = false;
   const bool is_connecting = next_link_ != nullptr;
   if (is_connecting) next_link_->close();
   next_link_.reset();
@@ -86,9 +96,9 @@
 
 // The runtime replaces the old link when it takes the new one, and does not read on. So that nothing is lost
 // with the old one, commands wait from now on, and the new link is opened once those before them have
-// arrived.
+// arrived. After a connect that hung nothing waits for the next one.
 void RuntimeClient::open_next_link() {
-  if (!takes_commands() || !ledger_.has_unproven()) return connect();
+  if (has_connect_hung_ || !takes_commands() || !ledger_.has_unproven()) return connect();
   is_moving_ = true;
   request_gauges();
   move_timer_ = reactor_.after(kMoveSeconds, [this] { finish_move(); });
@@ -107,6 +117,7 @@
     on_link_lost(*link_, is_broken);
   }
   link_ = std::move(next_link_);
+  has_connect_hung_ = false;
   reactor_.cancel(connect_timer_);
   stream_bytes_ = 0;
   last_input_at_ = net::monotonic_now();
@@ -131,8 +142,7 @@
     next_link_.reset();
     reactor_.cancel(connect_timer_);
     connect_timer_ = reactor_.after(kReconnectSeconds, [this] { open_next_link(); });
-    is_moving_ = false;  // the old link serves on
-    if (takes_commands()) send_waiting_commands();
+    release_commands();
   } else if (&connection == link_.get()) {
     counters_.add(Count::kRuntimeBroken);
     log_.warn("runtime", "link lost, reconnecting");
