--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -14,8 +14,7 @@
 constexpr double kConnectTimeoutSeconds = 1;
 constexpr double kSilenceTimeoutSeconds = 1;  // without an answer that is owed: the link is lost
 constexpr double kSilenceCheckSeconds = 0.25;
-constexpr double kMoveSeconds =
-    0.1;  // for what the old link has taken to arrive, before the new one is opened
+constexpr double kMoveSeconds = 0.1;           // for what the old link has taken to arrive before a move
 constexpr double kGreetingLookSeconds = 0.01;  // between two looks for the `ready` of a new link
 constexpr double kGiveUpMarginSeconds = 0.05;  // behind the due time, at which the request is answered
 constexpr double kMaxGaugeAgeSeconds = 0.5;
@@ -64,6 +63,7 @@
 }
 
 // ---- The link.
+
 void RuntimeClient::connect() {
   reactor_.cancel(connect_timer_);
   next_link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_),
@@ -157,6 +157,7 @@
   gauges_requested_at_ = -1;
 }
 
+// Closes a link on which an answer is overdue: the runtime hangs, or is gone without having closed it.
 void RuntimeClient::check_silence() {
   // Before the runtime has come up for the first time it owes no answer, however long that takes.
   const bool owes_answer = link_ && was_ready_ && (!is_runtime_up_ || gauges_requested_at_ >= 0);
@@ -169,6 +170,7 @@
 }
 
 // ---- Notices.
+
 std::size_t RuntimeClient::on_input(net::Connection& connection, std::string_view bytes) {
   std::size_t used = 0;
   last_input_at_ = net::monotonic_now();
@@ -276,6 +278,7 @@
 }
 
 // ---- Gauges.
+
 void RuntimeClient::request_gauges() {
   if (!is_runtime_up_ || gauges_requested_at_ >= 0 || !link_ || !link_->connected()) return;
   gauges_requested_at_ = net::monotonic_now();
@@ -296,7 +299,8 @@
   // The ends of runs may stand behind the answer: they are read before anything is sent again.
   if (!is_synchronized_) has_missed_notices_ = true;
   if (!is_synchronized_ || !is_moving_ || next_link_) return;
-  ledger_.has_unproven() ? request_gauges() : finish_move();
+  if (ledger_.has_unproven()) return request_gauges();
+  finish_move();
 }
 
 void RuntimeClient::store_gauges(const std::vector<double>& values, double now) {
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -21,10 +21,13 @@
 
 namespace damsonspoke::peers {
 
+// One link to the runtime at a time; while it is replaced, a second one is being connected. Sends commands
+// and reports the runtime's notices as events.
 class RuntimeClient : public RuntimePort, private net::ConnectionOwner {
  public:
-  // `output_bytes`: of commands that may wait; beyond them the link is opened anew. `gauges`: what the
-  // runtime's gauges are, in their order. Throws std::runtime_error where the address can't be used.
+  // Connects at once. `output_bytes`: of commands that may wait; beyond them the link is opened anew.
+  // `gauges`: what the runtime's gauges are, in their order. Throws std::runtime_error where the address
+  // can't be used.
   RuntimeClient(net::Reactor& reactor, const std::string& address, std::size_t output_bytes,
                 std::vector<Gauge> gauges, RuntimeEvents& events, Counters& counters, Logger& log);
   ~RuntimeClient() override;
@@ -40,8 +43,11 @@
   void resume(RequestId id) override;
   void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) override;
   void skip_call(RequestId id, std::uint64_t notice) override;
+  // Forgets the commands of the run: none of them is sent again.
   void on_run_over(RequestId id) override { ledger_.erase(id); }
+  // Does nothing while the link is not synchronized.
   void self_test(std::uint64_t tag) override;
+  // Does nothing while the runtime is not up on this link, or an earlier request is unanswered.
   void request_gauges() override;
   [[nodiscard]] Gauges gauges(double now) const override;
 
--- a/src/peers/runtime/command_ledger.h
+++ b/src/peers/runtime/command_ledger.h
@@ -29,8 +29,9 @@
   kReplace,  // another command takes its place that has no effect where the first one was carried out
 };
 
+// A command as it is handed to the ledger.
 struct RuntimeCommand {
-  std::string text;
+  std::string text;  // as it is written to the link
   InDoubt in_doubt = InDoubt::kSendAgain;
   std::string replacement;  // of kReplace
   bool is_start = false;    // nothing runs before it has arrived
@@ -45,6 +46,7 @@
   bool by_peer = true;            // false: it was replaced while it worked
 };
 
+// The commands of the requests whose runs are not over.
 class CommandLedger {
  public:
   // Names a command: a request has one of its run at a time, and one stop beside it.
@@ -61,7 +63,7 @@
 
   // Remembers a command, in place of the former one with this key.
   Outgoing add(CommandKey key, RuntimeCommand command);
-  // It was written to the link, up to this byte of its stream.
+  // It was written to the link, up to this byte of its stream; without effect where its request is unknown.
   void mark_sent(CommandKey key, std::uint64_t stream_end, double now);
 
   // The position of the latest command on this link, for mark_arrived().
@@ -71,14 +73,14 @@
   // Whether a command on this link is not known to have arrived.
   [[nodiscard]] bool has_unproven() const;
 
-  // How many commands wait in doubt from now on.
+  // Settles what has become of each command; returns how many runs' commands wait in doubt from now on.
   std::size_t on_link_lost(const LinkLoss& loss);
   // What goes over the new link, in the order in which it was issued; the caller marks each as sent.
   [[nodiscard]] std::vector<Outgoing> take_sendable();
 
   // A notice tells that the run waits for a call: its last command has arrived.
   void on_call_wanted(RequestId id);
-  // The run is over, or its request is.
+  // The run is over, or its request is: forgets their commands.
   void erase(RequestId id) { requests_.erase(id); }
   // The runtime was restarted: forgets all but the starts that never left, and returns their requests.
   std::unordered_set<RequestId> on_restart();
