--- a/src/peers/json_rpc/request_builder.h
+++ b/src/peers/json_rpc/request_builder.h
@@ -15,9 +15,9 @@
 
 namespace damsonspoke::peers {
 
-// The member of a request's params that holds its idempotency key.
+// Which requests need an idempotency key, and where it stands in their messages.
 struct IdempotencyKeyOptions {
-  std::string member;         // empty: none is read
+  std::string member;         // of a request's params; empty: no key is read
   std::size_t max_bytes = 0;  // of a key
   // Routes whose duplicates are recognized by a digest of the request; other keyed routes need the member.
   std::unordered_set<std::string> digest_routes;
@@ -27,10 +27,10 @@
 struct RequestError {
   Count counter = Count::kBadParams;
   wire::RpcError code = wire::RpcError::kParams;
-  std::string_view message;
+  std::string_view message;  // a literal
 };
 
-// Takes the key and the body from the message. `reply_to` of the result is left to the caller.
+// Moves the key and the body out of the message. `reply_to` of the result is left to the caller.
 [[nodiscard]] std::variant<IncomingRequest, RequestError> build_request(wire::RpcRequest& message,
                                                                         const catalog::Catalog& catalog,
                                                                         const IdempotencyKeyOptions& keys);
--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -49,6 +49,7 @@
 }
 
 // ---- Connections.
+
 void JsonRpcServer::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
   if (!admission_.admit(tag, accepted, clients_.size(), [this] { return evict_one(); })) return;
@@ -79,23 +80,24 @@
 bool JsonRpcServer::evict_one() {
   const double now = net::monotonic_now();
   Client* evictable = clients_.find_evictable(now, is_idle);
-  if (evictable == nullptr) {
-    const auto is_stalled = [now](const Client& client) {
-      return client.requests.empty() && client.connection->open() && client.is_silent(now) &&
-             client.is_message_incomplete() && now - client.message_started_at >= kFirstRequestGraceSeconds;
-    };
-    for (const std::uint64_t tag : clients_.idle_order()) {
-      Client* client = clients_.find(tag);
-      if (!is_stalled(*client)) continue;
-      evictable = client;
-      break;
-    }
-  }
+  if (evictable == nullptr) evictable = find_stalled(now);
   if (evictable == nullptr) return false;
   admission_.evict(*evictable);
   return true;
 }
 
+// The oldest silent connection whose first request was begun a while ago and is incomplete; null: there is
+// none.
+JsonRpcServer::Client* JsonRpcServer::find_stalled(double now) {
+  for (const std::uint64_t tag : clients_.idle_order()) {
+    Client* client = clients_.find(tag);
+    if (!client->requests.empty() || !client->connection->open() || !client->is_silent(now)) continue;
+    if (!client->is_message_incomplete()) continue;
+    if (now - client->message_started_at >= kFirstRequestGraceSeconds) return client;
+  }
+  return nullptr;
+}
+
 // The connection's place was given to another one. What it has sent is read first, so that a request among
 // that is answered.
 void JsonRpcServer::evict(std::uint64_t tag) {
@@ -111,6 +113,7 @@
 }
 
 // ---- Input.
+
 std::size_t JsonRpcServer::on_input(net::Connection& connection, std::string_view bytes) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return bytes.size();
@@ -119,10 +122,7 @@
     const wire::Frame frame = wire::next_frame(bytes.substr(used));
     if (frame.state == wire::Framing::kNeedMore) break;
     if (frame.state == wire::Framing::kBroken) {
-      counters_.add(Count::kBadFrames);
-      log_.debug("json_rpc", "connection {}: invalid frame, closed", connection.tag);
-      admission_.penalize(*client, conns::Penalty::kInvalidFrame);
-      refuse_input(*client, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
+      refuse_invalid_frame(*client);
       return bytes.size();
     }
     if (!admission_.try_read(connection)) break;
@@ -161,6 +161,13 @@
   close_if_done(client);
 }
 
+void JsonRpcServer::refuse_invalid_frame(Client& client) {
+  counters_.add(Count::kBadFrames);
+  log_.debug("json_rpc", "connection {}: invalid frame, closed", client.connection->tag);
+  admission_.penalize(client, conns::Penalty::kInvalidFrame);
+  refuse_input(client, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
+}
+
 void JsonRpcServer::on_valid_message(Client& client) {
   --client.invalid_messages;
   client.has_requested = true;
@@ -223,6 +230,7 @@
 }
 
 // ---- Answers.
+
 void JsonRpcServer::send(Client& client, const std::string& text) {
   if (!client.connection->open()) return;
   client.connection->send(text);
@@ -285,6 +293,7 @@
 }
 
 // ---- The ends of connections.
+
 void JsonRpcServer::on_end_of_input(net::Connection& connection) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return;
@@ -305,6 +314,7 @@
 }
 
 // ---- Timeouts.
+
 void JsonRpcServer::check_connections() {
   const double now = net::monotonic_now();
   for (auto& [tag, client] : clients_) {
@@ -350,6 +360,7 @@
 }
 
 // ---- Idle connections and the graceful shutdown.
+
 void JsonRpcServer::announce_drain(Client& client) {
   if (client.drain_announced_at >= 0) return;
   client.drain_announced_at = net::monotonic_now();
--- a/src/peers/json_rpc/server.h
+++ b/src/peers/json_rpc/server.h
@@ -22,6 +22,8 @@
 
 namespace damsonspoke::peers {
 
+// Listens, reads requests and writes their answers. A request keeps the number that its client gave it; it is
+// open until it is answered or its connection ends.
 class JsonRpcServer : public RequestServer, private net::ConnectionOwner {
  public:
   // Of a connection: one read, and the incomplete frame of under 9 KiB before it.
@@ -40,6 +42,7 @@
   void answer_rejected(ReplyAddress reply_to, double retry_after, bool no_retry) override;
   void answer_failed(ReplyAddress reply_to, FailureReason reason) override;
   void answer_health_check(ReplyAddress reply_to, bool is_healthy) override;
+  // Clients that are idle for longer are asked to close their connections.
   void set_idle_timeout(double seconds) override;
   void announce_drain() override;
 
@@ -54,9 +57,10 @@
     int route = -1;
   };
   struct Client : ClientConnection {
-    std::unordered_map<std::uint64_t, OpenRequest> requests;  // by the client's number
-    double drain_announced_at = -1;
-    int invalid_messages = 0;
+    // By the client's number.
+    std::unordered_map<std::uint64_t, OpenRequest> requests;
+    double drain_announced_at = -1;  // monotonic s; < 0: not yet
+    int invalid_messages = 0;        // so far; valid ones in between don't lower it
   };
 
   std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
@@ -66,12 +70,13 @@
 
   void on_accept(const net::Accepted& accepted);
   [[nodiscard]] bool evict_one();
+  [[nodiscard]] Client* find_stalled(double now);
   void evict(std::uint64_t tag);
   [[nodiscard]] static bool is_idle(const Client& client);
   void update_busy(const Client& client);
 
   // One frame; false: nothing more is read from the connection.
-  bool read_frame(Client& client, std::string_view body);
+  [[nodiscard]] bool read_frame(Client& client, std::string_view body);
   void handle_message(Client& client, std::string_view text);
   void handle_health_check(Client& client, const wire::RpcRequest& message, bool has_bad_params);
   void handle_request(Client& client, wire::RpcRequest& message);
@@ -81,6 +86,7 @@
   void answer(ReplyAddress reply_to, const std::string& text, bool is_success = false);
   void send(Client& client, const std::string& text);
   void refuse_input(Client& client, const std::string& last_message);
+  void refuse_invalid_frame(Client& client);
   void close_if_done(Client& client);
 
   void check_connections();
