--- a/src/peers/dependency/client.cpp
+++ b/src/peers/dependency/client.cpp
@@ -65,26 +65,38 @@
 // just carried a call is used again; an idle one is not: the other side may have closed or forgotten it, and
 // the end of a call that meets that would prove nothing.
 std::uint64_t DependencyClient::link_for_call(RequestId id) {
-  const double now = net::monotonic_now();
-  std::size_t usable = 0;
+  if (const std::uint64_t reusable = find_reusable_link(id); reusable != 0) return reusable;
+  std::size_t in_use = 0;
   auto least_loaded = links_.end();
-  for (auto it = links_.end(); it != links_.begin();) {
-    --it;
-    Link& link = it->second;
-    if (link.is_retired || !link.connection->open()) continue;
-    if (link.calls.empty()) {
-      // Not for the same request again: a second copy of its last reply would pass for the new one.
-      if (link.last_request == id) continue;
-      if (now - link.idle_since <= kReuseSeconds && link.connection->nothing_to_read()) return it->first;
-      link.is_retired = true;
-      link.connection->close();
-      continue;
-    }
-    ++usable;
+  for (auto position = links_.end(); position != links_.begin();) {
+    --position;
+    const Link& link = position->second;
+    if (link.is_retired || !link.connection->open() || link.calls.empty()) continue;
+    ++in_use;
     if (least_loaded == links_.end() || link.calls.size() < least_loaded->second.calls.size())
-      least_loaded = it;
+      least_loaded = position;
+  }
+  if (in_use >= max_links_ && least_loaded != links_.end()) return least_loaded->first;
+  return open_link();
+}
+
+// The newest link that has just carried a call; 0: there is none. Closes the idle links that it passes.
+std::uint64_t DependencyClient::find_reusable_link(RequestId id) {
+  const double now = net::monotonic_now();
+  for (auto position = links_.end(); position != links_.begin();) {
+    --position;
+    auto& [tag, link] = *position;
+    if (link.is_retired || !link.connection->open() || !link.calls.empty()) continue;
+    // Not for the same request again: a second copy of its last reply would pass for the new one.
+    if (link.last_request == id) continue;
+    if (now - link.idle_since <= kReuseSeconds && link.connection->nothing_to_read()) return tag;
+    link.is_retired = true;
+    link.connection->close();
   }
-  if (usable >= max_links_ && least_loaded != links_.end()) return least_loaded->first;
+  return 0;
+}
+
+std::uint64_t DependencyClient::open_link() {
   const std::uint64_t tag = next_tag_++;
   Link& link = links_[tag];
   link.connection = net::Connection::connecting(reactor_, *this, net::parse_address(address_),
@@ -192,17 +204,19 @@
     used += read.length;
     on_reply(connection.tag, read.id, outcome_of(read.end), read.body);
   }
-  // A line without an end, or a wrong length, would hold the call until its timeout.
   reactor_.cancel(link.reply_timer);
-  if (connection.open() && used < bytes.size()) {
-    link.reply_timer = reactor_.after(kReplyTimeoutSeconds, [this, tag = connection.tag] {
-      const auto found = links_.find(tag);
-      if (found != links_.end()) close_broken(found->second, "incomplete reply");
-    });
-  }
+  if (connection.open() && used < bytes.size()) limit_reply_time(connection.tag);
   return used;
 }
 
+// A line without an end, or a wrong length, would hold the call until its timeout.
+void DependencyClient::limit_reply_time(std::uint64_t tag) {
+  links_.at(tag).reply_timer = reactor_.after(kReplyTimeoutSeconds, [this, tag] {
+    const auto found = links_.find(tag);
+    if (found != links_.end()) close_broken(found->second, "incomplete reply");
+  });
+}
+
 void DependencyClient::on_end_of_input(net::Connection& connection) { connection.close(net::End::kBroken); }
 
 // A connection that was never made proves that its calls did not run; one that broke proves nothing.
--- a/src/peers/dependency/client.h
+++ b/src/peers/dependency/client.h
@@ -18,14 +18,15 @@
 
 namespace damsonspoke::peers {
 
+// Makes calls, reports their ends, and opens and closes links as the calls need them.
 class DependencyClient : public DependencyPort, private net::ConnectionOwner {
  public:
   // Of a connection: a reply with its payload is under 70 KiB, a call under 5.
   static constexpr std::size_t kMaxInputBytes = 96 * 1024;
   static constexpr std::size_t kMaxOutputBytes = 32 * 1024;
 
-  // An empty address: there is no dependency, and nothing is ever called. Throws std::runtime_error where the
-  // address can't be used.
+  // An empty address: there is no dependency, and nothing is ever called. `max_links`: connections at a time;
+  // beyond them calls share one. Throws std::runtime_error where the address can't be used.
   DependencyClient(net::Reactor& reactor, const std::string& address, std::size_t max_links,
                    DependencyEvents& events, Counters& counters, Logger& log);
   ~DependencyClient() override;
@@ -40,8 +41,7 @@
  private:
   struct Link {
     std::shared_ptr<net::Connection> connection;
-    std::vector<RequestId>
-        calls;  // in flight on it: one, unless there is no descriptor left for another link
+    std::vector<RequestId> calls;  // in flight on it: one, unless max_links_ links are in use
     RequestId last_request = 0;
     double idle_since = 0;
     bool is_retired = false;            // takes no new call and closes after its last one
@@ -60,11 +60,14 @@
   void on_end(net::Connection& connection, net::End why) override;
 
   [[nodiscard]] std::uint64_t link_for_call(RequestId id);
+  [[nodiscard]] std::uint64_t find_reusable_link(RequestId id);
+  [[nodiscard]] std::uint64_t open_link();
   void detach_call(RequestId id, std::uint64_t tag, bool is_answered);
   void finish_call(RequestId id, Outcome outcome, std::string_view reply);
   void on_timeout(RequestId id);
   void on_reply(std::uint64_t tag, RequestId id, Outcome outcome, std::string_view body);
   void close_broken(Link& link, std::string_view reason);
+  void limit_reply_time(std::uint64_t tag);
   void close_idle_links();
 
   net::Reactor& reactor_;
