--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -34,8 +34,8 @@
   return options;
 }
 
-wt::Result result_of(FailureReason why) {
-  switch (why) {
+wt::Result result_of(FailureReason reason) {
+  switch (reason) {
     case FailureReason::kKeyUnknown: return wt::Result::kKeyUnknown;
     case FailureReason::kOutcomeUnknown: return wt::Result::kUnknown;
     case FailureReason::kKeyConflict: return wt::Result::kConflict;
@@ -73,7 +73,8 @@
       counters_(counters),
       log_(log),
       output_{limits.output_bytes, 0},
-      listener_(reactor, net::parse_address(listen), [this](const net::Accepted& one) { on_accept(one); }),
+      listener_(reactor, net::parse_address(listen),
+                [this](const net::Accepted& accepted) { on_accept(accepted); }),
       sessions_(session_options(limits), self_.epoch),
       windows_(self_.slow_start) {
   check_links();
@@ -115,7 +116,7 @@
     }
     used += frame.length;
     found->second.last_message_at = net::monotonic_now();
-    if (!handle(connection.tag, frame.message)) {
+    if (!handle_message(connection.tag, frame.message)) {
       counters_.add(Count::kBadRequests);
       connection.close(net::End::kBroken);
       return bytes.size();
@@ -168,8 +169,7 @@
 
 // ---- Messages.
 
-// False where the peer violates the protocol.
-bool ForwarderServer::handle(std::uint64_t tag, wt::Message& message) {
+bool ForwarderServer::handle_message(std::uint64_t tag, wt::Message& message) {
   if (const auto* hello = std::get_if<wt::Hello>(&message)) return handle_hello(tag, *hello);
   Link& link = links_.at(tag);
   if (link.forwarder == 0) return false;
@@ -309,30 +309,30 @@
 }
 
 void ForwarderServer::answer_succeeded(ReplyAddress reply_to, std::string_view result) {
-  wt::Answer out;
-  out.result = wt::Result::kSucceeded;
-  out.body = result;
-  answer(reply_to, std::move(out));
+  wt::Answer success;
+  success.result = wt::Result::kSucceeded;
+  success.body = result;
+  answer(reply_to, std::move(success));
 }
 
 void ForwarderServer::answer_rejected(ReplyAddress reply_to, double retry_after, bool no_retry) {
-  wt::Answer out;
-  out.result = wt::Result::kRejected;
-  out.retry_after_us = microseconds(retry_after);
-  out.no_retry = no_retry;
-  answer(reply_to, std::move(out));
+  wt::Answer rejection;
+  rejection.result = wt::Result::kRejected;
+  rejection.retry_after_us = microseconds(retry_after);
+  rejection.no_retry = no_retry;
+  answer(reply_to, std::move(rejection));
 }
 
-void ForwarderServer::answer_failed(ReplyAddress reply_to, FailureReason why) {
-  wt::Answer out;
-  out.result = result_of(why);
-  answer(reply_to, std::move(out));
+void ForwarderServer::answer_failed(ReplyAddress reply_to, FailureReason reason) {
+  wt::Answer failure;
+  failure.result = result_of(reason);
+  answer(reply_to, std::move(failure));
 }
 
 // ---- Load reports.
 
-void ForwarderServer::start_warm_up(bool cold, double ago) {
-  windows_.on_runtime_started(cold, net::monotonic_now() - ago);
+void ForwarderServer::start_warm_up(bool is_cold, double seconds_ago) {
+  windows_.on_runtime_started(is_cold, net::monotonic_now() - seconds_ago);
   send_load_reports(false);
 }
 
@@ -363,9 +363,9 @@
   }
 }
 
-void ForwarderServer::set_healthy(bool good) {
-  if (good == is_healthy_) return;
-  is_healthy_ = good;
+void ForwarderServer::set_healthy(bool is_healthy) {
+  if (is_healthy == is_healthy_) return;
+  is_healthy_ = is_healthy;
   send_load_reports(true);
 }
 
@@ -381,11 +381,12 @@
 void ForwarderServer::stop_listening() { listener_.close(); }
 
 void ForwarderServer::close_idle_connections() {
-  std::vector<std::shared_ptr<net::Connection>> all;
-  for (const auto& [tag, link] : links_) all.push_back(link.connection);
-  for (const auto& connection : all) connection->read_now();
+  std::vector<std::shared_ptr<net::Connection>> connections;
+  connections.reserve(links_.size());
+  for (const auto& [tag, link] : links_) connections.push_back(link.connection);
+  for (const auto& connection : connections) connection->read_now();
   if (sessions_.open_attempts() > 0) return;
-  for (const auto& connection : all) connection->end();
+  for (const auto& connection : connections) connection->end();
 }
 
 }  // namespace damsonspoke::peers
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -22,26 +22,29 @@
 
 namespace damsonspoke::peers {
 
+// Listens for forwarders and gives each a session, a concurrency window and load reports.
 class ForwarderServer : public RequestServer, private net::ConnectionOwner {
  public:
   // Of one link.
   static constexpr std::size_t kMaxInputBytes = wire::tier::kMaxFrameBytes + wire::tier::kHeaderBytes;
 
+  // What all forwarders together may take.
   struct Limits {
-    int links = 0;
-    std::size_t output_bytes = 0;        // of all links together
-    std::size_t answer_cache_bytes = 0;  // of all forwarders together
+    int links = 0;                       // open at a time
+    std::size_t output_bytes = 0;        // that wait to be read
+    std::size_t answer_cache_bytes = 0;  // of answers that may be asked for again
   };
   // What this planner tells its forwarders about itself.
   struct Self {
     std::string name;
-    std::uint64_t epoch = 0;  // of this process, random
-    tier::SlowStartOptions slow_start;
-    double stop_after = 0;  // s from the notice to drain
-    std::vector<std::string> routes;
+    std::uint64_t epoch = 0;              // of this process, random
+    tier::SlowStartOptions slow_start;    // with the cores of this machine
+    double stop_after = 0;                // s from the notice to drain
+    std::vector<std::string> routes;      // their names; the position is the route's number
     std::vector<double> priority_weight;  // by route
   };
 
+  // Throws std::runtime_error where the address can't be used.
   ForwarderServer(net::Reactor& reactor, const std::string& listen, Self self, Limits limits,
                   CallerEvents& events, Counters& counters, Logger& log);
   ~ForwarderServer() override;
@@ -50,17 +53,17 @@
 
   void answer_succeeded(ReplyAddress reply_to, std::string_view result) override;
   void answer_rejected(ReplyAddress reply_to, double retry_after, bool no_retry) override;
-  void answer_failed(ReplyAddress reply_to, FailureReason why) override;
-  void answer_health_check(ReplyAddress, bool) override {}  // forwarders ask for none
-  void set_idle_timeout(double) override {}                 // links stay
+  void answer_failed(ReplyAddress reply_to, FailureReason reason) override;
+  void answer_health_check(ReplyAddress /*reply_to*/, bool /*is_healthy*/) override {}  // none is asked for
+  void set_idle_timeout(double /*seconds*/) override {}                                 // links stay
   void announce_drain() override;
-  void start_warm_up(bool cold, double ago) override;
-  void set_healthy(bool good) override;
+  void start_warm_up(bool is_cold, double seconds_ago) override;
+  void set_healthy(bool is_healthy) override;
 
   void stop_listening() override;
   void close_idle_connections() override;
-  std::size_t connections() const override { return links_.size(); }
-  std::uint16_t port() const override { return listener_.port(); }
+  [[nodiscard]] std::size_t connections() const override { return links_.size(); }
+  [[nodiscard]] std::uint16_t port() const override { return listener_.port(); }
 
  private:
   struct Link {
@@ -82,7 +85,8 @@
   void on_end(net::Connection& connection, net::End why) override;
 
   void on_accept(const net::Accepted& accepted);
-  [[nodiscard]] bool handle(std::uint64_t tag, wire::tier::Message& message);
+  // False: the message violates the protocol.
+  [[nodiscard]] bool handle_message(std::uint64_t tag, wire::tier::Message& message);
   [[nodiscard]] bool handle_hello(std::uint64_t tag, const wire::tier::Hello& hello);
   void handle_submit(Link& link, wire::tier::Submit& submit);
   [[nodiscard]] std::optional<wire::tier::Answer> refusal_of(const wire::tier::Submit& submit, int route,
@@ -112,7 +116,7 @@
   tier::ConcurrencyWindows windows_;
   std::unordered_map<std::uint64_t, Link> links_;  // by the connection's tag
   std::uint64_t next_tag_ = 1;
-  bool is_healthy_ = false;  // until health() says so: a runtime that has not started runs nothing
+  bool is_healthy_ = false;  // a runtime that has not started runs nothing
   bool is_draining_ = false;
   net::Reactor::TimerId check_timer_;
 };
--- a/src/peers/tier/planner_client.cpp
+++ b/src/peers/tier/planner_client.cpp
@@ -86,9 +86,9 @@
 // A frame that has left completely may have arrived; one that has not can't be read.
 void PlannerClient::submit(int planner, const wt::Submit& submit) {
   Link& link = at(planner);
-  const bool sent = send(link, submit);
+  const bool was_taken = send(link, submit);
   link.unproven_submits.push_back(
-      {sent ? link.sent_bytes : std::numeric_limits<std::uint64_t>::max(), submit.attempt});
+      {was_taken ? link.sent_bytes : std::numeric_limits<std::uint64_t>::max(), submit.attempt});
   if (!link.connection || !link.connection->open()) return;
   const std::uint64_t written = link.sent_bytes - link.connection->waiting();
   while (!link.unproven_submits.empty() && link.unproven_submits.front().end <= written)
@@ -135,7 +135,7 @@
     if (frame.state == wt::Framing::kNeedMore) break;
     used += frame.length;
     at(planner).last_message_at = net::monotonic_now();
-    if (frame.state == wt::Framing::kBroken || !handle(planner, frame.message)) {
+    if (frame.state == wt::Framing::kBroken || !handle_message(planner, frame.message)) {
       counters_.add(Count::kTierBad);
       log_.warn("planners", "{}: invalid message, reconnecting", at(planner).address);
       connection.close(net::End::kBroken);
@@ -145,8 +145,7 @@
   return used;
 }
 
-// False where the peer violates the protocol.
-bool PlannerClient::handle(int planner, const wt::Message& message) {
+bool PlannerClient::handle_message(int planner, const wt::Message& message) {
   if (const auto* hello = std::get_if<wt::Hello>(&message)) return handle_hello(planner, *hello);
   Link& link = at(planner);
   if (!link.is_up) return false;
@@ -177,16 +176,22 @@
 
 void PlannerClient::on_end_of_input(net::Connection& connection) { connection.close(net::End::kBroken); }
 
-void PlannerClient::on_end(net::Connection& connection, net::End /*why*/) {
-  const int planner = static_cast<int>(connection.tag);
-  Link& link = at(planner);
-  if (link.connection.get() != &connection) return;
+// The attempts of which no complete frame has left over a connection that has ended.
+std::vector<std::uint64_t> PlannerClient::unwritten_attempts(const Link& link) {
   const std::uint64_t written =
-      link.sent_bytes - std::min<std::uint64_t>(link.sent_bytes, connection.unwritten());
+      link.sent_bytes - std::min<std::uint64_t>(link.sent_bytes, link.connection->unwritten());
   std::vector<std::uint64_t> unwritten;
   for (const UnprovenSubmit& submit : link.unproven_submits) {
     if (submit.end > written) unwritten.push_back(submit.attempt);
   }
+  return unwritten;
+}
+
+void PlannerClient::on_end(net::Connection& connection, net::End /*why*/) {
+  const int planner = static_cast<int>(connection.tag);
+  Link& link = at(planner);
+  if (link.connection.get() != &connection) return;
+  const std::vector<std::uint64_t> unwritten = unwritten_attempts(link);
   const bool was_up = link.is_up;
   const double delay =
       std::max(link.is_draining ? kDrainingBackoffSeconds : link.backoff, kMinBackoffSeconds);
@@ -207,9 +212,9 @@
   const double now = net::monotonic_now();
   for (const auto& link : links_) {
     if (!link->connection || !link->connection->open()) continue;
-    const bool timed_out = link->is_up ? now - link->last_message_at > kSilenceTimeoutSeconds
-                                       : now - link->connecting_since > kHelloTimeoutSeconds;
-    if (timed_out) {
+    const bool has_timed_out = link->is_up ? now - link->last_message_at > kSilenceTimeoutSeconds
+                                           : now - link->connecting_since > kHelloTimeoutSeconds;
+    if (has_timed_out) {
       counters_.add(Count::kTierSilent);
       log_.warn("planners", "{}: timed out, reconnecting", link->address);
       link->connection->close(net::End::kBroken);
--- a/src/peers/tier/planner_client.h
+++ b/src/peers/tier/planner_client.h
@@ -24,39 +24,51 @@
   PlannerEvents(const PlannerEvents&) = delete;
   PlannerEvents& operator=(const PlannerEvents&) = delete;
 
+  // The planner's hello has arrived. `epoch`: of its session with this forwarder; `window`: attempts that may
+  // be open there.
   virtual void on_link_up(int planner, std::uint64_t epoch, std::uint32_t window) = 0;
   // `unwritten`: attempts of which no complete frame ever left.
   virtual void on_link_lost(int planner, const std::vector<std::uint64_t>& unwritten) = 0;
+  // The planner's window, slot value and health from now on.
   virtual void on_load_report(int planner, const wire::tier::LoadReport& report) = 0;
+  // It shuts down gracefully: it answers what is open and should get nothing more.
   virtual void on_planner_draining(int planner) = 0;
+  // `epoch`: of the session in which the answer was given.
   virtual void on_answer(int planner, std::uint64_t epoch, const wire::tier::Answer& answer) = 0;
 };
 
+// Keeps the links to the planners of the endpoint list. The positions of planners are given by add() and
+// stay.
 class PlannerClient : private net::ConnectionOwner {
  public:
   // What this forwarder tells its planners about itself.
   struct Self {
     std::string name;
-    std::uint64_t epoch = 0;
-    std::vector<std::string> routes;
+    std::uint64_t epoch = 0;          // of this process
+    std::vector<std::string> routes;  // their names; a submit names the position
     // The address, without a port, that links come from; empty: the system's choice.
     std::string local_address = {};
   };
-  // `output_bytes`: of all links together.
+  // `output_bytes`: that may wait to be read by all planners together.
   PlannerClient(net::Reactor& reactor, Self self, std::size_t output_bytes, PlannerEvents& events,
                 Counters& counters, Logger& log);
   ~PlannerClient() override;
   PlannerClient(const PlannerClient&) = delete;
   PlannerClient& operator=(const PlannerClient&) = delete;
 
-  // Adds a planner at the next position. Throws where the address is not valid.
+  // Adds a planner at the next position and connects. Throws std::runtime_error where the address is not
+  // valid.
   void add(const std::string& address);
   // The planner is no longer listed: its link is closed by close_if_draining().
   void remove(int planner);
   // It is listed again, and connected if it is not.
   void restore(int planner);
+  // Sends an attempt to a planner whose link is up. Where it has not left when the link ends, on_link_lost()
+  // reports it.
   void submit(int planner, const wire::tier::Submit& submit);
+  // Tells the planner that the caller of the attempt has gone; without a link, nothing.
   void cancel(int planner, std::uint64_t attempt);
+  // Asks for proof that the attempt never ran and never will; without a link, nothing.
   void fence(int planner, std::uint64_t attempt);
   // Nothing is open at the planner: closes the link if it drains or is not listed.
   void close_if_draining(int planner);
@@ -89,8 +101,11 @@
   void on_end(net::Connection& connection, net::End why) override;
 
   void connect(int planner);
-  [[nodiscard]] bool handle(int planner, const wire::tier::Message& message);
+  [[nodiscard]] static std::vector<std::uint64_t> unwritten_attempts(const Link& link);
+  // False: the message violates the protocol.
+  [[nodiscard]] bool handle_message(int planner, const wire::tier::Message& message);
   [[nodiscard]] bool handle_hello(int planner, const wire::tier::Hello& hello);
+  // Whether the link has taken the message.
   bool send(Link& link, const wire::tier::Message& message);
   void check_links();
   [[nodiscard]] Link& at(int planner) { return *links_[static_cast<std::size_t>(planner)]; }
