--- a/src/peers/registry/reporter.h
+++ b/src/peers/registry/reporter.h
@@ -11,6 +11,7 @@
 
 namespace damsonspoke::peers {
 
+// Sends a report at each change and every 0.2 s after the first one.
 class RegistryReporter : public RegistryPort {
  public:
   // `name`: this backend's name in the registry. Throws std::runtime_error where the address can't be used.
