--- a/src/peers/client_connection.h
+++ b/src/peers/client_connection.h
@@ -20,16 +20,16 @@
 constexpr double kOutputTimeoutSeconds = 5;        // in which waiting output must be taken
 constexpr double kFirstRequestGraceSeconds = 0.1;  // then a silent connection is evicted before idle ones
 
-// Times are monotonic seconds; < 0: not now.
+// What is known of one client's connection. Times are monotonic seconds; < 0: not now.
 struct ClientConnection {
   std::shared_ptr<net::Connection> connection;
   std::list<std::uint64_t>::iterator idle_position;  // in its table
   double last_traffic_at = 0;
   double message_started_at = -1;  // of the message that is incomplete
   double output_waits_since = -1;
-  bool has_requested = false;
-  bool input_ended = false;
-  bool is_evicted = false;  // its place was given to another connection
+  bool has_requested = false;  // it has sent a valid message
+  bool input_ended = false;    // nothing more is read from it
+  bool is_evicted = false;     // its place was given to another connection
   conns::MinimumByteRate input_rate;
   conns::MinimumByteRate output_rate;
 
@@ -42,6 +42,7 @@
     message_started_at = now;
     input_rate.start(now, connection->bytes_in() - unread_bytes);
   }
+  // The message is complete, or no longer awaited.
   void finish_message() {
     message_started_at = -1;
     input_rate.stop();
--- a/src/peers/client_table.h
+++ b/src/peers/client_table.h
@@ -16,6 +16,7 @@
 template <typename Client>
 class ClientTable {
  public:
+  // Adds a client whose tag is not in the table, as the one with the latest traffic. `now`: monotonic s.
   Client& insert(std::uint64_t tag, const std::shared_ptr<net::Connection>& connection, double now) {
     Client& client = clients_[tag];
     client.connection = connection;
@@ -37,6 +38,7 @@
     clients_.erase(found);
     return client;
   }
+  // The client is the one with the latest traffic now.
   void on_traffic(Client& client, double now) {
     client.last_traffic_at = now;
     idle_order_.splice(idle_order_.end(), idle_order_, client.idle_position);
--- a/src/peers/combined_server.h
+++ b/src/peers/combined_server.h
@@ -13,8 +13,10 @@
 
 namespace damsonspoke::peers {
 
+// Owns both servers; what is no answer goes to both.
 class CombinedServer : public RequestServer {
  public:
+  // `first`: any server whose tags don't have kAjpTagBit.
   CombinedServer(std::unique_ptr<RequestServer> first, std::unique_ptr<AjpServer> ajp)
       : first_(std::move(first)), ajp_(std::move(ajp)) {}
 
--- a/src/peers/connection_admission.cpp
+++ b/src/peers/connection_admission.cpp
@@ -84,6 +84,7 @@
 }
 
 // ---- Known clients.
+
 void ConnectionAdmission::load_known_clients() {
   if (options_.known_folder.empty()) return;
   known_clients_file_ = std::make_unique<store::PersistedFile>(
@@ -133,6 +134,7 @@
 }
 
 // ---- New connections.
+
 bool ConnectionAdmission::admit(std::size_t listener, std::uint64_t tag, const net::Accepted& accepted) {
   const conns::Address from = address_of(accepted.from);
   const conns::AdmissionResult result =
@@ -226,6 +228,7 @@
 }
 
 // ---- Events of connections.
+
 void ConnectionAdmission::on_success(std::uint64_t tag, int route) {
   const auto index = static_cast<std::size_t>(route);
   const double priority_weight = index < priority_weights_.size() ? priority_weights_[index] : 0;
@@ -247,6 +250,7 @@
 }
 
 // ---- For operators.
+
 std::string ConnectionAdmission::report(std::size_t max_clients) const {
   const double now = net::monotonic_now();
   std::string out = fmt::format(
--- a/src/peers/connection_admission.h
+++ b/src/peers/connection_admission.h
@@ -24,7 +24,8 @@
 
 namespace damsonspoke::peers {
 
-// Listeners are numbered from 0. A connection is named by its tag, which is unique over all listeners.
+// For all listeners of the process. Listeners are numbered from 0. A connection is named by its tag, which is
+// unique over all listeners.
 class ConnectionAdmission {
  public:
   // Closes a connection of the listener that has no open request; ignores the tags of other listeners.
@@ -48,7 +49,9 @@
   // Reads the stored list of known clients and writes it from then on; waits for a slow folder for a short
   // time only.
   void load_known_clients();
+  // Writes the list now, for a process that is about to end.
   void save_known_clients();
+  // Applies new limits; connections beyond them are evicted over the next checks.
   void reconfigure(const GateOptions& options);
 
   // True: the listener owns the connection, whose answers are charged to output_pool(tag). False: the client
@@ -57,14 +60,21 @@
   // Null where the tag is unknown.
   [[nodiscard]] net::OutputPool* output_pool(std::uint64_t tag);
 
+  // The connection has sent a valid message.
   void on_request_read(std::uint64_t tag) { limiter_.on_request_read(tag, net::monotonic_now()); }
+  // A busy connection, with an open request or unread output, is not evicted.
   void set_busy(std::uint64_t tag, bool is_busy) { limiter_.set_busy(tag, is_busy); }
+  // A request of this route was answered with its result, which counts for the client.
   void on_success(std::uint64_t tag, int route);
+  // Counts against the client.
   void penalize(std::uint64_t tag, conns::Penalty penalty);
+  // Frees the connection's place; without effect where that was done.
   void on_closed(std::uint64_t tag);
 
+  // At which clients must at least send and read.
   [[nodiscard]] const conns::MinimumByteRateOptions& input_rate() const { return options_.input; }
   [[nodiscard]] const conns::MinimumByteRateOptions& output_rate() const { return options_.output; }
+  // The places of all listeners.
   [[nodiscard]] conns::ConnectionQuota& quota() { return quota_; }
 
   // What `damsonspoke conns` prints: the totals, at most `max_clients` clients and the latest rejections, a
--- a/src/peers/listener_admission.h
+++ b/src/peers/listener_admission.h
@@ -17,6 +17,7 @@
 
 namespace damsonspoke::peers {
 
+// What one listener and its connections may take.
 struct ListenerLimits {
   int connections = 0;                       // where there is no quota
   std::size_t output_bytes = 0;              // that may wait on all its connections together
@@ -25,6 +26,7 @@
   ConnectionAdmission* admission = nullptr;  // where enabled; then `quota` is its quota
 };
 
+// Admits the connections of one listener and keeps the account of their places and output.
 class ListenerAdmission {
  public:
   // The quota and the admission must outlive this object, and this object its connections.
@@ -48,6 +50,7 @@
   // After the connection was removed from the listener's table.
   void on_closed(const ClientConnection& client, net::End why);
 
+  // The following tell ConnectionAdmission about the client and do nothing without one.
   void penalize(const ClientConnection& client, conns::Penalty penalty);
   void set_busy(const ClientConnection& client, bool is_busy);
   void on_request_read(const ClientConnection& client);
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -19,14 +19,15 @@
   std::uint64_t number = 0;
 };
 
+// A request as a server has read it.
 struct IncomingRequest {
   RequestId id = 0;
-  int route = 0;
-  int tenant = 0;  // 0 where the site has none
-  std::uint32_t caller = 0;
-  bool is_retry = false;      // where callers mark retries
-  std::uint64_t subject = 0;  // 0: none
-  double size_kb = 0;
+  int route = 0;                // its number
+  int tenant = 0;               // 0 where the site has none
+  std::uint32_t caller = 0;     // names the process that sends it
+  bool is_retry = false;        // where callers mark retries
+  std::uint64_t subject = 0;    // what it is about; 0: none
+  double size_kb = 0;           // memory that it takes while it is queued
   double received_at = 0;       // Unix s, when it came to the machine; 0: not known
   double client_timeout = 0;    // s from then on that its caller waits; 0: not known
   double work_hint = 0;         // s of work on a standard core, estimated by the caller; 0: not known
@@ -45,26 +46,35 @@
 };
 
 // ---- Events from the peers.
+
+// What servers report of their callers.
 class CallerEvents {
  public:
   virtual ~CallerEvents() = default;
+  // Whether a request with this id is open, so that another one must not take it.
   [[nodiscard]] virtual bool is_in_use(RequestId id) const = 0;
   // Whether its run was ever started; false also where the request is not open.
   [[nodiscard]] virtual bool has_started(RequestId id) const = 0;
+  // A complete request whose id is not in use; it gets exactly one answer.
   virtual void on_request_read(IncomingRequest request) = 0;
+  // Nobody waits for the answer to this request any more.
   virtual void on_caller_disconnected(RequestId id) = 0;
-  // `wants_work`: the check is to be answered by a run of the self-test.
+  // A health check, which gets exactly one answer. `wants_work`: by a run of the self-test.
   virtual void on_health_check(ReplyAddress reply_to, bool wants_work) = 0;
 };
 
+// What the runtime reports. Times are seconds.
 class RuntimeEvents {
  public:
   virtual ~RuntimeEvents() = default;
   // On the first link: the runtime is up since `seconds_ago`.
   virtual void on_runtime_ready(bool is_cold, double seconds_ago) = 0;
+  // `result`: of a run that succeeded; valid during the call.
   virtual void on_run_ended(RequestId id, Outcome outcome, double run_seconds, std::string_view result) = 0;
   // A run needs a call to the dependency. `notice`: its number, to be given to RuntimePort::skip_call.
+  // `body`: of the call; valid during this one.
   virtual void on_call_requested(RequestId id, std::uint64_t notice, std::string_view body) = 0;
+  // `tag`: the one that was given to RuntimePort::self_test.
   virtual void on_self_test_result(std::uint64_t tag, bool is_good) = 0;
   // A start or a resumption was not carried out: nothing runs.
   virtual void on_not_started(RequestId id) = 0;
@@ -76,13 +86,17 @@
   virtual void on_runtime_restarted(const std::unordered_set<RequestId>& unsent) = 0;
 };
 
+// What the dependency's client reports.
 class DependencyEvents {
  public:
   virtual ~DependencyEvents() = default;
+  // Each call ends once, unless it is cancelled. `reply`: of a call that succeeded; valid during this one.
   virtual void on_call_ended(RequestId id, Outcome outcome, double call_seconds, std::string_view reply) = 0;
 };
 
 // ---- Commands of the stages.
+
+// Answers requests and health checks, each once.
 class CallerPort {
  public:
   CallerPort() = default;
@@ -93,9 +107,10 @@
   virtual void answer_succeeded(ReplyAddress reply_to, std::string_view result) = 0;
   // `retry_after`: s; 0: not told. `no_retry`: the request should not be retried at all.
   virtual void answer_rejected(ReplyAddress reply_to, double retry_after, bool no_retry) = 0;
+  // The request may have run, as the reason tells.
   virtual void answer_failed(ReplyAddress reply_to, FailureReason reason) = 0;
   virtual void answer_health_check(ReplyAddress reply_to, bool is_healthy) = 0;
-  // 0: idle connections are left open.
+  // Connections that are idle for longer are closed; 0: they are left open.
   virtual void set_idle_timeout(double seconds) = 0;
   // Asks all callers, and those that connect later, to send no more requests on their connections.
   virtual void announce_drain() = 0;
@@ -109,11 +124,13 @@
 // A server on which requests arrive.
 class RequestServer : public CallerPort {
  public:
-  // No request that was written to this process is lost.
+  // Takes no new connection. No request that was written to this process is lost.
   virtual void stop_listening() = 0;
   // Reads each connection once more and closes those that are idle then.
   virtual void close_idle_connections() = 0;
+  // How many are open.
   [[nodiscard]] virtual std::size_t connections() const = 0;
+  // On which it listens.
   [[nodiscard]] virtual std::uint16_t port() const = 0;
 };
 
@@ -133,24 +150,32 @@
   double seconds_left = 0;      // until the request of the run is due
 };
 
+// Commands to the runtime, about the runs of requests.
 class RuntimePort {
  public:
   virtual ~RuntimePort() = default;
   // Where it is not known whether the start has arrived, the run is started again only if it may repeat.
   virtual void start(const RunStart& run) = 0;
+  // Interrupts a run; on_run_ended() reports that as kCancelled. The platform says whether its progress is
+  // lost.
   virtual void stop(RequestId id) = 0;
+  // Continues a run that was stopped and kept its progress.
   virtual void resume(RequestId id) = 0;
   // Resumes a run that waits for a call, with its reply or without one.
   // Where it is not known whether the reply has arrived, the call is skipped if it may be.
   virtual void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) = 0;
   virtual void skip_call(RequestId id, std::uint64_t notice) = 0;
+  // No more commands will follow for the run of this request.
   virtual void on_run_over(RequestId id) = 0;
+  // Asks for a run of the self-test; on_self_test_result() reports it under the tag.
   virtual void self_test(std::uint64_t tag) = 0;
+  // Asks for a new reading of the gauges.
   virtual void request_gauges() = 0;
   // The latest reading; none where it is too old. `now`: monotonic s.
   [[nodiscard]] virtual Gauges gauges(double now) const = 0;
 };
 
+// Calls to the dependency, one at a time for each request.
 class DependencyPort {
  public:
   virtual ~DependencyPort() = default;
@@ -160,10 +185,11 @@
   virtual void cancel(RequestId id) = 0;
 };
 
+// The registry of backends.
 class RegistryPort {
  public:
   virtual ~RegistryPort() = default;
-  // Reports at once, and again before the entry expires.
+  // Reports whether this backend takes work, at once, and again before the entry expires.
   virtual void report(bool takes_work) = 0;
 };
 
