--- a/src/peers/ajp/dependency_client.cpp
+++ b/src/peers/ajp/dependency_client.cpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "net/address.h"
+#include "peers/ajp/http_status.h"
 #include "peers/dependency/call_counters.h"
 
 namespace damsonspoke::peers {
@@ -21,8 +22,6 @@
 constexpr double kIdleCheckSeconds = 0.5;
 constexpr double kMaxIdleSeconds = 10;
 constexpr double kMinTimeoutSeconds = 0.005;  // a call with less left is not sent
-constexpr int kStatusOk = 200;
-constexpr int kStatusServiceUnavailable = 503;
 constexpr std::uint16_t kHttpPort = 80;
 
 }  // namespace
@@ -60,6 +59,7 @@
 }
 
 // ---- Calls.
+
 void AjpDependencyClient::call(RequestId id, double timeout, std::string_view body) {
   cancel(id);  // a request has one call at a time
   counters_.add(Count::kCallsMade);
@@ -196,6 +196,7 @@
 }
 
 // ---- Messages of the server.
+
 void AjpDependencyClient::start_reply_timer(std::uint64_t tag, double seconds) {
   Link& link = links_.at(tag);
   reactor_.cancel(link.reply_timer);
@@ -227,8 +228,8 @@
 }
 
 std::size_t AjpDependencyClient::on_input(net::Connection& connection, std::string_view bytes) {
-  const auto at = links_.find(connection.tag);
-  if (at == links_.end()) return bytes.size();
+  const auto found = links_.find(connection.tag);
+  if (found == links_.end()) return bytes.size();
   std::size_t used = 0;
   while (connection.open() && used < bytes.size()) {
     const wa::Packet packet = wa::next_packet(bytes.substr(used), wa::From::kServer, options_.packet);
@@ -236,7 +237,7 @@
     const auto message =
         packet.state == wa::Framing::kPacket ? wa::decode_from_server(packet.payload) : std::nullopt;
     if (!message || !handle_message(connection.tag, *message)) {
-      if (connection.open()) close_broken(at->second, "invalid answer");
+      if (connection.open()) close_broken(found->second, "invalid answer");
       return bytes.size();
     }
     used += packet.length;
@@ -293,8 +294,8 @@
     link.is_retired = true;
     link.connection->close();
   }
-  if (status == kStatusOk) return finish_call(id, Outcome::kOk, reply);
-  const bool is_refused = status == kStatusServiceUnavailable && options_.dependency_refusal_is_proof;
+  if (status == http_status::kOk) return finish_call(id, Outcome::kOk, reply);
+  const bool is_refused = status == http_status::kServiceUnavailable && options_.dependency_refusal_is_proof;
   finish_call(id, is_refused ? Outcome::kRefused : Outcome::kError, {});
 }
 
--- a/src/peers/ajp/dependency_client.h
+++ b/src/peers/ajp/dependency_client.h
@@ -26,15 +26,17 @@
 
 namespace damsonspoke::peers {
 
+// Makes calls and reports their ends. A call that finds all links in use waits for one.
 class AjpDependencyClient : public DependencyPort, private net::ConnectionOwner {
  public:
   static constexpr std::size_t kMaxReplyBytes = 64 * 1024;  // of an answer's body; a longer one is invalid
   static constexpr std::size_t kMaxOutputBytes = 32 * 1024;
+  // Bytes that a link may buffer until an answer is complete.
   [[nodiscard]] static std::size_t max_input_bytes(const AjpOptions& options) {
     return options.packet + kMaxReplyBytes;
   }
 
-  // Throws std::runtime_error where the address can't be used.
+  // `max_links`: connections at a time. Throws std::runtime_error where the address can't be used.
   AjpDependencyClient(net::Reactor& reactor, const AjpOptions& options, std::size_t max_links,
                       DependencyEvents& events, Counters& counters, Logger& log);
   ~AjpDependencyClient() override;
--- a/src/peers/ajp/request_mapping.cpp
+++ b/src/peers/ajp/request_mapping.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string_view>
 
+#include "peers/ajp/http_status.h"
+
 namespace damsonspoke::peers {
 namespace {
 
@@ -25,14 +27,16 @@
   return difference == 0;
 }
 
-template <class Number>
+template <typename Number>
 bool parse_whole_number(std::string_view text, Number& out) {
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
   return error == std::errc() && end == text.data() + text.size() && !text.empty() && text[0] != '-';
 }
 
+// What stands in the place of each wildcard of the path.
 using PathVariables = std::vector<std::string_view>;
 
+// The value that the operators' table takes from this part of the message; none where it is absent.
 std::optional<std::string_view> value_of(const AjpSource& source, const PathVariables& variables,
                                          const wa::ForwardRequest& message) {
   switch (source.from) {
@@ -126,7 +130,8 @@
   return read_timeout(matched, message, mapped.request);
 }
 
-// Two lengths, or a length and an encoding: two readers would each see another request.
+// Reads how the length of the body is told; a reason where it is rejected. Two lengths, or a length and an
+// encoding, are: two readers would each see another request.
 std::optional<AjpRejectReason> read_body_length(const wa::ForwardRequest& message, std::size_t max_body,
                                                 MappedRequest& mapped) {
   const std::string* length = nullptr;
@@ -169,16 +174,16 @@
 std::uint16_t status_of(AjpRejectReason reason) {
   switch (reason) {
     case AjpRejectReason::kForbidden:
-    case AjpRejectReason::kForbiddenAttribute: return 403;
-    case AjpRejectReason::kUnmappedPath: return 404;
-    case AjpRejectReason::kUnmappedMethod: return 405;
+    case AjpRejectReason::kForbiddenAttribute: return http_status::kForbidden;
+    case AjpRejectReason::kUnmappedPath: return http_status::kNotFound;
+    case AjpRejectReason::kUnmappedMethod: return http_status::kMethodNotAllowed;
     case AjpRejectReason::kInvalidPath:
     case AjpRejectReason::kInvalidField:
-    case AjpRejectReason::kAmbiguousLength: return 400;
-    case AjpRejectReason::kUnsupportedEncoding: return 501;
-    case AjpRejectReason::kTooLarge: return 413;
+    case AjpRejectReason::kAmbiguousLength: return http_status::kBadRequest;
+    case AjpRejectReason::kUnsupportedEncoding: return http_status::kNotImplemented;
+    case AjpRejectReason::kTooLarge: return http_status::kContentTooLarge;
   }
-  return 400;
+  return http_status::kBadRequest;
 }
 
 }  // namespace damsonspoke::peers
--- a/src/peers/ajp/request_mapping.h
+++ b/src/peers/ajp/request_mapping.h
@@ -18,11 +18,12 @@
 // The routes of the site, by number.
 struct AjpSite {
   std::vector<std::string> routes;
-  std::vector<bool> needs_key;
+  std::vector<bool> needs_key;    // whether its requests need an idempotency key
   std::vector<double> timeouts;   // s, for clients that don't say how long they wait
   std::size_t max_key_bytes = 0;  // of an idempotency key
 };
 
+// A request as far as its head tells it.
 struct MappedRequest {
   IncomingRequest request;  // without an id, times and body
   bool is_health_check = false;
@@ -30,23 +31,27 @@
   std::size_t content_length = 0;  // of the body, where it is not chunked
 };
 
+// Why a message is answered without a request.
 enum class AjpRejectReason {
   kForbidden,           // the secret is wrong or missing
   kForbiddenAttribute,  // an attribute that operators don't list
-  kUnmappedPath,        // no route has this path,
-  kUnmappedMethod,      // this method,
-  kInvalidPath,         // or the path is invalid
-  kInvalidField,        // a field is missing or can't be read
-  kAmbiguousLength,     // two lengths, or a length and an encoding
-  kUnsupportedEncoding,
-  kTooLarge
+  kUnmappedPath,        // no route has this path
+  kUnmappedMethod,      // no route with this path has the method
+  kInvalidPath,
+  kInvalidField,         // a field is missing or can't be read
+  kAmbiguousLength,      // two lengths, or a length and an encoding
+  kUnsupportedEncoding,  // of the transfer, other than chunked
+  kTooLarge              // the body is longer than operators allow
 };
 
+// The answer to a message without a request.
 struct AjpRejection {
   AjpRejectReason reason = AjpRejectReason::kForbidden;
   bool body_may_follow = true;  // then nothing more can be read from the connection
 };
 
+// `options`: the secret, the table of routes and the limits. The result has copies of what it takes from the
+// message.
 [[nodiscard]] std::variant<MappedRequest, AjpRejection> map_request(const wire::ajp::ForwardRequest& message,
                                                                     const AjpOptions& options,
                                                                     const AjpSite& site);
--- a/src/peers/ajp/server.cpp
+++ b/src/peers/ajp/server.cpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "net/address.h"
+#include "peers/ajp/http_status.h"
 
 namespace damsonspoke::peers {
 namespace {
@@ -19,36 +20,6 @@
 constexpr double kMinTimeoutSeconds = 1e-6;          // 0 would mean that the client did not say
 constexpr double kDueSlackSeconds = 0.05;            // by which a failure before the due time is a timeout
 
-// HTTP status codes.
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr std::uint16_t kRequestTimeout = 408;
-constexpr std::uint16_t kContentTooLarge = 413;
-constexpr std::uint16_t kUnprocessableContent = 422;
-constexpr std::uint16_t kInternalServerError = 500;
-constexpr std::uint16_t kBadGateway = 502;
-constexpr std::uint16_t kServiceUnavailable = 503;
-constexpr std::uint16_t kGatewayTimeout = 504;
-
-const char* reason_phrase(std::uint16_t status) {
-  switch (status) {
-    case kOk: return "OK";
-    case kBadRequest: return "Bad Request";
-    case 403: return "Forbidden";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case kRequestTimeout: return "Request Timeout";
-    case kContentTooLarge: return "Content Too Large";
-    case kUnprocessableContent: return "Unprocessable Content";
-    case kInternalServerError: return "Internal Server Error";
-    case 501: return "Not Implemented";
-    case kBadGateway: return "Bad Gateway";
-    case kServiceUnavailable: return "Service Unavailable";
-    case kGatewayTimeout: return "Gateway Timeout";
-    default: return "Status";
-  }
-}
-
 std::optional<Count> counter_of(AjpRejectReason reason) {
   switch (reason) {
     case AjpRejectReason::kForbidden:
@@ -97,6 +68,7 @@
 }
 
 // ---- Connections.
+
 void AjpServer::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
   if (!admission_.admit(tag, accepted, clients_.size(), [this] { return evict_one(); })) return;
@@ -140,6 +112,7 @@
 }
 
 // ---- Input.
+
 std::size_t AjpServer::on_input(net::Connection& connection, std::string_view bytes) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return bytes.size();
@@ -185,7 +158,7 @@
   const std::optional<wa::FromGateway> message = wa::decode_from_gateway(payload);
   if (!message) {
     counters_.add(Count::kBadRequests);
-    refuse(client, kBadRequest, true);
+    refuse(client, http_status::kBadRequest, true);
     return true;
   }
   return handle_message(client, *message);
@@ -240,12 +213,12 @@
   if (!chunk || body.size() + chunk->size() > max_body) {
     const bool is_too_large = chunk && is_chunked;
     counters_.add(is_too_large ? Count::kAjpTooLarge : Count::kBadRequests);
-    return refuse(client, is_too_large ? kContentTooLarge : kBadRequest, true);
+    return refuse(client, is_too_large ? http_status::kContentTooLarge : http_status::kBadRequest, true);
   }
   if (chunk->empty()) {
     if (is_chunked) return submit(client);
     counters_.add(Count::kBadRequests);  // the body ends before its length
-    return refuse(client, kBadRequest, true);
+    return refuse(client, http_status::kBadRequest, true);
   }
   body += *chunk;
   if (!is_chunked && body.size() == client.mapped.content_length) return submit(client);
@@ -281,6 +254,7 @@
 }
 
 // ---- Answers.
+
 void AjpServer::send(Client& client, const wa::FromServer& message) {
   if (!client.connection->open()) return;
   const std::string bytes = wa::encode(message);
@@ -291,7 +265,7 @@
 void AjpServer::respond(Client& client, std::uint16_t status, std::vector<wa::Header> headers,
                         std::string_view body, bool can_reuse) {
   headers.push_back({"content-length", std::to_string(body.size())});
-  send(client, wa::SendHeaders{status, reason_phrase(status), std::move(headers)});
+  send(client, wa::SendHeaders{status, http_status::reason_phrase(status), std::move(headers)});
   const std::size_t max_chunk = options_.packet - kChunkOverheadBytes;
   if (client.is_head_request) body = {};
   while (!body.empty()) {
@@ -343,7 +317,7 @@
   Client* client = find_open(reply_to);
   if (client == nullptr) return;
   admission_.on_success(*client, client->route);
-  answer(*client, kOk, {{"content-type", "application/octet-stream"}}, result);
+  answer(*client, http_status::kOk, {{"content-type", "application/octet-stream"}}, result);
 }
 
 void AjpServer::answer_rejected(ReplyAddress reply_to, double retry_after, bool no_retry) {
@@ -353,7 +327,7 @@
   // In whole seconds, rounded up: a client that retries sooner than it was told is told again.
   if (!no_retry && retry_after > 0)
     headers.push_back({"retry-after", std::to_string(static_cast<long>(std::ceil(retry_after)))});
-  answer(*client, kServiceUnavailable, std::move(headers), {});
+  answer(*client, http_status::kServiceUnavailable, std::move(headers), {});
 }
 
 void AjpServer::answer_failed(ReplyAddress reply_to, FailureReason reason) {
@@ -362,20 +336,23 @@
   const bool is_due = net::unix_now() >= client->due_at - kDueSlackSeconds;
   switch (reason) {
     case FailureReason::kOutcomeUnknown:
-      return answer(*client, kInternalServerError, {{"outcome", "unknown"}}, {});
-    case FailureReason::kKeyConflict: return answer(*client, kUnprocessableContent, {}, {});
+      return answer(*client, http_status::kInternalServerError, {{"outcome", "unknown"}}, {});
+    case FailureReason::kKeyConflict: return answer(*client, http_status::kUnprocessableContent, {}, {});
     case FailureReason::kKeyUnknown:
-    case FailureReason::kFailed: return answer(*client, is_due ? kGatewayTimeout : kBadGateway, {}, {});
+    case FailureReason::kFailed:
+      return answer(*client, is_due ? http_status::kGatewayTimeout : http_status::kBadGateway, {}, {});
   }
 }
 
 void AjpServer::answer_health_check(ReplyAddress reply_to, bool is_healthy) {
   if (is_healthy) counters_.add(Count::kChecksGood);
   Client* client = find_open(reply_to);
-  if (client != nullptr) answer(*client, is_healthy ? kOk : kServiceUnavailable, {}, {});
+  if (client != nullptr)
+    answer(*client, is_healthy ? http_status::kOk : http_status::kServiceUnavailable, {}, {});
 }
 
 // ---- The ends of connections.
+
 void AjpServer::on_output_sent(net::Connection& connection) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return;
@@ -401,6 +378,7 @@
 }
 
 // ---- Timeouts.
+
 void AjpServer::check_connections() {
   const double now = net::monotonic_now();
   for (auto& [tag, client] : clients_) {
@@ -422,7 +400,7 @@
   if (is_input_late) {
     counters_.add(Count::kHalfClosed);
     admission_.penalize(client, conns::Penalty::kIncompleteRequest);
-    refuse(client, kRequestTimeout, true);
+    refuse(client, http_status::kRequestTimeout, true);
   } else if (!is_idle(client)) {
     return;  // what lies unread is read first
   } else if (!client.has_requested && idle_seconds > kFirstRequestTimeoutSeconds) {
@@ -435,6 +413,7 @@
 }
 
 // ---- The graceful shutdown.
+
 // AJP has no message for it: idle connections are closed, the others after their answer. Where something
 // waits to be read it is read first.
 void AjpServer::announce_drain() {
--- a/src/peers/ajp/server.h
+++ b/src/peers/ajp/server.h
@@ -30,6 +30,7 @@
 // Set in the tags of this server's connections, so that a reply address shows its server.
 constexpr std::uint64_t kAjpTagBit = std::uint64_t{1} << 63;
 
+// Listens, reads requests and writes their answers.
 class AjpServer : public RequestServer, private net::ConnectionOwner {
  public:
   // Bytes that a connection may buffer until its request is complete.
