--- a/src/peers/members/status_page.h
+++ b/src/peers/members/status_page.h
@@ -8,9 +8,9 @@
 
 namespace damsonspoke::peers {
 
-// One line of JSON. The keys are part of the operators' interface.
+// One line of JSON. `now`: monotonic s. The keys are part of the operators' interface.
 [[nodiscard]] std::string status_json(const members::MembershipView& view, double now);
-// A table for people.
+// A table for people. `now`: monotonic s.
 [[nodiscard]] std::string status_table(const members::MembershipView& view, double now);
 
 }  // namespace damsonspoke::peers
--- a/src/peers/members/transport.cpp
+++ b/src/peers/members/transport.cpp
@@ -166,16 +166,16 @@
   std::array<char, wm::kMaxDatagramBytes + 1> buffer;  // one byte more shows that a datagram is too long
   sockaddr_storage from{};
   socklen_t size = sizeof from;
-  const ssize_t got = ::recvfrom(socket_.impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT,
-                                 reinterpret_cast<sockaddr*>(&from), &size);
-  if (got < 0) return false;
+  const ssize_t received = ::recvfrom(socket_.impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT,
+                                      reinterpret_cast<sockaddr*>(&from), &size);
+  if (received < 0) return false;
   const Poco::Net::SocketAddress source(reinterpret_cast<const sockaddr*>(&from), size);
   if (!is_allowed(source)) {
     counters_.add(Count::kMembersStrangers);
     return true;
   }
   const wm::DecodedMessage decoded =
-      wm::decode(options_.cluster, {buffer.data(), static_cast<std::size_t>(got)});
+      wm::decode(options_.cluster, {buffer.data(), static_cast<std::size_t>(received)});
   if (decoded.error != wm::DecodeError::kNone) {
     counters_.add(Count::kMembersBad);
     log_.debug("members", "invalid datagram from {}: {}", source.toString(), wm::text_of(decoded.error));
--- a/src/peers/members/transport.h
+++ b/src/peers/members/transport.h
@@ -22,6 +22,7 @@
 
 namespace damsonspoke::peers {
 
+// This process as a member: its sockets, its timers and its MembershipView.
 class MembershipTransport : private members::MembershipSink, private net::ConnectionOwner {
  public:
   // `name` and `epoch` identify this member. Throws std::runtime_error with a message of one line when an
@@ -32,12 +33,15 @@
   MembershipTransport(const MembershipTransport&) = delete;
   MembershipTransport& operator=(const MembershipTransport&) = delete;
 
+  // Listens, and joins the cluster over the seeds.
   void start();
+  // What this member reports of itself from now on.
   void set_load_report(members::LoadReport load_report) { view_.set_load_report(std::move(load_report)); }
   // Notifies other members that this one leaves. It goes on answering until it is destroyed.
   void leave();
   // Brings the counters up to date.
   void report();
+  // All but this member.
   [[nodiscard]] std::vector<members::MemberStatus> known_members() const;
   // Whether the address is in one of the networks of members.
   [[nodiscard]] bool may_reach(const std::string& address) const;
