Wire: names of the field for commands, notices and the JSON cursor

Cause: words of the protocols (give, omit, verdict, txn, probe, noMore) named functions and fields behind the codecs, and the cursor's functions were no verbs. Tests change by the same substitution; what they compare, and every byte on the wire, is the same.

--- a/src/peers/json_rpc/request_builder.cpp
+++ b/src/peers/json_rpc/request_builder.cpp
@@ -39,7 +39,7 @@
                         message.tenant.empty() ? "no customer" : "unknown customer"};
   }
   IncomingRequest request;
-  request.id = message.txn;
+  request.id = message.request_id;
   request.route = route;
   request.tenant = std::max(tenant, 0);
   request.caller = message.caller;
--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -190,7 +190,7 @@
   if (problem == wire::RpcProblem::kNoJson)
     return send_error(client, number, {Count::kBadJson, wire::RpcError::kParse, "no JSON"});
   if (problem == wire::RpcProblem::kNoRequest || !message.has_id) {
-    const bool is_notification = problem == wire::RpcProblem::kNone && message.notification;
+    const bool is_notification = problem == wire::RpcProblem::kNone && message.is_notification;
     if (is_notification) return counters_.add(Count::kBadRequests);  // which gets no answer
     return send_error(client, number, {Count::kBadRequests, wire::RpcError::kRequest, "no request"});
   }
@@ -201,7 +201,7 @@
   }
   const bool has_bad_params = problem == wire::RpcProblem::kBadParams;
   if (message.method == "health") return handle_health_check(client, message, has_bad_params);
-  if (has_bad_params || !message.has_txn || message.txn == 0 || message.size_kb <= 0) {
+  if (has_bad_params || !message.has_request_id || message.request_id == 0 || message.size_kb <= 0) {
     return send_error(client, message.id, {Count::kBadParams, wire::RpcError::kParams, "bad parameters"});
   }
   handle_request(client, message);
@@ -214,7 +214,7 @@
   counters_.add(Count::kChecksRead);
   on_valid_message(client);
   client.requests[message.id] = {};
-  events_.on_health_check({client.connection->tag, message.id}, message.probe);
+  events_.on_health_check({client.connection->tag, message.id}, message.wants_work);
 }
 
 void JsonRpcServer::handle_request(Client& client, wire::RpcRequest& message) {
@@ -280,7 +280,7 @@
 
 void JsonRpcServer::answer_health_check(ReplyAddress reply_to, bool is_healthy) {
   if (is_healthy) counters_.add(Count::kChecksGood);
-  answer(reply_to, wire::encode_check(reply_to.number, is_healthy));
+  answer(reply_to, wire::encode_health(reply_to.number, is_healthy));
 }
 
 void JsonRpcServer::on_output_sent(net::Connection& connection) {
@@ -365,7 +365,7 @@
   if (client.drain_announced_at >= 0) return;
   client.drain_announced_at = net::monotonic_now();
   counters_.add(Count::kCallersAsked);
-  send(client, wire::encode_no_more());
+  send(client, wire::encode_drain_notice());
 }
 
 void JsonRpcServer::announce_drain() {
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -198,7 +198,7 @@
     case wire::NoticeKind::kRunEnd: return handle_run_end(notice);
     case wire::NoticeKind::kCallWanted: return handle_call_wanted(notice);
     case wire::NoticeKind::kGauges: return handle_gauges(notice);
-    case wire::NoticeKind::kVerdict: return events_.on_self_test_result(notice.tag, notice.good);
+    case wire::NoticeKind::kSelfTestResult: return events_.on_self_test_result(notice.tag, notice.is_good);
     case wire::NoticeKind::kRejection: return handle_rejection(notice);
     case wire::NoticeKind::kRemark:
       counters_.add(Count::kRuntimeInfos);
@@ -250,8 +250,8 @@
       process_.is_another_process({greeting_absent_until_, net::monotonic_now(), up_seconds});
   if (!was_ready_) {
     was_ready_ = true;
-    log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
-    return events_.on_runtime_ready(notice.cold, up_seconds);
+    log_.info("runtime", "ready, {}, for {:.0f} ms", notice.is_cold ? "cold" : "warm", notice.ms);
+    return events_.on_runtime_ready(notice.is_cold, up_seconds);
   }
   if (is_another) on_restart();
 }
@@ -283,7 +283,7 @@
   if (!is_runtime_up_ || gauges_requested_at_ >= 0 || !link_ || !link_->connected()) return;
   gauges_requested_at_ = net::monotonic_now();
   sent_before_gauges_ = ledger_.last_sent();
-  write(wire::encode_ask_gauges(++gauges_tag_));
+  write(wire::encode_gauges_request(++gauges_tag_));
 }
 
 void RuntimeClient::handle_gauges(const wire::Notice& notice) {
@@ -373,15 +373,15 @@
 // A reply names no call: a second one would answer the next call of its run. To skip the call names it.
 void RuntimeClient::send_reply(RequestId id, std::string_view reply, const RequestedCall& call) {
   RuntimeCommand command;
-  command.text = wire::encode_give(id, reply);
+  command.text = wire::encode_call_reply(id, reply);
   command.in_doubt = call.may_be_skipped ? InDoubt::kReplace : InDoubt::kWait;
   command.give_up_at = net::monotonic_now() + call.seconds_left + kGiveUpMarginSeconds;
-  if (call.may_be_skipped) command.replacement = wire::encode_omit(id, call.notice);
+  if (call.may_be_skipped) command.replacement = wire::encode_skip_call(id, call.notice);
   issue({id, false}, std::move(command));
 }
 
 void RuntimeClient::skip_call(RequestId id, std::uint64_t notice) {
-  issue({id, false}, repeatable(wire::encode_omit(id, notice)));
+  issue({id, false}, repeatable(wire::encode_skip_call(id, notice)));
 }
 
 void RuntimeClient::self_test(std::uint64_t tag) {
--- a/src/wire/dependency_lines.cpp
+++ b/src/wire/dependency_lines.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::size_t kIdDigits = 16;
-constexpr std::size_t kLongestReplyLine = 64;  // bytes; id, word and length take half of that
+constexpr std::size_t kMaxReplyLineBytes = 64;  // bytes; id, word and length take half of that
 
 // Whether what has come so far can be the beginning of a reply. Guards against noise and lines without an
 // end, which would otherwise be waited for.
@@ -15,7 +15,7 @@
     const char c = input[i];
     if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'))) return false;
   }
-  return input.size() <= kIdDigits || (input[kIdDigits] == ' ' && input.size() <= kLongestReplyLine);
+  return input.size() <= kIdDigits || (input[kIdDigits] == ' ' && input.size() <= kMaxReplyLineBytes);
 }
 
 }  // namespace
@@ -49,8 +49,8 @@
   return read;
 }
 
-std::string encode_call(std::uint64_t id, std::uint64_t patience_ms, std::string_view body) {
-  return fmt::format("invoke {:016x} {} {}\r\n{}\r\n", id, patience_ms, body.size(), body);
+std::string encode_call(std::uint64_t id, std::uint64_t timeout_ms, std::string_view body) {
+  return fmt::format("invoke {:016x} {} {}\r\n{}\r\n", id, timeout_ms, body.size(), body);
 }
 std::string encode_cancel(std::uint64_t id) { return fmt::format("cancel {:016x}\r\n", id); }
 
--- a/src/wire/dependency_lines.h
+++ b/src/wire/dependency_lines.h
@@ -21,7 +21,7 @@
 
 ReplyRead next_reply(std::string_view input);
 
-std::string encode_call(std::uint64_t id, std::uint64_t patience_ms, std::string_view body);
+std::string encode_call(std::uint64_t id, std::uint64_t timeout_ms, std::string_view body);
 std::string encode_cancel(std::uint64_t id);
 
 }  // namespace damsonspoke::wire
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -6,7 +6,7 @@
 namespace damsonspoke::wire {
 namespace {
 
-constexpr int kDeepest = 16;  // levels; the messages have three, the rest could only be meant to hurt
+constexpr int kMaxDepth = 16;  // levels; the messages have three, the rest could only be meant to hurt
 
 void append_utf8(std::string& out, unsigned code) {
   if (code < 0x80) {
@@ -30,28 +30,28 @@
 
 }  // namespace
 
-void JsonCursor::blanks() {
+void JsonCursor::skip_blanks() {
   while (at_ < text_.size() &&
          (text_[at_] == ' ' || text_[at_] == '\t' || text_[at_] == '\r' || text_[at_] == '\n'))
     ++at_;
 }
 
 bool JsonCursor::take(char c) {
-  blanks();
+  skip_blanks();
   if (at_ >= text_.size() || text_[at_] != c) return false;
   ++at_;
   return true;
 }
 
-bool JsonCursor::enter(char open) { return take(open) && ++depth_ <= kDeepest; }
+bool JsonCursor::enter(char open) { return take(open) && ++depth_ <= kMaxDepth; }
 
 bool JsonCursor::at_end() {
-  blanks();
+  skip_blanks();
   return at_ == text_.size();
 }
 
-JsonKind JsonCursor::kind() {
-  blanks();
+JsonKind JsonCursor::next_kind() {
+  skip_blanks();
   if (at_ >= text_.size()) return JsonKind::kNone;
   switch (const char c = text_[at_]; c) {
     case '{': return JsonKind::kObject;
@@ -64,21 +64,21 @@
   }
 }
 
-bool JsonCursor::word(std::string_view word) {
+bool JsonCursor::take_word(std::string_view word) {
   if (text_.substr(at_, word.size()) != word) return false;
   at_ += word.size();
   return true;
 }
 
-bool JsonCursor::boolean(bool& out) {
-  blanks();
-  if (word("true")) return out = true, true;
-  if (word("false")) return out = false, true;
+bool JsonCursor::read_boolean(bool& out) {
+  skip_blanks();
+  if (take_word("true")) return out = true, true;
+  if (take_word("false")) return out = false, true;
   return false;
 }
 
-bool JsonCursor::number(double& out) {
-  blanks();
+bool JsonCursor::read_number(double& out) {
+  skip_blanks();
   std::size_t end = at_;
   const auto digits = [&] {
     const std::size_t from = end;
@@ -104,7 +104,7 @@
   return true;
 }
 
-bool JsonCursor::hex4(unsigned& out) {
+bool JsonCursor::read_four_hex_digits(unsigned& out) {
   if (text_.size() - at_ < 4) return false;
   const char* from = text_.data() + at_;
   const auto [stop, error] = std::from_chars(from, from + 4, out, 16);
@@ -113,7 +113,7 @@
   return true;
 }
 
-bool JsonCursor::escape(std::string& out) {
+bool JsonCursor::read_escape(std::string& out) {
   if (at_ >= text_.size()) return false;
   switch (text_[at_++]) {
     case '"': out += '"'; return true;
@@ -128,18 +128,18 @@
     default: return false;
   }
   unsigned code = 0;
-  if (!hex4(code)) return false;
+  if (!read_four_hex_digits(code)) return false;
   if (code >= 0xdc00 && code < 0xe000) return false;
   if (code >= 0xd800 && code < 0xdc00) {
     unsigned low = 0;
-    if (!word("\\u") || !hex4(low) || low < 0xdc00 || low >= 0xe000) return false;
+    if (!take_word("\\u") || !read_four_hex_digits(low) || low < 0xdc00 || low >= 0xe000) return false;
     code = 0x10000 + ((code - 0xd800) << 10) + (low - 0xdc00);
   }
   append_utf8(out, code);
   return true;
 }
 
-bool JsonCursor::string(std::string& out) {
+bool JsonCursor::read_string(std::string& out) {
   if (!take('"')) return false;
   out.clear();
   while (at_ < text_.size()) {
@@ -152,34 +152,34 @@
     at_ = end;
     if (at_ >= text_.size()) return false;
     if (text_[at_++] == '"') return true;
-    if (!escape(out)) return false;
+    if (!read_escape(out)) return false;
   }
   return false;
 }
 
-bool JsonCursor::skip() {
-  switch (kind()) {
-    case JsonKind::kObject: return object([this](const std::string&) { return skip(); });
+bool JsonCursor::skip_value() {
+  switch (next_kind()) {
+    case JsonKind::kObject: return read_object([this](const std::string&) { return skip_value(); });
     case JsonKind::kArray:
       if (!enter('[')) return false;
       if (take(']')) return leave();
       do {
-        if (!skip()) return false;
+        if (!skip_value()) return false;
       } while (take(','));
       return take(']') && leave();
     case JsonKind::kString: {
       std::string ignored;
-      return string(ignored);
+      return read_string(ignored);
     }
     case JsonKind::kNumber: {
       double ignored = 0;
-      return number(ignored);
+      return read_number(ignored);
     }
     case JsonKind::kBool: {
       bool ignored = false;
-      return boolean(ignored);
+      return read_boolean(ignored);
     }
-    case JsonKind::kNull: return word("null");
+    case JsonKind::kNull: return take_word("null");
     case JsonKind::kNone: return false;
   }
   return false;
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -14,21 +14,21 @@
  public:
   explicit JsonCursor(std::string_view text) : text_(text) {}
 
-  JsonKind kind();  // of the value that comes next
-  bool string(std::string& out);
-  bool number(double& out);
-  bool boolean(bool& out);
-  bool skip();
+  JsonKind next_kind();  // of the value that comes next
+  bool read_string(std::string& out);
+  bool read_number(double& out);
+  bool read_boolean(bool& out);
+  bool skip_value();
   bool at_end();  // nothing but blanks is left
 
   // Calls on_member(key) for each member; it has to take the value.
   template <typename OnMember>
-  bool object(OnMember&& on_member) {
+  bool read_object(OnMember&& on_member) {
     if (!enter('{')) return false;
     if (take('}')) return leave();
     do {
       std::string key;
-      if (!string(key) || !take(':') || !on_member(key)) return false;
+      if (!read_string(key) || !take(':') || !on_member(key)) return false;
     } while (take(','));
     return take('}') && leave();
   }
@@ -39,11 +39,11 @@
     --depth_;
     return true;
   }
-  void blanks();
+  void skip_blanks();
   bool take(char c);
-  bool word(std::string_view word);
-  bool escape(std::string& out);
-  bool hex4(unsigned& out);
+  bool take_word(std::string_view word);
+  bool read_escape(std::string& out);
+  bool read_four_hex_digits(unsigned& out);
 
   std::string_view text_;
   std::size_t at_ = 0;
--- a/src/wire/lines.cpp
+++ b/src/wire/lines.cpp
@@ -7,16 +7,16 @@
 namespace damsonspoke::wire {
 namespace {
 
-constexpr std::size_t kLongestLine = 4096;          // bytes; a remark may be long, nothing else is
-constexpr std::size_t kLongestPayload = 64 * 1024;  // bytes; bodies hold 4 KiB at most
+constexpr std::size_t kMaxLineBytes = 4096;          // bytes; a remark may be long, nothing else is
+constexpr std::size_t kMaxPayloadBytes = 64 * 1024;  // bytes; bodies hold 4 KiB at most
 
 }  // namespace
 
 WordLine next_line(std::string_view input) {
   WordLine line;
-  const std::size_t end = input.substr(0, kLongestLine).find("\r\n");
+  const std::size_t end = input.substr(0, kMaxLineBytes).find("\r\n");
   if (end == std::string_view::npos) {
-    if (input.size() >= kLongestLine) line.state = LineState::kBroken;
+    if (input.size() >= kMaxLineBytes) line.state = LineState::kBroken;
     return line;
   }
   std::string_view rest = input.substr(0, end);
@@ -35,7 +35,7 @@
 Payload next_payload(std::string_view input, std::string_view length) {
   Payload payload;
   std::size_t size = 0;
-  if (!parse_number(length, size) || size > kLongestPayload) {
+  if (!parse_number(length, size) || size > kMaxPayloadBytes) {
     payload.state = LineState::kBroken;
     return payload;
   }
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -24,7 +24,7 @@
 struct RpcRequest {
   std::uint64_t id = 0;
   std::string method;
-  std::uint64_t txn = 0;
+  std::uint64_t request_id = 0;
   double received_at_ms = 0;     // Unix, when it came to the machine; 0: not told
   double client_timeout_ms = 0;  // from then on; 0: not told
   double work_ms = 0;  // the request's work on a standard core, as its caller estimates it; 0: not told
@@ -34,9 +34,9 @@
   std::string tenant;           // its name; empty: not told
   std::string body;
   std::uint32_t caller = 0;
-  bool notification = true;  // no id at all: nothing is to be answered
-  bool has_id = false, has_txn = false, has_subject = false, has_idempotency_key = false;
-  bool probe = false;
+  bool is_notification = true;  // no id at all: nothing is to be answered
+  bool has_id = false, has_request_id = false, has_subject = false, has_idempotency_key = false;
+  bool wants_work = false;
   bool is_retry = false;  // a retry, where callers mark those
 };
 
@@ -44,9 +44,9 @@
 inline constexpr std::string_view kMarkParam = "unique";
 
 // On a problem the id is filled in where it can be told, so that the request can be answered.
-// `mark_field` names the member of the params that holds a request's mark, a string; empty: none is looked
+// `key_param` names the member of the params that holds a request's mark, a string; empty: none is looked
 // for.
-RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view mark_field = {});
+RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view key_param = {});
 
 // Whether the protocol has a member of that name among its params already.
 bool is_param(std::string_view name);
@@ -64,8 +64,8 @@
 
 std::string encode_result(std::uint64_t id, std::string_view body);
 std::string encode_error(std::uint64_t id, RpcError code, std::string_view message);
-std::string encode_rejection(std::uint64_t id, double later_ms, bool no_retry);
-std::string encode_check(std::uint64_t id, bool pass);
-std::string encode_no_more();
+std::string encode_rejection(std::uint64_t id, double retry_after_ms, bool no_retry);
+std::string encode_health(std::uint64_t id, bool pass);
+std::string encode_drain_notice();
 
 }  // namespace damsonspoke::wire
--- a/src/wire/runtime_lines.cpp
+++ b/src/wire/runtime_lines.cpp
@@ -21,7 +21,7 @@
   const std::size_t count = words.size();
   if (verb == "ready" && count == 3 && (words[1] == "chilly" || words[1] == "hot") &&
       parse_decimal(words[2], out.ms)) {
-    out.cold = words[1] == "chilly";
+    out.is_cold = words[1] == "chilly";
     return NoticeKind::kReady;
   }
   if (verb == "end" && (count == 5 || count == 6) && parse_number(words[1], out.number) &&
@@ -41,8 +41,8 @@
   }
   if (verb == "verdict" && count == 3 && parse_number(words[1], out.tag) &&
       (words[2] == "complete" || words[2] == "error")) {
-    out.good = words[2] == "complete";
-    return NoticeKind::kVerdict;
+    out.is_good = words[2] == "complete";
+    return NoticeKind::kSelfTestResult;
   }
   if (verb == "nack" && count == 3 && parse_id(words[2], out.id)) {
     out.command = words[1];
@@ -80,13 +80,13 @@
 }
 std::string encode_stop(std::uint64_t id) { return about("stop", id); }
 std::string encode_resume(std::uint64_t id) { return about("cont", id); }
-std::string encode_give(std::uint64_t id, std::string_view reply) {
+std::string encode_call_reply(std::uint64_t id, std::string_view reply) {
   return fmt::format("give {:016x} {}\r\n{}\r\n", id, reply.size(), reply);
 }
-std::string encode_omit(std::uint64_t id, std::uint64_t notice) {
+std::string encode_skip_call(std::uint64_t id, std::uint64_t notice) {
   return fmt::format("omit {:016x} {}\r\n", id, notice);
 }
-std::string encode_ask_gauges(std::uint64_t tag) { return fmt::format("gauges {}\r\n", tag); }
+std::string encode_gauges_request(std::uint64_t tag) { return fmt::format("gauges {}\r\n", tag); }
 std::string encode_self_test(std::uint64_t tag) { return fmt::format("selftest {}\r\n", tag); }
 
 }  // namespace damsonspoke::wire
--- a/src/wire/runtime_lines.h
+++ b/src/wire/runtime_lines.h
@@ -10,7 +10,16 @@
 
 namespace damsonspoke::wire {
 
-enum class NoticeKind { kReady, kRunEnd, kCallWanted, kGauges, kVerdict, kRejection, kRemark, kUnknown };
+enum class NoticeKind {
+  kReady,
+  kRunEnd,
+  kCallWanted,
+  kGauges,
+  kSelfTestResult,
+  kRejection,
+  kRemark,
+  kUnknown
+};
 enum class RunEnd { kComplete, kError, kCancelled, kUnknown };
 
 struct Notice {
@@ -18,10 +27,10 @@
   std::uint64_t number = 0;  // of run ends, wanted calls and remarks
   std::uint64_t id = 0;
   RunEnd end = RunEnd::kUnknown;
-  bool cold = false;      // ready
+  bool is_cold = false;   // ready
   double ms = 0;          // ready: since its start; run end: the run took
   std::uint64_t tag = 0;  // gauges, verdict
-  bool good = false;      // verdict
+  bool is_good = false;   // verdict
   std::vector<double> gauges;
   std::string_view command;  // rejection
   std::string_view body;     // of the input: valid as long as that is
@@ -40,9 +49,9 @@
 std::string encode_start(std::uint64_t id, std::string_view type, std::string_view body);
 std::string encode_stop(std::uint64_t id);
 std::string encode_resume(std::uint64_t id);
-std::string encode_give(std::uint64_t id, std::string_view reply);
-std::string encode_omit(std::uint64_t id, std::uint64_t notice);
-std::string encode_ask_gauges(std::uint64_t tag);
+std::string encode_call_reply(std::uint64_t id, std::string_view reply);
+std::string encode_skip_call(std::uint64_t id, std::uint64_t notice);
+std::string encode_gauges_request(std::uint64_t tag);
 std::string encode_self_test(std::uint64_t tag);
 
 }  // namespace damsonspoke::wire
--- a/tests/compatibility/wire_messages_test.cpp
+++ b/tests/compatibility/wire_messages_test.cpp
@@ -48,9 +48,9 @@
                    {"nack_later", encode_rejection(16, 249.2, false)},
                    {"nack_no_retry", encode_rejection(17, 0, true)},
                    {"nack_later_no_retry", encode_rejection(18, 1500, true)},
-                   {"check_passes", encode_check(19, true)},
-                   {"check_fails", encode_check(20, false)},
-                   {"no_more", encode_no_more()}});
+                   {"check_passes", encode_health(19, true)},
+                   {"check_fails", encode_health(20, false)},
+                   {"no_more", encode_drain_notice()}});
 }
 
 TEST(JsonRpcMessages, RecordedRequestsDecodeToTheirValues) {
@@ -69,7 +69,7 @@
   const RpcRequest all = decoded("all_params", "unique");
   EXPECT_EQ(all.id, 42u);
   EXPECT_EQ(all.method, "rate-push");
-  EXPECT_EQ(all.txn, 0x1234abcd5678ef90u);
+  EXPECT_EQ(all.request_id, 0x1234abcd5678ef90u);
   EXPECT_EQ(all.received_at_ms, 1700000000123.5);
   EXPECT_EQ(all.client_timeout_ms, 900);
   EXPECT_EQ(all.work_ms, 12.5);
@@ -79,22 +79,22 @@
   EXPECT_EQ(all.tenant, "north");
   EXPECT_EQ(all.body, "hello");
   EXPECT_EQ(all.caller, 3u);
-  EXPECT_FALSE(all.notification);
-  EXPECT_TRUE(all.has_id && all.has_txn && all.has_subject && all.has_idempotency_key);
-  EXPECT_FALSE(all.probe);
+  EXPECT_FALSE(all.is_notification);
+  EXPECT_TRUE(all.has_id && all.has_request_id && all.has_subject && all.has_idempotency_key);
+  EXPECT_FALSE(all.wants_work);
   EXPECT_TRUE(all.is_retry);
 
   const RpcRequest least = decoded("least_params");
   EXPECT_EQ(least.id, 43u);
   EXPECT_EQ(least.method, "avail-read");
-  EXPECT_FALSE(least.has_subject || least.has_idempotency_key || least.is_retry || least.probe);
+  EXPECT_FALSE(least.has_subject || least.has_idempotency_key || least.is_retry || least.wants_work);
   EXPECT_EQ(least.client_timeout_ms, 0);
 
   const RpcRequest work = decoded("work_param");
   EXPECT_EQ(work.work_ms, 8);
 
-  EXPECT_TRUE(decoded("probe").probe);
-  EXPECT_TRUE(decoded("notification").notification);
+  EXPECT_TRUE(decoded("probe").wants_work);
+  EXPECT_TRUE(decoded("notification").is_notification);
   EXPECT_EQ(recorded.size(), 5u);
 }
 
@@ -105,9 +105,9 @@
                                            {"start", encode_start(0xabc, "rate-push", "body\r\n.")},
                                            {"stop", encode_stop(0xabc)},
                                            {"resume", encode_resume(0xabd)},
-                                           {"give", encode_give(0xabe, "reply")},
-                                           {"omit", encode_omit(0xabf, 9)},
-                                           {"gauges", encode_ask_gauges(4)},
+                                           {"give", encode_call_reply(0xabe, "reply")},
+                                           {"omit", encode_skip_call(0xabf, 9)},
+                                           {"gauges", encode_gauges_request(4)},
                                            {"self_test", encode_self_test(5)}});
 }
 
@@ -121,9 +121,9 @@
     return read.notice;
   };
   EXPECT_EQ(decoded("ready_cold").kind, NoticeKind::kReady);
-  EXPECT_TRUE(decoded("ready_cold").cold);
+  EXPECT_TRUE(decoded("ready_cold").is_cold);
   EXPECT_EQ(decoded("ready_cold").ms, 250);
-  EXPECT_FALSE(decoded("ready_warm").cold);
+  EXPECT_FALSE(decoded("ready_warm").is_cold);
 
   const Notice complete = decoded("end_complete");
   EXPECT_EQ(complete.kind, NoticeKind::kRunEnd);
@@ -142,8 +142,8 @@
   EXPECT_EQ(wants.body, "question");
   EXPECT_EQ(decoded("load").gauges, (std::vector<double>{0.5, 3, 0.25, 17}));
   EXPECT_EQ(decoded("load").tag, 4u);
-  EXPECT_TRUE(decoded("verdict_good").good);
-  EXPECT_FALSE(decoded("verdict_bad").good);
+  EXPECT_TRUE(decoded("verdict_good").is_good);
+  EXPECT_FALSE(decoded("verdict_bad").is_good);
   EXPECT_EQ(decoded("nack").kind, NoticeKind::kRejection);
   EXPECT_EQ(decoded("nack").command, "start");
   EXPECT_EQ(decoded("info").kind, NoticeKind::kRemark);
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -88,10 +88,10 @@
   if (r.has_id) std::printf(", id %llu", static_cast<unsigned long long>(r.id));
   if (problem == RpcProblem::kNone) {
     std::printf(", %s", r.method.c_str());
-    if (r.has_txn) std::printf(", txn %s", format_id(r.txn).c_str());
+    if (r.has_request_id) std::printf(", txn %s", format_id(r.request_id).c_str());
     if (r.has_subject) std::printf(", item %s", format_id(r.subject).c_str());
     std::printf(", door %.0f, limit %.0f, caller %u, %.1f kB, probe %d, body '%s'", r.received_at_ms,
-                r.client_timeout_ms, r.caller, r.size_kb, r.probe, shown(r.body).c_str());
+                r.client_timeout_ms, r.caller, r.size_kb, r.wants_work, shown(r.body).c_str());
     if (r.work_ms > 0) std::printf(", work %.1f ms", r.work_ms);
   }
   std::printf("\n");
@@ -142,7 +142,7 @@
        {encode_result(7, "hello"), encode_result(1, std::string("\0\xff", 2)), encode_rejection(7, 0, false),
         encode_rejection(7, 250.2, false), encode_rejection(7, 0, true), encode_rejection(7, 1000, true),
         encode_error(7, RpcError::kFailed, "failed"), encode_error(0, RpcError::kParse, "a \"quote\"\n"),
-        encode_check(3, true), encode_check(3, false), encode_no_more()}) {
+        encode_health(3, true), encode_health(3, false), encode_drain_notice()}) {
     std::printf("%s\n", text.substr(text.find("\r\n\r\n") + 4).c_str());
   }
   for (const char* text : {"", "Zg==", "Zm8=", "Zm9v", "Zm9vYg==", "Zh==", "Zg=", "=Zg=", "Zg==Zg=="}) {
@@ -169,8 +169,8 @@
   if (n.kind != NoticeKind::kUnknown) {
     std::printf(
         ", number %llu, id %s, end %d, cold %d, ms %.1f, tag %llu, good %d, command '%s', body '%s', gauges",
-        static_cast<unsigned long long>(n.number), format_id(n.id).c_str(), static_cast<int>(n.end), n.cold,
-        n.ms, static_cast<unsigned long long>(n.tag), n.good, std::string(n.command).c_str(),
+        static_cast<unsigned long long>(n.number), format_id(n.id).c_str(), static_cast<int>(n.end),
+        n.is_cold, n.ms, static_cast<unsigned long long>(n.tag), n.is_good, std::string(n.command).c_str(),
         shown(n.body).c_str());
     for (const double value : n.gauges) std::printf(" %.2f", value);
   }
@@ -200,9 +200,9 @@
     std::printf("%s\n", shown(input).c_str());
     if (print_notice(input) == 0) std::printf("  needs more\n");
   }
-  for (const std::string& text :
-       {encode_sync(17), encode_start(0x9b1f03aa5c7e2d41, "push", "ab\r\n"), encode_stop(1), encode_resume(1),
-        encode_give(1, "reply"), encode_omit(1, 5), encode_ask_gauges(9), encode_self_test(9)}) {
+  for (const std::string& text : {encode_sync(17), encode_start(0x9b1f03aa5c7e2d41, "push", "ab\r\n"),
+                                  encode_stop(1), encode_resume(1), encode_call_reply(1, "reply"),
+                                  encode_skip_call(1, 5), encode_gauges_request(9), encode_self_test(9)}) {
     std::printf("%s\n", shown(text).c_str());
   }
 }
