--- a/src/wire/runtime_lines.cpp
+++ b/src/wire/runtime_lines.cpp
@@ -2,57 +2,87 @@
 
 #include <fmt/format.h>
 
+#include <optional>
+
 namespace damsonspoke::wire {
 namespace {
 
 using Words = std::vector<std::string_view>;
 
-bool read_end(std::string_view word, RunEnd& end) {
-  if (word == "complete") return end = RunEnd::kComplete, true;
-  if (word == "error") return end = RunEnd::kError, true;
-  if (word == "cancelled") return end = RunEnd::kCancelled, true;
-  if (word == "unknown") return end = RunEnd::kUnknown, true;
-  return false;
+std::optional<RunEnd> run_end_of(std::string_view word) {
+  if (word == "complete") return RunEnd::kComplete;
+  if (word == "error") return RunEnd::kError;
+  if (word == "cancelled") return RunEnd::kCancelled;
+  if (word == "unknown") return RunEnd::kUnknown;
+  return std::nullopt;
+}
+
+// The following read the words of one kind of line; false where a word is not what it should be.
+
+bool read_ready(const Words& words, Notice& out) {
+  if (words.size() != 3) return false;
+  out.is_cold = words[1] == "chilly";
+  return (out.is_cold || words[1] == "hot") && parse_decimal(words[2], out.ms);
+}
+
+bool read_run_end(const Words& words, Notice& out) {
+  if (words.size() != 5 && words.size() != 6) return false;  // the sixth: the length of the result
+  if (!parse_number(words[1], out.number) || !parse_id(words[2], out.id)) return false;
+  const std::optional<RunEnd> end = run_end_of(words[3]);
+  if (!end) return false;
+  out.end = *end;
+  return parse_decimal(words[4], out.ms);
+}
+
+bool read_call_wanted(const Words& words, Notice& out) {
+  return words.size() == 4 && parse_number(words[1], out.number) && parse_id(words[2], out.id);
+}
+
+bool read_gauges(const Words& words, Notice& out) {
+  if (words.size() < 2 || !parse_number(words[1], out.tag)) return false;
+  for (std::size_t i = 2; i < words.size(); ++i) {
+    double value = 0;
+    if (!parse_decimal(words[i], value)) return false;
+    out.gauges.push_back(value);
+  }
+  return true;
+}
+
+bool read_self_test_result(const Words& words, Notice& out) {
+  if (words.size() != 3 || !parse_number(words[1], out.tag)) return false;
+  out.is_good = words[2] == "complete";
+  return out.is_good || words[2] == "error";
+}
+
+bool read_rejection(const Words& words, Notice& out) {
+  if (words.size() != 3 || !parse_id(words[2], out.id)) return false;
+  out.command = words[1];
+  return true;
+}
+
+bool read_remark(const Words& words, Notice& out) {
+  return words.size() >= 2 && parse_number(words[1], out.number);
 }
 
-// The kind of a line by its words; kUnknown where a word is not what it should be.
 NoticeKind read_words(const Words& words, Notice& out) {
   const std::string_view verb = words[0];
-  const std::size_t count = words.size();
-  if (verb == "ready" && count == 3 && (words[1] == "chilly" || words[1] == "hot") &&
-      parse_decimal(words[2], out.ms)) {
-    out.is_cold = words[1] == "chilly";
-    return NoticeKind::kReady;
-  }
-  if (verb == "end" && (count == 5 || count == 6) && parse_number(words[1], out.number) &&
-      parse_id(words[2], out.id) && read_end(words[3], out.end) && parse_decimal(words[4], out.ms)) {
-    return NoticeKind::kRunEnd;
-  }
-  if (verb == "wants" && count == 4 && parse_number(words[1], out.number) && parse_id(words[2], out.id)) {
-    return NoticeKind::kCallWanted;
-  }
-  if (verb == "load" && count >= 2 && parse_number(words[1], out.tag)) {
-    for (std::size_t i = 2; i < count; ++i) {
-      double value = 0;
-      if (!parse_decimal(words[i], value)) return NoticeKind::kUnknown;
-      out.gauges.push_back(value);
-    }
-    return NoticeKind::kGauges;
-  }
-  if (verb == "verdict" && count == 3 && parse_number(words[1], out.tag) &&
-      (words[2] == "complete" || words[2] == "error")) {
-    out.is_good = words[2] == "complete";
-    return NoticeKind::kSelfTestResult;
-  }
-  if (verb == "nack" && count == 3 && parse_id(words[2], out.id)) {
-    out.command = words[1];
-    return NoticeKind::kRejection;
-  }
-  if (verb == "info" && count >= 2 && parse_number(words[1], out.number)) return NoticeKind::kRemark;
+  if (verb == "ready" && read_ready(words, out)) return NoticeKind::kReady;
+  if (verb == "end" && read_run_end(words, out)) return NoticeKind::kRunEnd;
+  if (verb == "wants" && read_call_wanted(words, out)) return NoticeKind::kCallWanted;
+  if (verb == "load" && read_gauges(words, out)) return NoticeKind::kGauges;
+  if (verb == "verdict" && read_self_test_result(words, out)) return NoticeKind::kSelfTestResult;
+  if (verb == "nack" && read_rejection(words, out)) return NoticeKind::kRejection;
+  if (verb == "info" && read_remark(words, out)) return NoticeKind::kRemark;
   return NoticeKind::kUnknown;
 }
 
-std::string about(std::string_view verb, std::uint64_t id) { return fmt::format("{} {:016x}\r\n", verb, id); }
+bool has_payload(const Words& words) {
+  return (words[0] == "end" && words.size() >= 6) || words[0] == "wants";
+}
+
+std::string command_about(std::string_view verb, std::uint64_t id) {
+  return fmt::format("{} {:016x}\r\n", verb, id);
+}
 
 }  // namespace
 
@@ -62,8 +92,7 @@
   read.state = line.state;
   read.length = line.length;
   if (line.state != LineState::kLine || line.words.empty()) return read;
-  const bool with_payload = (line.words[0] == "end" && line.words.size() >= 6) || line.words[0] == "wants";
-  if (with_payload) {
+  if (has_payload(line.words)) {
     const Payload payload = next_payload(input.substr(line.length), line.words.back());
     read.state = payload.state;
     if (payload.state != LineState::kLine) return read;
@@ -74,19 +103,26 @@
   return read;
 }
 
-std::string encode_sync(std::uint64_t last) { return fmt::format("sync {}\r\n", last); }
-std::string encode_start(std::uint64_t id, std::string_view type, std::string_view body) {
-  return fmt::format("start {:016x} {} {}\r\n{}\r\n", id, type, body.size(), body);
+std::string encode_sync(std::uint64_t last_notice) { return fmt::format("sync {}\r\n", last_notice); }
+
+std::string encode_start(std::uint64_t id, std::string_view route, std::string_view body) {
+  return fmt::format("start {:016x} {} {}\r\n{}\r\n", id, route, body.size(), body);
 }
-std::string encode_stop(std::uint64_t id) { return about("stop", id); }
-std::string encode_resume(std::uint64_t id) { return about("cont", id); }
+
+std::string encode_stop(std::uint64_t id) { return command_about("stop", id); }
+
+std::string encode_resume(std::uint64_t id) { return command_about("cont", id); }
+
 std::string encode_call_reply(std::uint64_t id, std::string_view reply) {
   return fmt::format("give {:016x} {}\r\n{}\r\n", id, reply.size(), reply);
 }
+
 std::string encode_skip_call(std::uint64_t id, std::uint64_t notice) {
   return fmt::format("omit {:016x} {}\r\n", id, notice);
 }
+
 std::string encode_gauges_request(std::uint64_t tag) { return fmt::format("gauges {}\r\n", tag); }
+
 std::string encode_self_test(std::uint64_t tag) { return fmt::format("selftest {}\r\n", tag); }
 
 }  // namespace damsonspoke::wire
--- a/src/wire/runtime_lines.h
+++ b/src/wire/runtime_lines.h
@@ -1,6 +1,7 @@
-// What the runtime is told and tells. The words of the wire end here.
+// What the runtime is told and tells, in lines (wire/lines.h). The words of the wire end here.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -10,48 +11,56 @@
 
 namespace damsonspoke::wire {
 
+// kUnknown: a line that could be told from the next, but not used.
 enum class NoticeKind {
-  kReady,
-  kRunEnd,
-  kCallWanted,
-  kGauges,
-  kSelfTestResult,
-  kRejection,
-  kRemark,
+  kReady,           // the runtime is up
+  kRunEnd,          // a run is over or was stopped
+  kCallWanted,      // a run waits for a call to the dependency
+  kGauges,          // a reading that was asked for
+  kSelfTestResult,  // of a self-test that was asked for
+  kRejection,       // of a command
+  kRemark,          // for people
   kUnknown
 };
+// How a run ended. kUnknown: the runtime knows of no such run.
 enum class RunEnd { kComplete, kError, kCancelled, kUnknown };
 
+// A line of the runtime. Views are of the input: valid as long as that is.
 struct Notice {
   NoticeKind kind = NoticeKind::kUnknown;
   std::uint64_t number = 0;  // of run ends, wanted calls and remarks
-  std::uint64_t id = 0;
+  std::uint64_t id = 0;      // of the request
   RunEnd end = RunEnd::kUnknown;
-  bool is_cold = false;   // ready
-  double ms = 0;          // ready: since its start; run end: the run took
-  std::uint64_t tag = 0;  // gauges, verdict
-  bool is_good = false;   // verdict
-  std::vector<double> gauges;
-  std::string_view command;  // rejection
-  std::string_view body;     // of the input: valid as long as that is
+  bool is_cold = false;        // kReady
+  double ms = 0;               // kReady: since its start; kRunEnd: the run took
+  std::uint64_t tag = 0;       // kGauges, kSelfTestResult: of the command that asked for it
+  bool is_good = false;        // kSelfTestResult
+  std::vector<double> gauges;  // in the order of the platform's settings
+  std::string_view command;    // kRejection: its first word
+  std::string_view body;       // kRunEnd: the result; kCallWanted: of the call
 };
 
+// One notice, as far as it has come.
 struct NoticeRead {
-  LineState state = LineState::kNeedMore;  // broken: the framing is lost
-  std::size_t length = 0;
+  LineState state = LineState::kNeedMore;
+  std::size_t length = 0;  // of the notice, where it is complete
   Notice notice;
 };
 
-// kUnknown with state kLine: a line that could be told from the next, but not used.
-NoticeRead next_notice(std::string_view input);
-
-std::string encode_sync(std::uint64_t last);
-std::string encode_start(std::uint64_t id, std::string_view type, std::string_view body);
-std::string encode_stop(std::uint64_t id);
-std::string encode_resume(std::uint64_t id);
-std::string encode_call_reply(std::uint64_t id, std::string_view reply);
-std::string encode_skip_call(std::uint64_t id, std::uint64_t notice);
-std::string encode_gauges_request(std::uint64_t tag);
-std::string encode_self_test(std::uint64_t tag);
+// The notice that the input begins with.
+[[nodiscard]] NoticeRead next_notice(std::string_view input);
+
+// Asks for the notices after this one; the runtime answers with a ready notice first.
+[[nodiscard]] std::string encode_sync(std::uint64_t last_notice);
+[[nodiscard]] std::string encode_start(std::uint64_t id, std::string_view route, std::string_view body);
+[[nodiscard]] std::string encode_stop(std::uint64_t id);
+[[nodiscard]] std::string encode_resume(std::uint64_t id);
+// Resumes a run with the reply to its call.
+[[nodiscard]] std::string encode_call_reply(std::uint64_t id, std::string_view reply);
+// Resumes a run without its call. `notice`: the number of the notice that asked for the call.
+[[nodiscard]] std::string encode_skip_call(std::uint64_t id, std::uint64_t notice);
+// Asks for a reading of the gauges or a run of the self-test, to be answered under the tag.
+[[nodiscard]] std::string encode_gauges_request(std::uint64_t tag);
+[[nodiscard]] std::string encode_self_test(std::uint64_t tag);
 
 }  // namespace damsonspoke::wire
