--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -2,32 +2,88 @@
 
 #include <charconv>
 #include <cmath>
+#include <optional>
 
 namespace damsonspoke::wire {
 namespace {
 
-constexpr int kMaxDepth = 16;  // levels; the messages have three, the rest could only be meant to hurt
+constexpr int kMaxDepth = 16;  // levels; the messages have three
+constexpr std::size_t kHexDigits = 4;
+
+// UTF-16 writes what is beyond the first plane as two surrogates, the high one first.
+constexpr unsigned kFirstHighSurrogate = 0xd800;
+constexpr unsigned kFirstLowSurrogate = 0xdc00;
+constexpr unsigned kBehindSurrogates = 0xe000;
+constexpr unsigned kBehindFirstPlane = 0x10000;
+constexpr unsigned kSurrogateBits = 10;
 
 void append_utf8(std::string& out, unsigned code) {
+  const auto continuation = [code](unsigned shift) {
+    return static_cast<char>(0x80 | (code >> shift & 0x3f));
+  };
   if (code < 0x80) {
     out += static_cast<char>(code);
   } else if (code < 0x800) {
     out += static_cast<char>(0xc0 | code >> 6);
-    out += static_cast<char>(0x80 | (code & 0x3f));
-  } else if (code < 0x10000) {
+    out += continuation(0);
+  } else if (code < kBehindFirstPlane) {
     out += static_cast<char>(0xe0 | code >> 12);
-    out += static_cast<char>(0x80 | (code >> 6 & 0x3f));
-    out += static_cast<char>(0x80 | (code & 0x3f));
+    out += continuation(6);
+    out += continuation(0);
   } else {
     out += static_cast<char>(0xf0 | code >> 18);
-    out += static_cast<char>(0x80 | (code >> 12 & 0x3f));
-    out += static_cast<char>(0x80 | (code >> 6 & 0x3f));
-    out += static_cast<char>(0x80 | (code & 0x3f));
+    out += continuation(12);
+    out += continuation(6);
+    out += continuation(0);
   }
 }
 
 bool is_digit(char c) { return c >= '0' && c <= '9'; }
 
+bool is_control(char c) { return static_cast<unsigned char>(c) < ' '; }
+
+// How many digits the text begins with.
+std::size_t count_digits(std::string_view text) {
+  std::size_t count = 0;
+  while (count < text.size() && is_digit(text[count])) ++count;
+  return count;
+}
+
+// The length of the number that the text begins with; 0: there is none.
+std::size_t number_length(std::string_view text) {
+  std::size_t length = text.starts_with('-') ? 1 : 0;
+  const std::size_t whole_digits = count_digits(text.substr(length));
+  const bool has_leading_zero = whole_digits > 1 && text[length] == '0';
+  if (whole_digits == 0 || has_leading_zero) return 0;
+  length += whole_digits;
+  if (text.substr(length).starts_with('.')) {
+    const std::size_t digits = count_digits(text.substr(length + 1));
+    if (digits == 0) return 0;
+    length += 1 + digits;
+  }
+  const std::string_view rest = text.substr(length);
+  if (!rest.starts_with('e') && !rest.starts_with('E')) return length;
+  const bool has_sign = rest.size() > 1 && (rest[1] == '+' || rest[1] == '-');
+  const std::size_t before_exponent = has_sign ? 2 : 1;
+  const std::size_t digits = count_digits(rest.substr(before_exponent));
+  return digits == 0 ? 0 : length + before_exponent + digits;
+}
+
+// What a backslash and this character stand for; none where that is no escape of one character.
+std::optional<char> unescaped(char c) {
+  switch (c) {
+    case '"':
+    case '\\':
+    case '/': return c;
+    case 'b': return '\b';
+    case 'f': return '\f';
+    case 'n': return '\n';
+    case 'r': return '\r';
+    case 't': return '\t';
+    default: return std::nullopt;
+  }
+}
+
 }  // namespace
 
 void JsonCursor::skip_blanks() {
@@ -36,9 +92,9 @@
     ++at_;
 }
 
-bool JsonCursor::take(char c) {
+bool JsonCursor::take(char sign) {
   skip_blanks();
-  if (at_ >= text_.size() || text_[at_] != c) return false;
+  if (at_ >= text_.size() || text_[at_] != sign) return false;
   ++at_;
   return true;
 }
@@ -72,68 +128,53 @@
 
 bool JsonCursor::read_boolean(bool& out) {
   skip_blanks();
-  if (take_word("true")) return out = true, true;
-  if (take_word("false")) return out = false, true;
-  return false;
+  const bool is_true = take_word("true");
+  if (!is_true && !take_word("false")) return false;
+  out = is_true;
+  return true;
 }
 
 bool JsonCursor::read_number(double& out) {
   skip_blanks();
-  std::size_t end = at_;
-  const auto digits = [&] {
-    const std::size_t from = end;
-    while (end < text_.size() && is_digit(text_[end])) ++end;
-    return end > from;
-  };
-  if (end < text_.size() && text_[end] == '-') ++end;
-  const std::size_t first = end;
-  if (!digits()) return false;
-  if (text_[first] == '0' && end > first + 1) return false;
-  if (end < text_.size() && text_[end] == '.') {
-    ++end;
-    if (!digits()) return false;
-  }
-  if (end < text_.size() && (text_[end] == 'e' || text_[end] == 'E')) {
-    ++end;
-    if (end < text_.size() && (text_[end] == '+' || text_[end] == '-')) ++end;
-    if (!digits()) return false;
-  }
-  const auto [stop, error] = std::from_chars(text_.data() + at_, text_.data() + end, out);
-  if (error != std::errc() || stop != text_.data() + end || !std::isfinite(out)) return false;
-  at_ = end;
+  const std::string_view rest = text_.substr(at_);
+  const std::size_t length = number_length(rest);
+  if (length == 0) return false;
+  const char* const end = rest.data() + length;
+  const auto [stop, error] = std::from_chars(rest.data(), end, out);
+  if (error != std::errc() || stop != end || !std::isfinite(out)) return false;
+  at_ += length;
   return true;
 }
 
 bool JsonCursor::read_four_hex_digits(unsigned& out) {
-  if (text_.size() - at_ < 4) return false;
-  const char* from = text_.data() + at_;
-  const auto [stop, error] = std::from_chars(from, from + 4, out, 16);
-  if (error != std::errc() || stop != from + 4) return false;
-  at_ += 4;
+  if (text_.size() - at_ < kHexDigits) return false;
+  const char* const from = text_.data() + at_;
+  const auto [stop, error] = std::from_chars(from, from + kHexDigits, out, 16);
+  if (error != std::errc() || stop != from + kHexDigits) return false;
+  at_ += kHexDigits;
   return true;
 }
 
+// The text behind the backslash.
 bool JsonCursor::read_escape(std::string& out) {
   if (at_ >= text_.size()) return false;
-  switch (text_[at_++]) {
-    case '"': out += '"'; return true;
-    case '\\': out += '\\'; return true;
-    case '/': out += '/'; return true;
-    case 'b': out += '\b'; return true;
-    case 'f': out += '\f'; return true;
-    case 'n': out += '\n'; return true;
-    case 'r': out += '\r'; return true;
-    case 't': out += '\t'; return true;
-    case 'u': break;
-    default: return false;
-  }
+  const char kind = text_[at_++];
+  if (kind == 'u') return read_unicode_escape(out);
+  const std::optional<char> character = unescaped(kind);
+  if (!character) return false;
+  out += *character;
+  return true;
+}
+
+bool JsonCursor::read_unicode_escape(std::string& out) {
   unsigned code = 0;
   if (!read_four_hex_digits(code)) return false;
-  if (code >= 0xdc00 && code < 0xe000) return false;
-  if (code >= 0xd800 && code < 0xdc00) {
+  if (code >= kFirstLowSurrogate && code < kBehindSurrogates) return false;
+  if (code >= kFirstHighSurrogate && code < kFirstLowSurrogate) {
     unsigned low = 0;
-    if (!take_word("\\u") || !read_four_hex_digits(low) || low < 0xdc00 || low >= 0xe000) return false;
-    code = 0x10000 + ((code - 0xd800) << 10) + (low - 0xdc00);
+    if (!take_word("\\u") || !read_four_hex_digits(low)) return false;
+    if (low < kFirstLowSurrogate || low >= kBehindSurrogates) return false;
+    code = kBehindFirstPlane + ((code - kFirstHighSurrogate) << kSurrogateBits) + (low - kFirstLowSurrogate);
   }
   append_utf8(out, code);
   return true;
@@ -145,7 +186,7 @@
   while (at_ < text_.size()) {
     std::size_t end = at_;
     while (end < text_.size() && text_[end] != '"' && text_[end] != '\\') {
-      if (static_cast<unsigned char>(text_[end]) < ' ') return false;
+      if (is_control(text_[end])) return false;
       ++end;
     }
     out.append(text_, at_, end - at_);
@@ -157,16 +198,19 @@
   return false;
 }
 
+bool JsonCursor::skip_array() {
+  if (!enter('[')) return false;
+  if (take(']')) return leave();
+  do {
+    if (!skip_value()) return false;
+  } while (take(','));
+  return take(']') && leave();
+}
+
 bool JsonCursor::skip_value() {
   switch (next_kind()) {
     case JsonKind::kObject: return read_object([this](const std::string&) { return skip_value(); });
-    case JsonKind::kArray:
-      if (!enter('[')) return false;
-      if (take(']')) return leave();
-      do {
-        if (!skip_value()) return false;
-      } while (take(','));
-      return take(']') && leave();
+    case JsonKind::kArray: return skip_array();
     case JsonKind::kString: {
       std::string ignored;
       return read_string(ignored);
@@ -186,16 +230,17 @@
 }
 
 void append_quoted(std::string& out, std::string_view text) {
-  static constexpr char kHex[] = "0123456789abcdef";
+  static constexpr std::string_view kDigits = "0123456789abcdef";
   out += '"';
   for (const char c : text) {
     if (c == '"' || c == '\\') {
       out += '\\';
       out += c;
-    } else if (static_cast<unsigned char>(c) < ' ') {
+    } else if (is_control(c)) {
+      const auto code = static_cast<unsigned char>(c);
       out += "\\u00";
-      out += kHex[c >> 4];
-      out += kHex[c & 15];
+      out += kDigits[code >> 4];
+      out += kDigits[code & 15];
     } else {
       out += c;
     }
