--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -2,36 +2,40 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
+#include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
+#include <optional>
 
 #include "wire/base64.h"
 #include "wire/json.h"
+#include "wire/lines.h"
 
 namespace damsonspoke::wire {
 namespace {
 
-constexpr std::size_t kMaxHeadBytes = 1024;  // bytes; the one field that counts takes 30
-constexpr std::size_t kMaxFrameBodyBytes =
-    8 * 1024;  // bytes; a body of 2 KiB in base64 with its fields is under 4
-constexpr std::size_t kMaxBodyBytes = 2 * 1024;      // bytes, as the protocol allows
-constexpr double kMaxSizeKb = 2000;                  // under this, as the protocol allows
-constexpr double kMaxUnixMs = 9e15;                  // whole milliseconds that a double can hold
-constexpr double kIdBound = 9007199254740992.0;      // 2^53: above it a number is no longer exact
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::size_t kMaxHeadBytes = 1024;       // the one field that counts takes 30
+constexpr std::size_t kMaxFrameBodyBytes = 8192;  // a request's body in base64 with its fields is under 4 KiB
+constexpr std::size_t kMaxBodyBytes = 2 * 1024;   // as the protocol allows
+constexpr double kMaxSizeKb = 2000;               // as the protocol allows
+constexpr double kMaxUnixMs = 9e15;               // whole milliseconds that a double can hold
 constexpr double kMaxDurationMs = 24 * 3600 * 1000;  // nobody waits longer than a day
+constexpr double kIdBound = 9007199254740992.0;      // 2^53: from there on a number is no longer exact
+constexpr double kMaxCaller = std::numeric_limits<std::uint32_t>::max();
 
-bool same_name(std::string_view a, std::string_view b) {
-  if (a.size() != b.size()) return false;
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    const char c = a[i] >= 'A' && a[i] <= 'Z' ? static_cast<char>(a[i] + ('a' - 'A')) : a[i];
-    if (c != b[i]) return false;
-  }
-  return true;
+char to_lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; }
+
+// `lower`: in lower case.
+bool is_header_name(std::string_view name, std::string_view lower) {
+  return std::equal(name.begin(), name.end(), lower.begin(), lower.end(),
+                    [](char a, char b) { return to_lower(a) == b; });
 }
 
 std::string_view trimmed(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  while (text.starts_with(' ') || text.starts_with('\t')) text.remove_prefix(1);
+  while (text.ends_with(' ') || text.ends_with('\t')) text.remove_suffix(1);
   return text;
 }
 
@@ -39,168 +43,230 @@
   return fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
 }
 
-// Values of a wrong kind are passed over and reported, so that the id can still be found behind them.
-class Fields {
+// False: the line is no header field, or its length of the body is invalid or the second one.
+bool read_header_field(std::string_view line, std::optional<std::size_t>& body_bytes) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return false;
+  if (!is_header_name(line.substr(0, colon), "content-length")) return true;
+  std::size_t length = 0;
+  const bool is_valid = parse_number(trimmed(line.substr(colon + 1)), length) && length <= kMaxFrameBodyBytes;
+  if (!is_valid || body_bytes) return false;
+  body_bytes = length;
+  return true;
+}
+
+// The lines before the body, up to an empty one.
+struct Head {
+  Framing state = Framing::kNeedMore;
+  std::size_t length = 0;
+  std::size_t body_bytes = 0;
+};
+
+Head read_head(std::string_view input) {
+  Head head;
+  std::optional<std::size_t> body_bytes;
+  for (;;) {
+    const std::size_t end = input.substr(0, kMaxHeadBytes).find(kLineEnd, head.length);
+    if (end == std::string_view::npos) {
+      if (input.size() >= kMaxHeadBytes) head.state = Framing::kBroken;
+      return head;
+    }
+    const std::string_view line = input.substr(head.length, end - head.length);
+    head.length = end + kLineEnd.size();
+    if (line.empty()) break;
+    if (!read_header_field(line, body_bytes)) {
+      head.state = Framing::kBroken;
+      return head;
+    }
+  }
+  head.state = body_bytes ? Framing::kFrame : Framing::kBroken;
+  head.body_bytes = body_bytes.value_or(0);
+  return head;
+}
+
+// Reads the members of a request's params. A value of a wrong kind or out of range is passed over and
+// remembered, so that the id can still be found behind it.
+class ParamsReader {
  public:
-  explicit Fields(JsonCursor& in) : in_(in) {}
-  bool sound() const { return sound_; }
+  ParamsReader(JsonCursor& in, std::string_view key_param, RpcRequest& out)
+      : in_(in), key_param_(key_param), out_(out) {}
+
+  // Whether all values so far were valid.
+  [[nodiscard]] bool are_valid() const { return are_valid_; }
+
+  // Takes the value of a member; false: the text is damaged.
+  bool read_member(std::string_view name) {
+    if (name == "txn") return read_hex(out_.request_id, out_.has_request_id);
+    if (name == "item") return read_hex(out_.subject, out_.has_subject);
+    if (name == "door") return read_number(out_.received_at_ms, 0, kMaxUnixMs);
+    if (name == "limit") return read_number(out_.client_timeout_ms, 0, kMaxDurationMs);
+    if (name == "ram") return read_number(out_.size_kb, 0, kMaxSizeKb);
+    if (name == "cpu" || name == "work") return read_number(out_.work_ms, 0, kMaxDurationMs);
+    if (name == "probe") return read_boolean(out_.wants_work);
+    if (name == "arg") return read_body();
+    if (name == "team") return read_text(out_.tenant);
+    if (name == "second") return read_flag(out_.is_retry);
+    if (!key_param_.empty() && name == key_param_) return read_key();
+    if (name == "lb") return read_caller();
+    return in_.skip_value();
+  }
 
-  bool number(double& out, double least, double most) {
-    if (in_.next_kind() != JsonKind::kNumber) return wrong();
+ private:
+  bool skip_invalid() {
+    are_valid_ = false;
+    return in_.skip_value();
+  }
+
+  bool read_number(double& out, double min, double max) {
+    if (in_.next_kind() != JsonKind::kNumber) return skip_invalid();
     if (!in_.read_number(out)) return false;
-    if (!(out >= least && out <= most)) sound_ = false;
+    if (out < min || out > max) are_valid_ = false;
     return true;
   }
-  bool hex(std::uint64_t& out, bool& has) {
+
+  bool read_hex(std::uint64_t& out, bool& has_value) {
+    if (in_.next_kind() != JsonKind::kString) return skip_invalid();
     std::string text;
-    if (in_.next_kind() != JsonKind::kString) return wrong();
     if (!in_.read_string(text)) return false;
-    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
-    has = text.size() == 16 && error == std::errc() && stop == text.data() + text.size();
-    if (!has) sound_ = false;
+    has_value = parse_id(text, out);
+    if (!has_value) are_valid_ = false;
     return true;
   }
-  bool text(std::string& out, bool& has) {
-    if (in_.next_kind() != JsonKind::kString) return wrong();
-    has = true;
-    out.clear();
-    return in_.read_string(out);
+
+  bool read_text(std::string& out) {
+    return in_.next_kind() == JsonKind::kString ? in_.read_string(out) : skip_invalid();
   }
-  bool boolean(bool& out) {
-    if (in_.next_kind() != JsonKind::kBool) return wrong();
-    return in_.read_boolean(out);
+
+  bool read_boolean(bool& out) {
+    return in_.next_kind() == JsonKind::kBool ? in_.read_boolean(out) : skip_invalid();
   }
-  // A mark that is set or not: 0 or 1, as a number or as JSON's own words.
-  bool mark(bool& out) {
+
+  // Set or not: 0 or 1, as a number or as JSON's own words.
+  bool read_flag(bool& out) {
     if (in_.next_kind() == JsonKind::kBool) return in_.read_boolean(out);
     double value = 0;
-    if (!number(value, 0, 1)) return false;
+    if (!read_number(value, 0, 1)) return false;
     out = value > 0;
     return true;
   }
-  bool body(std::string& out) {
+
+  bool read_body() {
+    if (in_.next_kind() != JsonKind::kString) return skip_invalid();
     std::string text;
-    if (in_.next_kind() != JsonKind::kString) return wrong();
     if (!in_.read_string(text)) return false;
-    if (!decode_base64(text, out) || out.size() > kMaxBodyBytes) sound_ = false;
+    if (!decode_base64(text, out_.body) || out_.body.size() > kMaxBodyBytes) are_valid_ = false;
     return true;
   }
 
+  bool read_key() {
+    if (in_.next_kind() != JsonKind::kString) return skip_invalid();
+    out_.has_idempotency_key = true;
+    return in_.read_string(out_.idempotency_key);
+  }
+
+  bool read_caller() {
+    double value = 0;
+    if (!read_number(value, 0, kMaxCaller)) return false;
+    if (value >= 0 && value <= kMaxCaller) out_.caller = static_cast<std::uint32_t>(value);
+    return true;
+  }
+
+  JsonCursor& in_;
+  const std::string_view key_param_;
+  RpcRequest& out_;
+  bool are_valid_ = true;
+};
+
+// Reads a message. As with params, a member of a wrong kind is passed over and remembered.
+class RequestReader {
+ public:
+  RequestReader(std::string_view text, std::string_view key_param, RpcRequest& out)
+      : in_(text), params_(in_, key_param, out), out_(out) {}
+
+  RpcProblem read() {
+    if (in_.next_kind() != JsonKind::kObject)
+      return in_.skip_value() && in_.at_end() ? RpcProblem::kNoRequest : RpcProblem::kNoJson;
+    const bool is_complete =
+        in_.read_object([this](const std::string& name) { return read_member(name); }) && in_.at_end();
+    if (!is_complete) return RpcProblem::kNoJson;
+    if (!has_version_ || !are_kinds_valid_ || out_.method.empty()) return RpcProblem::kNoRequest;
+    return params_.are_valid() ? RpcProblem::kNone : RpcProblem::kBadParams;
+  }
+
  private:
-  bool wrong() {
-    sound_ = false;
+  // False: the text is damaged.
+  bool read_member(std::string_view name) {
+    if (name == "jsonrpc") return read_version();
+    if (name == "method") return read_method();
+    if (name == "id") return read_id();
+    if (name == "params") return read_params();
     return in_.skip_value();
   }
-  JsonCursor& in_;
-  bool sound_ = true;
+
+  bool skip_invalid() {
+    are_kinds_valid_ = false;
+    return in_.skip_value();
+  }
+
+  bool read_version() {
+    if (in_.next_kind() != JsonKind::kString) return skip_invalid();
+    std::string version;
+    if (!in_.read_string(version)) return false;
+    has_version_ = version == "2.0";
+    return true;
+  }
+
+  bool read_method() {
+    return in_.next_kind() == JsonKind::kString ? in_.read_string(out_.method) : skip_invalid();
+  }
+
+  bool read_id() {
+    out_.is_notification = false;
+    if (in_.next_kind() != JsonKind::kNumber) return skip_invalid();
+    double value = 0;
+    if (!in_.read_number(value)) return false;
+    out_.has_id = value >= 1 && value < kIdBound && value == std::floor(value);
+    if (out_.has_id) out_.id = static_cast<std::uint64_t>(value);
+    return true;
+  }
+
+  bool read_params() {
+    if (in_.next_kind() != JsonKind::kObject) return skip_invalid();
+    return in_.read_object([this](const std::string& name) { return params_.read_member(name); });
+  }
+
+  JsonCursor in_;
+  ParamsReader params_;
+  RpcRequest& out_;
+  bool has_version_ = false;
+  bool are_kinds_valid_ = true;
 };
 
 }  // namespace
 
 Frame next_frame(std::string_view input) {
   Frame frame;
-  std::size_t at = 0, length = 0;
-  bool has_length = false;
-  for (;;) {
-    const std::size_t end = input.substr(0, kMaxHeadBytes).find("\r\n", at);
-    if (end == std::string_view::npos) {
-      if (input.size() >= kMaxHeadBytes) frame.state = Framing::kBroken;
-      return frame;
-    }
-    const std::string_view line = input.substr(at, end - at);
-    at = end + 2;
-    if (line.empty()) break;
-    const std::size_t colon = line.find(':');
-    frame.state = Framing::kBroken;
-    if (colon == std::string_view::npos) return frame;
-    if (same_name(line.substr(0, colon), "content-length")) {
-      const std::string_view value = trimmed(line.substr(colon + 1));
-      const auto [stop, error] = std::from_chars(value.data(), value.data() + value.size(), length);
-      const bool sound = !value.empty() && value.front() != '-' && error == std::errc() &&
-                         stop == value.data() + value.size() && length <= kMaxFrameBodyBytes;
-      if (!sound || has_length) return frame;
-      has_length = true;
-    }
-    frame.state = Framing::kNeedMore;
-  }
-  if (!has_length) {
-    frame.state = Framing::kBroken;
+  const Head head = read_head(input);
+  if (head.state != Framing::kFrame) {
+    frame.state = head.state;
     return frame;
   }
-  if (input.size() - at < length) return frame;
+  if (input.size() - head.length < head.body_bytes) return frame;
   frame.state = Framing::kFrame;
-  frame.body = input.substr(at, length);
-  frame.length = at + length;
+  frame.body = input.substr(head.length, head.body_bytes);
+  frame.length = head.length + head.body_bytes;
   return frame;
 }
 
 bool is_param(std::string_view name) {
-  constexpr std::string_view kNames[] = {"txn",  "door",  "lb",  "limit", "ram",    "work", "standing",
-                                         "item", "probe", "arg", "team",  "second", "cpu"};
-  for (const std::string_view known : kNames) {
-    if (name == known) return true;
-  }
-  return false;
+  static constexpr std::array<std::string_view, 13> kNames = {"txn",  "door",     "lb",   "limit", "ram",
+                                                              "work", "standing", "item", "probe", "arg",
+                                                              "team", "second",   "cpu"};
+  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
 }
 
 RpcProblem decode_request(std::string_view text, RpcRequest& out, std::string_view key_param) {
-  JsonCursor in(text);
-  if (in.next_kind() != JsonKind::kObject)
-    return in.skip_value() && in.at_end() ? RpcProblem::kNoRequest : RpcProblem::kNoJson;
-  bool version = false, shape = true;
-  Fields params(in);
-  const auto param = [&](const std::string& key) {
-    double number = 0;
-    if (key == "txn") return params.hex(out.request_id, out.has_request_id);
-    if (key == "item") return params.hex(out.subject, out.has_subject);
-    if (key == "door") return params.number(out.received_at_ms, 0, kMaxUnixMs);
-    if (key == "limit") return params.number(out.client_timeout_ms, 0, kMaxDurationMs);
-    if (key == "ram") return params.number(out.size_kb, 0, kMaxSizeKb);
-    if (key == "cpu" || key == "work") return params.number(out.work_ms, 0, kMaxDurationMs);
-    if (key == "probe") return params.boolean(out.wants_work);
-    if (key == "arg") return params.body(out.body);
-    if (key == "team") {
-      bool told = false;
-      return params.text(out.tenant, told);
-    }
-    if (key == "second") return params.mark(out.is_retry);
-    if (!key_param.empty() && key == key_param)
-      return params.text(out.idempotency_key, out.has_idempotency_key);
-    if (key != "lb") return in.skip_value();
-    if (!params.number(number, 0, 4294967295.0)) return false;
-    if (number >= 0 && number <= 4294967295.0) out.caller = static_cast<std::uint32_t>(number);
-    return true;
-  };
-  const bool whole = in.read_object([&](const std::string& key) {
-    if (key == "jsonrpc") {
-      std::string value;
-      if (in.next_kind() != JsonKind::kString) return shape = false, in.skip_value();
-      if (!in.read_string(value)) return false;
-      version = value == "2.0";
-      return true;
-    }
-    if (key == "method") {
-      if (in.next_kind() != JsonKind::kString) return shape = false, in.skip_value();
-      return in.read_string(out.method);
-    }
-    if (key == "id") {
-      out.is_notification = false;
-      double value = 0;
-      if (in.next_kind() != JsonKind::kNumber) return shape = false, in.skip_value();
-      if (!in.read_number(value)) return false;
-      out.has_id = value >= 1 && value < kIdBound && value == std::floor(value);
-      if (out.has_id) out.id = static_cast<std::uint64_t>(value);
-      return true;
-    }
-    if (key == "params") {
-      if (in.next_kind() != JsonKind::kObject) return shape = false, in.skip_value();
-      return in.read_object(param);
-    }
-    return in.skip_value();
-  });
-  if (!whole || !in.at_end()) return RpcProblem::kNoJson;
-  if (!version || !shape || out.method.empty()) return RpcProblem::kNoRequest;
-  return params.sound() ? RpcProblem::kNone : RpcProblem::kBadParams;
+  return RequestReader(text, key_param, out).read();
 }
 
 std::string encode_result(std::uint64_t id, std::string_view body) {
@@ -230,8 +296,8 @@
                             static_cast<int>(RpcError::kRejected), data));
 }
 
-std::string encode_health(std::uint64_t id, bool pass) {
-  return framed(fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"pass":{}}}}})", id, pass));
+std::string encode_health(std::uint64_t id, bool is_healthy) {
+  return framed(fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"pass":{}}}}})", id, is_healthy));
 }
 
 std::string encode_drain_notice() { return framed(R"({"jsonrpc":"2.0","method":"noMore"})"); }
