--- a/src/wire/dependency_lines.cpp
+++ b/src/wire/dependency_lines.cpp
@@ -2,22 +2,35 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace damsonspoke::wire {
 namespace {
 
 constexpr std::size_t kIdDigits = 16;
-constexpr std::size_t kMaxReplyLineBytes = 64;  // bytes; id, word and length take half of that
+constexpr std::size_t kMaxReplyLineBytes = 64;  // id, word and length take half of that
+
+bool is_hex_digit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
 
 // Whether what has come so far can be the beginning of a reply. Guards against noise and lines without an
 // end, which would otherwise be waited for.
 bool may_begin_reply(std::string_view input) {
-  for (std::size_t i = 0; i < input.size() && i < kIdDigits; ++i) {
-    const char c = input[i];
-    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'))) return false;
-  }
+  const std::string_view id = input.substr(0, kIdDigits);
+  if (!std::all_of(id.begin(), id.end(), is_hex_digit)) return false;
   return input.size() <= kIdDigits || (input[kIdDigits] == ' ' && input.size() <= kMaxReplyLineBytes);
 }
 
+CallEnd call_end_of(std::string_view word) {
+  if (word == "ok") return CallEnd::kOk;
+  if (word == "overload") return CallEnd::kRefused;
+  if (word == "internal") return CallEnd::kFailed;
+  if (word == "deadline") return CallEnd::kTimedOut;
+  if (word == "stale") return CallEnd::kObsolete;
+  return CallEnd::kUnknown;
+}
+
 }  // namespace
 
 ReplyRead next_reply(std::string_view input) {
@@ -27,8 +40,8 @@
   read.length = line.length;
   if (line.state == LineState::kNeedMore && !may_begin_reply(input)) read.state = LineState::kBroken;
   if (line.state != LineState::kLine || line.words.size() < 2) return read;
-  const std::string_view word = line.words[1];
-  if (word == "ok") {
+  const CallEnd end = call_end_of(line.words[1]);
+  if (end == CallEnd::kOk) {
     if (line.words.size() != 3) {
       read.state = LineState::kBroken;  // a payload of unknown length follows
       return read;
@@ -39,19 +52,14 @@
     read.body = payload.bytes;
     read.length += payload.length;
   }
-  if (!parse_id(line.words[0], read.id)) return read;
-  read.end = word == "ok"         ? CallEnd::kOk
-             : word == "overload" ? CallEnd::kRefused
-             : word == "internal" ? CallEnd::kFailed
-             : word == "deadline" ? CallEnd::kTimedOut
-             : word == "stale"    ? CallEnd::kObsolete
-                                  : CallEnd::kUnknown;
+  if (parse_id(line.words[0], read.id)) read.end = end;
   return read;
 }
 
 std::string encode_call(std::uint64_t id, std::uint64_t timeout_ms, std::string_view body) {
   return fmt::format("invoke {:016x} {} {}\r\n{}\r\n", id, timeout_ms, body.size(), body);
 }
+
 std::string encode_cancel(std::uint64_t id) { return fmt::format("cancel {:016x}\r\n", id); }
 
 }  // namespace damsonspoke::wire
