--- a/src/wire/lines.cpp
+++ b/src/wire/lines.cpp
@@ -7,28 +7,35 @@
 namespace damsonspoke::wire {
 namespace {
 
-constexpr std::size_t kMaxLineBytes = 4096;          // bytes; a remark may be long, nothing else is
-constexpr std::size_t kMaxPayloadBytes = 64 * 1024;  // bytes; bodies hold 4 KiB at most
+constexpr std::size_t kMaxLineBytes = 4096;          // a remark may be long, nothing else is
+constexpr std::size_t kMaxPayloadBytes = 64 * 1024;  // bodies hold 4 KiB at most
+constexpr std::size_t kIdDigits = 16;
+constexpr std::string_view kLineEnd = "\r\n";
+
+std::vector<std::string_view> split(std::string_view line) {
+  std::vector<std::string_view> words;
+  while (!line.empty()) {
+    const std::size_t blank = line.find(' ');
+    const std::string_view word = line.substr(0, blank);
+    if (!word.empty()) words.push_back(word);
+    if (blank == std::string_view::npos) break;
+    line.remove_prefix(blank + 1);
+  }
+  return words;
+}
 
 }  // namespace
 
 WordLine next_line(std::string_view input) {
   WordLine line;
-  const std::size_t end = input.substr(0, kMaxLineBytes).find("\r\n");
+  const std::size_t end = input.substr(0, kMaxLineBytes).find(kLineEnd);
   if (end == std::string_view::npos) {
     if (input.size() >= kMaxLineBytes) line.state = LineState::kBroken;
     return line;
   }
-  std::string_view rest = input.substr(0, end);
-  while (!rest.empty()) {
-    const std::size_t blank = rest.find(' ');
-    const std::string_view word = rest.substr(0, blank);
-    if (!word.empty()) line.words.push_back(word);
-    if (blank == std::string_view::npos) break;
-    rest.remove_prefix(blank + 1);
-  }
   line.state = LineState::kLine;
-  line.length = end + 2;
+  line.length = end + kLineEnd.size();
+  line.words = split(input.substr(0, end));
   return line;
 }
 
@@ -39,10 +46,10 @@
     payload.state = LineState::kBroken;
     return payload;
   }
-  if (input.size() < size + 2) return payload;
-  const bool ends = input.substr(size, 2) == "\r\n";
-  payload.state = ends ? LineState::kLine : LineState::kBroken;
-  payload.length = size + 2;
+  if (input.size() < size + kLineEnd.size()) return payload;
+  const bool is_ended = input.substr(size).starts_with(kLineEnd);
+  payload.state = is_ended ? LineState::kLine : LineState::kBroken;
+  payload.length = size + kLineEnd.size();
   payload.bytes = input.substr(0, size);
   return payload;
 }
@@ -53,7 +60,7 @@
 }
 
 bool parse_id(std::string_view text, std::uint64_t& out) {
-  return text.size() == 16 && parse_number(text, out, 16);
+  return text.size() == kIdDigits && parse_number(text, out, 16);
 }
 
 std::string format_id(std::uint64_t id) { return fmt::format("{:016x}", id); }
