--- a/src/wire/registry_report.h
+++ b/src/wire/registry_report.h
@@ -1,4 +1,4 @@
-// The datagram by which a backend reports to the roster.
+// The datagram by which a backend reports to the registry.
 #pragma once
 
 #include <string>
@@ -6,7 +6,8 @@
 
 namespace damsonspoke::wire {
 
-inline std::string encode_report(std::string_view name, bool takes_work) {
+// `name`: of the backend, as the registry knows it; `takes_work`: whether callers should send requests to it.
+[[nodiscard]] inline std::string encode_report(std::string_view name, bool takes_work) {
   return "HERE " + std::string(name) + (takes_work ? " on" : " off");
 }
 
