--- a/src/wire/base64.cpp
+++ b/src/wire/base64.cpp
@@ -1,67 +1,74 @@
 #include "wire/base64.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace damsonspoke::wire {
 namespace {
 
-constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+constexpr std::string_view kAlphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+constexpr std::size_t kBytesPerGroup = 3;
+constexpr std::size_t kDigitsPerGroup = 4;
+constexpr int kBitsPerByte = 8;
+constexpr int kBitsPerDigit = 6;
+constexpr std::uint32_t kDigitMask = 63;
+constexpr std::uint32_t kByteMask = 0xff;
+constexpr char kPadding = '=';
 
-constexpr std::array<std::int8_t, 256> make_values() {
+// The value of each character as a digit; < 0: it is none.
+constexpr std::array<std::int8_t, 256> make_digit_values() {
   std::array<std::int8_t, 256> values{};
-  for (auto& value : values) value = -1;
-  for (int i = 0; i < 64; ++i) values[static_cast<unsigned char>(kDigits[i])] = static_cast<std::int8_t>(i);
+  values.fill(-1);
+  for (std::size_t i = 0; i < kAlphabet.size(); ++i)
+    values[static_cast<unsigned char>(kAlphabet[i])] = static_cast<std::int8_t>(i);
   return values;
 }
-constexpr auto kValues = make_values();
+constexpr std::array<std::int8_t, 256> kDigitValues = make_digit_values();
+
+// Appends the four characters of one to three bytes.
+void append_group(std::string& out, std::string_view bytes) {
+  std::uint32_t bits = 0;
+  for (std::size_t i = 0; i < kBytesPerGroup; ++i)
+    bits = bits << kBitsPerByte | (i < bytes.size() ? static_cast<unsigned char>(bytes[i]) : 0u);
+  for (std::size_t i = 0; i < kDigitsPerGroup; ++i) {
+    const std::uint32_t digit = bits >> kBitsPerDigit * (kDigitsPerGroup - 1 - i) & kDigitMask;
+    out += i <= bytes.size() ? kAlphabet[digit] : kPadding;
+  }
+}
+
+std::size_t count_padding(std::string_view text) {
+  if (text.ends_with("==")) return 2;
+  return text.ends_with(kPadding) ? 1 : 0;
+}
 
 }  // namespace
 
 void append_base64(std::string& out, std::string_view bytes) {
-  out.reserve(out.size() + (bytes.size() + 2) / 3 * 4);
-  std::size_t i = 0;
-  const auto at = [&](std::size_t k) {
-    return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[k]));
-  };
-  for (; i + 3 <= bytes.size(); i += 3) {
-    const std::uint32_t group = at(i) << 16 | at(i + 1) << 8 | at(i + 2);
-    for (int shift = 18; shift >= 0; shift -= 6) out += kDigits[group >> shift & 63];
-  }
-  if (bytes.size() - i == 1) {
-    const std::uint32_t group = at(i) << 16;
-    out += kDigits[group >> 18 & 63];
-    out += kDigits[group >> 12 & 63];
-    out += "==";
-  } else if (bytes.size() - i == 2) {
-    const std::uint32_t group = at(i) << 16 | at(i + 1) << 8;
-    out += kDigits[group >> 18 & 63];
-    out += kDigits[group >> 12 & 63];
-    out += kDigits[group >> 6 & 63];
-    out += '=';
+  out.reserve(out.size() + (bytes.size() + kBytesPerGroup - 1) / kBytesPerGroup * kDigitsPerGroup);
+  while (!bytes.empty()) {
+    const std::string_view group = bytes.substr(0, kBytesPerGroup);
+    append_group(out, group);
+    bytes.remove_prefix(group.size());
   }
 }
 
 bool decode_base64(std::string_view text, std::string& out) {
   out.clear();
-  if (text.size() % 4 != 0) return false;
-  std::size_t padding = 0;
-  while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=') ++padding;
-  const std::string_view digits = text.substr(0, text.size() - padding);
-  out.reserve(text.size() / 4 * 3);
-  std::uint32_t group = 0;
-  int bits = 0;
-  for (const char c : digits) {
-    const auto value = kValues[static_cast<unsigned char>(c)];
+  if (text.size() % kDigitsPerGroup != 0) return false;
+  out.reserve(text.size() / kDigitsPerGroup * kBytesPerGroup);
+  std::uint32_t bits = 0;  // the lowest ones are those read last
+  int unused_bits = 0;
+  for (const char c : text.substr(0, text.size() - count_padding(text))) {
+    const std::int8_t value = kDigitValues[static_cast<unsigned char>(c)];
     if (value < 0) return false;
-    group = group << 6 | static_cast<std::uint32_t>(value);
-    bits += 6;
-    if (bits >= 8) {
-      bits -= 8;
-      out += static_cast<char>(group >> bits & 0xff);
-    }
+    bits = bits << kBitsPerDigit | static_cast<std::uint32_t>(value);
+    unused_bits += kBitsPerDigit;
+    if (unused_bits < kBitsPerByte) continue;
+    unused_bits -= kBitsPerByte;
+    out += static_cast<char>(bits >> unused_bits & kByteMask);
   }
-  return (group & ((1u << bits) - 1)) == 0;
+  return (bits & ((1u << unused_bits) - 1)) == 0;
 }
 
 }  // namespace damsonspoke::wire
