--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -49,6 +49,7 @@
 }
 
 // ---- Connections.
+
 void JsonRpcServer::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
   if (!admission_.admit(tag, accepted, clients_.size(), [this] { return evict_one(); })) return;
@@ -79,23 +80,24 @@
 bool JsonRpcServer::evict_one() {
   const double now = net::monotonic_now();
   Client* evictable = clients_.find_evictable(now, is_idle);
-  if (evictable == nullptr) {
-    const auto is_stalled = [now](const Client& client) {
-      return client.requests.empty() && client.connection->open() && client.is_silent(now) &&
-             client.is_message_incomplete() && now - client.message_started_at >= kFirstRequestGraceSeconds;
-    };
-    for (const std::uint64_t tag : clients_.idle_order()) {
-      Client* client = clients_.find(tag);
-      if (!is_stalled(*client)) continue;
-      evictable = client;
-      break;
-    }
-  }
+  if (evictable == nullptr) evictable = find_stalled(now);
   if (evictable == nullptr) return false;
   admission_.evict(*evictable);
   return true;
 }
 
+// The oldest silent connection whose first request was begun a while ago and is incomplete; null: there is
+// none.
+JsonRpcServer::Client* JsonRpcServer::find_stalled(double now) {
+  for (const std::uint64_t tag : clients_.idle_order()) {
+    Client* client = clients_.find(tag);
+    if (!client->requests.empty() || !client->connection->open() || !client->is_silent(now)) continue;
+    if (!client->is_message_incomplete()) continue;
+    if (now - client->message_started_at >= kFirstRequestGraceSeconds) return client;
+  }
+  return nullptr;
+}
+
 // The connection's place was given to another one. What it has sent is read first, so that a request among
 // that is answered.
 void JsonRpcServer::evict(std::uint64_t tag) {
@@ -111,6 +113,7 @@
 }
 
 // ---- Input.
+
 std::size_t JsonRpcServer::on_input(net::Connection& connection, std::string_view bytes) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return bytes.size();
@@ -119,10 +122,7 @@
     const wire::Frame frame = wire::next_frame(bytes.substr(used));
     if (frame.state == wire::Framing::kNeedMore) break;
     if (frame.state == wire::Framing::kBroken) {
-      counters_.add(Count::kBadFrames);
-      log_.debug("json_rpc", "connection {}: invalid frame, closed", connection.tag);
-      admission_.penalize(*client, conns::Penalty::kInvalidFrame);
-      refuse_input(*client, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
+      refuse_invalid_frame(*client);
       return bytes.size();
     }
     if (!admission_.try_read(connection)) break;
@@ -161,6 +161,13 @@
   close_if_done(client);
 }
 
+void JsonRpcServer::refuse_invalid_frame(Client& client) {
+  counters_.add(Count::kBadFrames);
+  log_.debug("json_rpc", "connection {}: invalid frame, closed", client.connection->tag);
+  admission_.penalize(client, conns::Penalty::kInvalidFrame);
+  refuse_input(client, wire::encode_error(0, wire::RpcError::kParse, "broken frame"));
+}
+
 void JsonRpcServer::on_valid_message(Client& client) {
   --client.invalid_messages;
   client.has_requested = true;
@@ -183,7 +190,7 @@
   if (problem == wire::RpcProblem::kNoJson)
     return send_error(client, number, {Count::kBadJson, wire::RpcError::kParse, "no JSON"});
   if (problem == wire::RpcProblem::kNoRequest || !message.has_id) {
-    const bool is_notification = problem == wire::RpcProblem::kNone && message.notification;
+    const bool is_notification = problem == wire::RpcProblem::kNone && message.is_notification;
     if (is_notification) return counters_.add(Count::kBadRequests);  // which gets no answer
     return send_error(client, number, {Count::kBadRequests, wire::RpcError::kRequest, "no request"});
   }
@@ -194,7 +201,7 @@
   }
   const bool has_bad_params = problem == wire::RpcProblem::kBadParams;
   if (message.method == "health") return handle_health_check(client, message, has_bad_params);
-  if (has_bad_params || !message.has_txn || message.txn == 0 || message.size_kb <= 0) {
+  if (has_bad_params || !message.has_request_id || message.request_id == 0 || message.size_kb <= 0) {
     return send_error(client, message.id, {Count::kBadParams, wire::RpcError::kParams, "bad parameters"});
   }
   handle_request(client, message);
@@ -207,7 +214,7 @@
   counters_.add(Count::kChecksRead);
   on_valid_message(client);
   client.requests[message.id] = {};
-  events_.on_health_check({client.connection->tag, message.id}, message.probe);
+  events_.on_health_check({client.connection->tag, message.id}, message.wants_work);
 }
 
 void JsonRpcServer::handle_request(Client& client, wire::RpcRequest& message) {
@@ -223,6 +230,7 @@
 }
 
 // ---- Answers.
+
 void JsonRpcServer::send(Client& client, const std::string& text) {
   if (!client.connection->open()) return;
   client.connection->send(text);
@@ -272,7 +280,7 @@
 
 void JsonRpcServer::answer_health_check(ReplyAddress reply_to, bool is_healthy) {
   if (is_healthy) counters_.add(Count::kChecksGood);
-  answer(reply_to, wire::encode_check(reply_to.number, is_healthy));
+  answer(reply_to, wire::encode_health(reply_to.number, is_healthy));
 }
 
 void JsonRpcServer::on_output_sent(net::Connection& connection) {
@@ -285,6 +293,7 @@
 }
 
 // ---- The ends of connections.
+
 void JsonRpcServer::on_end_of_input(net::Connection& connection) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return;
@@ -305,6 +314,7 @@
 }
 
 // ---- Timeouts.
+
 void JsonRpcServer::check_connections() {
   const double now = net::monotonic_now();
   for (auto& [tag, client] : clients_) {
@@ -350,11 +360,12 @@
 }
 
 // ---- Idle connections and the graceful shutdown.
+
 void JsonRpcServer::announce_drain(Client& client) {
   if (client.drain_announced_at >= 0) return;
   client.drain_announced_at = net::monotonic_now();
   counters_.add(Count::kCallersAsked);
-  send(client, wire::encode_no_more());
+  send(client, wire::encode_drain_notice());
 }
 
 void JsonRpcServer::announce_drain() {
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -14,8 +14,7 @@
 constexpr double kConnectTimeoutSeconds = 1;
 constexpr double kSilenceTimeoutSeconds = 1;  // without an answer that is owed: the link is lost
 constexpr double kSilenceCheckSeconds = 0.25;
-constexpr double kMoveSeconds =
-    0.1;  // for what the old link has taken to arrive, before the new one is opened
+constexpr double kMoveSeconds = 0.1;           // for what the old link has taken to arrive before a move
 constexpr double kGreetingLookSeconds = 0.01;  // between two looks for the `ready` of a new link
 constexpr double kGiveUpMarginSeconds = 0.05;  // behind the due time, at which the request is answered
 constexpr double kMaxGaugeAgeSeconds = 0.5;
@@ -64,6 +63,7 @@
 }
 
 // ---- The link.
+
 void RuntimeClient::connect() {
   reactor_.cancel(connect_timer_);
   next_link_ = net::Connection::connecting(reactor_, *this, net::parse_address(address_),
@@ -167,6 +167,7 @@
   gauges_requested_at_ = -1;
 }
 
+// Closes a link on which an answer is overdue: the runtime hangs, or is gone without having closed it.
 void RuntimeClient::check_silence() {
   // Before the runtime has come up for the first time it owes no answer, however long that takes.
   const bool owes_answer = link_ && was_ready_ && (!is_runtime_up_ || gauges_requested_at_ >= 0);
@@ -179,6 +180,7 @@
 }
 
 // ---- Notices.
+
 std::size_t RuntimeClient::on_input(net::Connection& connection, std::string_view bytes) {
   std::size_t used = 0;
   last_input_at_ = net::monotonic_now();
@@ -206,7 +208,7 @@
     case wire::NoticeKind::kRunEnd: return handle_run_end(notice);
     case wire::NoticeKind::kCallWanted: return handle_call_wanted(notice);
     case wire::NoticeKind::kGauges: return handle_gauges(notice);
-    case wire::NoticeKind::kVerdict: return events_.on_self_test_result(notice.tag, notice.good);
+    case wire::NoticeKind::kSelfTestResult: return events_.on_self_test_result(notice.tag, notice.is_good);
     case wire::NoticeKind::kRejection: return handle_rejection(notice);
     case wire::NoticeKind::kRemark:
       counters_.add(Count::kRuntimeInfos);
@@ -263,8 +265,8 @@
       process_.is_another_process({greeting_absent_until_, net::monotonic_now(), up_seconds});
   if (!was_ready_) {
     was_ready_ = true;
-    log_.info("runtime", "ready, {}, for {:.0f} ms", notice.cold ? "cold" : "warm", notice.ms);
-    return events_.on_runtime_ready(notice.cold, up_seconds);
+    log_.info("runtime", "ready, {}, for {:.0f} ms", notice.is_cold ? "cold" : "warm", notice.ms);
+    return events_.on_runtime_ready(notice.is_cold, up_seconds);
   }
   if (is_another) on_restart();
 }
@@ -292,11 +294,12 @@
 }
 
 // ---- Gauges.
+
 void RuntimeClient::request_gauges() {
   if (!is_runtime_up_ || gauges_requested_at_ >= 0 || !link_ || !link_->connected()) return;
   gauges_requested_at_ = net::monotonic_now();
   sent_before_gauges_ = ledger_.last_sent();
-  write(wire::encode_ask_gauges(++gauges_tag_));
+  write(wire::encode_gauges_request(++gauges_tag_));
 }
 
 void RuntimeClient::handle_gauges(const wire::Notice& notice) {
@@ -312,7 +315,8 @@
   // The ends of runs may stand behind the answer: they are read before anything is sent again.
   if (!is_synchronized_) has_missed_notices_ = true;
   if (!is_synchronized_ || !is_moving_ || next_link_) return;
-  ledger_.has_unproven() ? request_gauges() : finish_move();
+  if (ledger_.has_unproven()) return request_gauges();
+  finish_move();
 }
 
 void RuntimeClient::store_gauges(const std::vector<double>& values, double now) {
@@ -385,15 +389,15 @@
 // A reply names no call: a second one would answer the next call of its run. To skip the call names it.
 void RuntimeClient::send_reply(RequestId id, std::string_view reply, const RequestedCall& call) {
   RuntimeCommand command;
-  command.text = wire::encode_give(id, reply);
+  command.text = wire::encode_call_reply(id, reply);
   command.in_doubt = call.may_be_skipped ? InDoubt::kReplace : InDoubt::kWait;
   command.give_up_at = net::monotonic_now() + call.seconds_left + kGiveUpMarginSeconds;
-  if (call.may_be_skipped) command.replacement = wire::encode_omit(id, call.notice);
+  if (call.may_be_skipped) command.replacement = wire::encode_skip_call(id, call.notice);
   issue({id, false}, std::move(command));
 }
 
 void RuntimeClient::skip_call(RequestId id, std::uint64_t notice) {
-  issue({id, false}, repeatable(wire::encode_omit(id, notice)));
+  issue({id, false}, repeatable(wire::encode_skip_call(id, notice)));
 }
 
 void RuntimeClient::self_test(std::uint64_t tag) {
