Link crossings: a file for each kind of what is in doubt, long lists of tests wrapped

Cause: tests/link_crossings.cpp had 573 lines over four concerns, and the lists of test names in tests/CMakeLists.txt were lines of several hundred characters.

Change: tests/runtime holds starts, replies to calls, resumptions and stops, restarts and moves in a file each, and what they share in link_crossings.h. The scenarios' text is moved unchanged but for the names of a parameter and two Booleans; every CTest name and trace stays: the names of the old and new lists are the same set.

--- /dev/null
+++ b/tests/runtime/restart_crossings.cpp
@@ -0,0 +1,146 @@
+// The runtime starts anew, or moves to another address, while something is in doubt.
+#include <chrono>
+#include <csignal>
+#include <string>
+
+#include "link_crossings.h"
+
+namespace damsonspoke::testing {
+namespace {
+
+using Clock = standins::scripted::Clock;
+
+constexpr double kStoppedSeconds = 0.8;  // that the program stands still
+
+// Guards against a second run where the runtime's address changes right after a start, with the old link
+// alive.
+void start_moved(const std::string& idempotency) {
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, idempotency).c_str());
+  site.runtime_hears(2);
+  site.reload();
+  site.runtime_says_after_gauges_of_next_link(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.links", "runtime.resent"});
+}
+void moved_dedup() { start_moved(kDedup); }
+void moved_fragile() { start_moved(kFragile); }
+
+// Guards against a reply that goes to the next call, where the address changes right after a `give`.
+void reply_moved(const char* route) {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, route);
+  site.runtime_hears(2);
+  site.runtime_says("wants 1 " + kId1 + " 5\r\nfirst");
+  site.below_hears(2);
+  site.below_says(kId1 + " ok 9\r\nreply one");
+  site.runtime_hears(2);
+  site.reload();
+  site.runtime_says_after_gauges_of_next_link("wants 2 " + kId1 + " 6\r\nsecond");
+  site.runtime_comes_up("hot 900");
+  site.below_hears(2);
+  site.below_says(kId1 + " ok 9\r\nreply two");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(3, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "calls.made", "calls.ok"});
+}
+void reply_moved_skippable() { reply_moved("push"); }
+void reply_moved_needed() { reply_moved("pull"); }
+
+// Guards against a runtime that begins anew shortly after it was first heard of and passes for the first:
+// what that ran is not started on the second and fails, and the second's notices, which count from 1, are
+// heard.
+void runtime_begins_anew(const std::string& idempotency, double seconds_after_ready) {
+  const bool is_keyed = idempotency == kDedup;
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, idempotency).c_str());
+  site.runtime_hears(2);
+  site.runtime_says(ended(1, kId1));
+  site.caller_hears(caller);
+  site.send_request(caller, 2, "push",
+                    is_keyed ? R"("ram":10,"limit":800,"key":"b")" : R"("ram":10,"limit":800)");
+  site.runtime_hears(2);
+  site.pause(seconds_after_ready);
+  site.runtime_breaks();
+  site.runtime_comes_up("chilly 0");
+  how_often(site, "start " + kId2);
+  caller_fails(site, caller);
+  site.send_request(caller, 3, "push",
+                    is_keyed ? R"("ram":10,"limit":3000,"key":"c")" : R"("ram":10,"limit":3000)");
+  how_often(site, "start " + kId3, kQuietSeconds / 2);
+  site.runtime_says(ended(1, kId3));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
+}
+void anew_100ms_dedup() { runtime_begins_anew(kDedup, 0.1); }
+void anew_300ms_dedup() { runtime_begins_anew(kDedup, 0.3); }
+void anew_100ms_fragile() { runtime_begins_anew(kFragile, 0.1); }
+void anew_300ms_fragile() { runtime_begins_anew(kFragile, 0.3); }
+
+// Guards against the same runtime that is taken for another, as the program reads its `ready` late: it stands
+// still while that comes. The run goes on and answers its request.
+void ready_read_late() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const auto ready_at = Clock::now();
+  const int caller = site.connect();
+  site.send_request(caller, 1);
+  site.runtime_hears(2);
+  site.pause(kQuietSeconds);
+  site.runtime_breaks();
+  site.runtime_hears();
+  site.signal(SIGSTOP);
+  const auto up = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - ready_at);
+  site.runtime_is_ready("hot " + std::to_string(up.count()));
+  site.pause(kStoppedSeconds);
+  site.signal(SIGCONT);
+  site.pause(kQuietSeconds);
+  site.runtime_says(ended(1, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
+}
+
+// Guards against a runtime that takes the place of another at once, greets late, and passes for it: its
+// notices, numbered from 1, were not heard.
+void anew_greets_late() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kFragile).c_str());
+  site.runtime_hears(2);
+  for (int i = 1; i < 4; ++i) site.runtime_says("info " + std::to_string(i) + " a remark");
+  site.pause(kReleaseSeconds);
+  site.runtime_breaks();
+  site.runtime_hears();
+  site.pause(kQuietSeconds);
+  site.runtime_is_ready("hot 250");
+  caller_fails(site, caller);
+  site.send_request(caller, 2, "push", with_limit(1500, kFragile).c_str());
+  how_often(site, "start " + kId2);
+  site.runtime_says(ended(1, kId2));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runtime.restarts"});
+}
+
+}  // namespace
+
+std::span<const Scenario> restart_scenarios() {
+  static constexpr Scenario kScenarios[] = {
+      {"anew_greets_late", anew_greets_late},     {"moved_dedup", moved_dedup},
+      {"moved_fragile", moved_fragile},           {"reply_moved_skippable", reply_moved_skippable},
+      {"reply_moved_needed", reply_moved_needed}, {"anew_100ms_dedup", anew_100ms_dedup},
+      {"anew_300ms_dedup", anew_300ms_dedup},     {"anew_100ms_fragile", anew_100ms_fragile},
+      {"anew_300ms_fragile", anew_300ms_fragile}, {"ready_read_late", ready_read_late}};
+  return kScenarios;
+}
+
+}  // namespace damsonspoke::testing
--- /dev/null
+++ b/tests/runtime/resumption_crossings.cpp
@@ -0,0 +1,131 @@
+// Resumptions and stops in doubt as the runtime's link is lost, and resumptions that the runtime refuses.
+#include <string>
+
+#include "link_crossings.h"
+
+namespace damsonspoke::testing {
+namespace {
+
+// A paused run that is told to go on, as the link breaks.
+int resumed_then_cut(Site& site) {
+  const int caller = site.connect();
+  site.send_request(caller, 1);
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_hears();
+  site.runtime_breaks();
+  return caller;
+}
+
+// Guards against a second answer, or a failure, by a `cont` that comes a second time after the run's end.
+void resumption_crosses_end() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_says_after_gauges(ended(2, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.runtime_says("nack cont " + kId1);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a request that is answered twice, or never, where its run was paused again: the `cont` that
+// is sent a second time resumes it as well as the new one.
+void resumption_crosses_pause() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_says_after_gauges("end 2 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(3, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a paused run that nobody resumes, as its `cont` was lost.
+void resumption_lost() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = resumed_then_cut(site);
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(2, kId1));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.resumed"});
+}
+
+// Guards against a run that begins anew as it has just been stopped: start and stop are both unproven.
+void stop_crosses_end(const std::string& idempotency, const std::string& halt) {
+  Site site(R"(,"halt":")" + halt + "\"", "", routes(idempotency));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(150, idempotency).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_hears();
+  site.runtime_breaks();
+  site.runtime_says_after_gauges("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.send_request(caller, 2, "pull");
+  site.runtime_hears(2);
+  site.runtime_says(ended(2, kId2));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.stopped"});
+}
+void stop_paused_fragile() { stop_crosses_end(kFragile, "pause"); }
+void stop_dropped_fragile() { stop_crosses_end(kFragile, "drop"); }
+void stop_dropped_retryable() { stop_crosses_end(kRetryable, "drop"); }
+
+// Guards against a run that nobody stops, as its `stop` was lost.
+void stop_lost() {
+  Site site("", "", routes(kFragile));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(600, kFragile).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_hears();
+  site.runtime_breaks();
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.counters({"requests.read", "requests.failed", "runs.started", "runs.stopped", "runs.cancelled"});
+}
+
+// Guards against a key that starts anew, where its run was paused and could not be resumed: a part of it ran.
+void resumption_refused(const std::string& answer) {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kDedup).c_str());
+  site.runtime_hears(2);
+  site.runtime_says("end 1 " + kId1 + " cancelled 20 0\r\n");
+  site.runtime_hears();
+  site.runtime_says(answer);
+  caller_fails(site, caller);
+  site.send_request(caller, 2, "push", with_limit(1500, kDedup).c_str());
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.failed", "runs.started"});
+}
+void resumption_refused_nack() { resumption_refused("nack cont " + kId1); }
+void resumption_refused_unknown() { resumption_refused("end 2 " + kId1 + " unknown 0 0\r\n"); }
+
+}  // namespace
+
+std::span<const Scenario> resumption_scenarios() {
+  static constexpr Scenario kScenarios[] = {{"resumption_refused_nack", resumption_refused_nack},
+                                            {"resumption_refused_unknown", resumption_refused_unknown},
+                                            {"resumption_crosses_end", resumption_crosses_end},
+                                            {"resumption_crosses_pause", resumption_crosses_pause},
+                                            {"resumption_lost", resumption_lost},
+                                            {"stop_paused_fragile", stop_paused_fragile},
+                                            {"stop_dropped_fragile", stop_dropped_fragile},
+                                            {"stop_dropped_retryable", stop_dropped_retryable},
+                                            {"stop_lost", stop_lost}};
+  return kScenarios;
+}
+
+}  // namespace damsonspoke::testing
--- /dev/null
+++ b/tests/runtime/start_crossings.cpp
@@ -0,0 +1,188 @@
+// Starts in doubt as the runtime's link is lost: sent again or not, awaited, given up.
+#include <cstdio>
+#include <string>
+
+#include "link_crossings.h"
+
+namespace damsonspoke::testing {
+namespace {
+
+constexpr double kStepSeconds = 0.01;  // between two looks at what has come
+constexpr int kMostSteps = 200;
+
+// A request whose start the runtime has read, on a link that breaks then.
+int started_then_cut(Site& site, const std::string& idempotency, int limit_ms = 3000) {
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(limit_ms, idempotency).c_str());
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  return caller;
+}
+
+void asks_again(Site& site, int caller) {
+  site.send_request(caller, 2, "push", with_limit(3000, kDedup).c_str());
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+}
+
+// Guards against a request that runs twice: its run ends right behind the gauges of the new link, and a start
+// sent on reading these would begin it anew.
+void start_crosses_end(const std::string& idempotency) {
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  const int caller = started_then_cut(site, idempotency);
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  if (idempotency == kDedup) asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.links", "runtime.resent"});
+}
+void start_dedup() { start_crosses_end(kDedup); }
+void start_fragile() { start_crosses_end(kFragile); }
+void start_retryable() { start_crosses_end(kRetryable); }
+
+// Guards against a start that really was lost and is sent again, or holds its memory for ever: its request
+// fails when it is due, a repeat of its key starts nothing, and what needs the memory runs after that.
+void start_lost(const std::string& idempotency) {
+  const bool is_keyed = idempotency == kDedup;
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", large(600, is_keyed ? "a" : "").c_str());
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  site.runtime_comes_up("hot 900");
+  how_often(site, "start " + kId1);
+  caller_fails(site, caller);
+  how_often(site, "start " + kId1);
+  if (is_keyed) {
+    site.send_request(caller, 2, "push", large(600, "a").c_str());
+    caller_fails(site, caller);
+    how_often(site, "start");
+  }
+  site.pause(kReleaseSeconds);
+  site.send_request(caller, 3, "push", large(3000, is_keyed ? "b" : "").c_str());
+  how_often(site, "start " + kId3);
+  site.runtime_says(ended(1, kId3));
+  site.caller_hears(caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "requests.rejected"});
+}
+void lost_dedup() { start_lost(kDedup); }
+void lost_fragile() { start_lost(kFragile); }
+
+// Guards against the same where the run goes on for a while on the new link.
+void start_runs_on(const std::string& idempotency) {
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  const int caller = started_then_cut(site, idempotency);
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  site.runtime_says(ended(1, kId1));
+  site.caller_hears(caller);
+  if (idempotency == kDedup) asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.resent"});
+}
+void runs_on_dedup() { start_runs_on(kDedup); }
+void runs_on_fragile() { start_runs_on(kFragile); }
+void runs_on_retryable() { start_runs_on(kRetryable); }
+
+// Guards against a start that is taken for lost though it never was sent: it goes out once, on the new link,
+// and not again when that breaks too.
+void start_waits_for_link(const std::string& idempotency) {
+  Site site("", "", routes(idempotency));
+  site.comes_up();
+  site.runtime_breaks();
+  std::printf("the program knows: %s\n", site.expect_log("link lost").empty() ? "no" : "yes");
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, idempotency).c_str());
+  site.pause(kQuietSeconds);
+  site.runtime_comes_up("hot 900");
+  site.runtime_hears(2);
+  site.runtime_breaks();
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 1900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started"});
+}
+void waits_dedup() { start_waits_for_link(kDedup); }
+void waits_fragile() { start_waits_for_link(kFragile); }
+
+// Guards against a second run of a keyed request that is already answered; its run is not stopped then.
+void overdue_dedup() {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(150, kDedup).c_str());
+  site.runtime_hears(2);
+  site.caller_hears(caller);
+  site.runtime_breaks();
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  all_the_runtime_hears(site);
+  asks_again(site, caller);
+  site.counters({"requests.read", "requests.succeeded", "requests.failed", "runs.started", "runs.stopped"});
+}
+
+// Guards against a second run where a missing notice makes the program open the link anew right after a
+// start.
+void gap_dedup() {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", R"("ram":10,"limit":3000,"key":"a")");
+  site.runtime_hears(2);
+  site.send_request(caller, 2, "push", R"("ram":10,"limit":3000,"key":"b")");
+  site.runtime_hears(2);
+  site.runtime_says(ended(2, kId1));
+  site.runtime_says_after_gauges(ended(3, kId2));
+  site.runtime_comes_up("hot 900");
+  site.runtime_says("info 1 was missing\r\n" + ended(2, kId1));
+  site.caller_hears(caller);
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.gaps", "runtime.resent"});
+}
+
+// Guards against a start that is sent again though gauges, asked for after it, were answered before the
+// break.
+void start_proven(double seconds_before_break) {
+  Site site("", "", routes(kDedup));
+  site.comes_up();
+  const int caller = site.connect();
+  site.send_request(caller, 1, "push", with_limit(3000, kDedup).c_str());
+  site.runtime_hears(2);
+  const int answered = site.answered_gauges;
+  for (int i = 0; i < kMostSteps && site.answered_gauges == answered; ++i) site.pause(kStepSeconds);
+  std::printf("gauges answered since: %s\n", site.answered_gauges > answered ? "yes" : "no");
+  site.answers_gauges = false;
+  site.pause(seconds_before_break);
+  site.runtime_breaks();
+  site.answers_gauges = true;
+  site.runtime_says_after_gauges(ended(1, kId1));
+  site.runtime_comes_up("hot 900");
+  site.caller_hears(caller);
+  all_the_runtime_hears(site);
+  site.counters({"requests.read", "requests.succeeded", "runs.started", "runtime.resent"});
+}
+void proven_50ms() { start_proven(0.05); }
+void proven_100ms() { start_proven(0.1); }
+void proven_200ms() { start_proven(0.2); }
+
+}  // namespace
+
+std::span<const Scenario> start_scenarios() {
+  static constexpr Scenario kScenarios[] = {
+      {"start_dedup", start_dedup},         {"start_fragile", start_fragile},
+      {"start_retryable", start_retryable}, {"lost_dedup", lost_dedup},
+      {"lost_fragile", lost_fragile},       {"runs_on_dedup", runs_on_dedup},
+      {"runs_on_fragile", runs_on_fragile}, {"runs_on_retryable", runs_on_retryable},
+      {"waits_dedup", waits_dedup},         {"waits_fragile", waits_fragile},
+      {"overdue_dedup", overdue_dedup},     {"gap_dedup", gap_dedup},
+      {"proven_50ms", proven_50ms},         {"proven_100ms", proven_100ms},
+      {"proven_200ms", proven_200ms}};
+  return kScenarios;
+}
+
+}  // namespace damsonspoke::testing
