--- a/bench/ajp.cpp
+++ b/bench/ajp.cpp
@@ -73,7 +73,7 @@
   if (!server.start()) return out.broken = 1, out;
   const std::string line = server.process->expect_log("takes AJP callers");
   gateway.reach(static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(' ') + 1).c_str())), 0);
-  loop.run_until([&] { return server.roster.listed(); }, 5);
+  loop.run_until([&] { return server.registry.is_listed(); }, 5);
   const double began = server.process->processor_time();
   loop.run_for(seconds);
   out.cpu = server.process->processor_time() - began;
@@ -83,14 +83,14 @@
   loop.run_until([&] { return callers.open() == 0 && callers.still_wanted() == 0 && gateway.open() == 0; },
                  4);
   out.broken += !server.leave();
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     if (t.refused) continue;
     const bool in_time = !t.answers.empty() && t.answers[0].kind == AnswerKind::kSucceeded &&
                          t.answers[0].at - t.sent <= kTarget;
     ++out.asked, out.served += in_time;
     if (t.type != "close") continue;
     ++out.all_closes_asked, out.all_closes_served += in_time;
-    if (t.unnumbered) continue;
+    if (t.has_servers_number) continue;
     ++out.closes_asked, out.closes_served += in_time;
   }
   RuleLimits limits;
--- a/bench/conns.cpp
+++ b/bench/conns.cpp
@@ -66,7 +66,7 @@
   callers.connections = 6, callers.from = kClient, callers.seed = seed;
   Fleet fleet(kBinary, site(gate), {}, callers);
   if (!fleet.start()) return out.broken = 1, out;
-  fleet.loop.run_until([&] { return fleet.server.roster.listed(); }, 5);
+  fleet.loop.run_until([&] { return fleet.server.registry.is_listed(); }, 5);
   fleet.loop.run_for(1.5);  // the client becomes known
   Newcomers client(fleet.loop, fleet.server.port(), {kClient, 0.02, kPatience, 0});
   const double began = now(), cpu = fleet.process->processor_time();
@@ -91,7 +91,7 @@
   out.came = client.came(), out.in_time = client.in_time(), out.longest = client.longest();
   fleet.settle(4);
   out.broken += !fleet.leave();
-  for (const auto& [request, t] : fleet.journal.tries) {
+  for (const auto& [request, t] : fleet.journal.attempts) {
     if (t.sent < began || t.sent > began + seconds || t.refused) continue;
     const double worth = t.type == "close" ? 3 : 1;
     const bool served =
--- a/bench/knowledge.cpp
+++ b/bench/knowledge.cpp
@@ -122,8 +122,8 @@
     bool served = false, late = false, failed = false;
   };
   std::map<std::string, Thing> things;
-  std::map<double, const Try*> by_time;
-  for (const auto& [request, t] : journal.tries) by_time[t.sent] = &t;
+  std::map<double, const Attempt*> by_time;
+  for (const auto& [request, t] : journal.attempts) by_time[t.sent] = &t;
   std::map<std::string, bool> before;
   for (const auto& [sent, t] : by_time) {
     if (sent < from) before[t->key] = true;
--- a/bench/results.cpp
+++ b/bench/results.cpp
@@ -31,13 +31,13 @@
 
 Callers::Options load_of(double per_s, int copies, bool marked, std::uint64_t seed) {
   Flow push{"push", per_s, 1};
-  push.marked = marked;
+  push.has_key = marked;
   push.copies = copies;
   push.spread = 0.1;
   push.retries = 2;
   Flow pull = push;
   pull.type = "pull";
-  pull.marked = false;
+  pull.has_key = false;
   Callers::Options load;
   load.flows = {push, pull};
   load.seed = seed;
@@ -58,7 +58,7 @@
 
 std::vector<double> success_times(const Journal& journal) {
   std::vector<double> times;
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     for (const Answer& a : t.answers) {
       if (a.kind == AnswerKind::kSucceeded) times.push_back(a.at - t.sent);
     }
@@ -95,7 +95,7 @@
   add(sums, check_rules(fleet.journal, fleet.limits()));
   fmt::print("{:<34}{:>8} things, {:>6} tries, {:>6} runs: {:.3f} a thing\n",
              remembered ? "asked thrice, remembered" : "asked thrice, not remembered", unique.size(),
-             fleet.journal.tries.size(), fleet.journal.runs.size(), sums.calls_per_unique);
+             fleet.journal.attempts.size(), fleet.journal.runs.size(), sums.calls_per_unique);
   return sums;
 }
 
@@ -140,11 +140,11 @@
   fleet.leave();
   add(sums, check_rules(fleet.journal, fleet.limits()));
   int unknown = 0;
-  for (const auto& [request, t] : fleet.journal.tries) {
+  for (const auto& [request, t] : fleet.journal.attempts) {
     for (const Answer& a : t.answers) unknown += a.kind == AnswerKind::kUnknownOutcome;
   }
   fmt::print("{:<34}{:>8} kills, {:>6} tries, {:>6} runs, {} told that the outcome is unknown\n",
-             "killed at random", kills, fleet.journal.tries.size(), fleet.journal.runs.size(), unknown);
+             "killed at random", kills, fleet.journal.attempts.size(), fleet.journal.runs.size(), unknown);
   return sums;
 }
 
--- a/bench/scale_backend.cpp
+++ b/bench/scale_backend.cpp
@@ -91,7 +91,7 @@
   Flow flow;
   flow.type = "any";
   flow.per_s = per_s;
-  flow.patience = 0.4;
+  flow.timeout = 0.4;
   flow.type_of = [](std::uint64_t draw) { return route_name(draw % kWhole.routes); };
   flow.tenant_of = [](std::uint64_t draw) { return tenant_name(draw % kWhole.tenants); };
   Callers::Options load;
@@ -149,7 +149,7 @@
   fleet.leave();
   std::map<std::uint64_t, double> ran;  // s at the runtime, by request
   for (const RunSeen& run : fleet.journal.runs) ran[run.request] = run.ended - run.began;
-  for (const auto& [request, asked] : fleet.journal.tries) {
+  for (const auto& [request, asked] : fleet.journal.attempts) {
     if (asked.sent < begin) continue;
     ++out.wanted;
     for (const Answer& answer : asked.answers) {
--- a/bench/tier.cpp
+++ b/bench/tier.cpp
@@ -71,7 +71,7 @@
 void judge(Played& out, const Journal& journal, const RuleLimits& limits, const std::vector<double>& kills) {
   std::map<std::string, std::pair<double, bool>> things;  // importance, served
   std::map<std::string, bool> held;
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     const TypePlan& type = *std::find_if(std::begin(kTypes), std::end(kTypes),
                                          [&](const TypePlan& p) { return t.type == p.name; });
     auto& [priority_weight, served] = things[t.key];
@@ -184,7 +184,7 @@
   quick.cores = kCores, quick.work = 0.002;
   std::pair<std::vector<double>, std::vector<double>> waits;
   const auto collect = [](const Journal& journal, std::vector<double>& into) {
-    for (const auto& [request, t] : journal.tries) {
+    for (const auto& [request, t] : journal.attempts) {
       if (t.answers.size() == 1 && t.answers[0].kind == AnswerKind::kSucceeded)
         into.push_back(t.answers[0].at - t.sent);
     }
--- a/standins/ajp_gateway.cpp
+++ b/standins/ajp_gateway.cpp
@@ -147,7 +147,7 @@
   bare::Request request;
   request.uri = "/ops/" + flow.type;
   request.secret = options_.secret;
-  request.headers = {{"x-wait-ms", fmt::format("{:.0f}", flow.patience * 1000)},
+  request.headers = {{"x-wait-ms", fmt::format("{:.0f}", flow.timeout * 1000)},
                      {"x-key", key},
                      {"x-hotel", std::to_string(2 + random_() % options_.hotels)}};
   if (options_.chunked) {
@@ -165,15 +165,15 @@
     out += bare::body(body.substr(0, 8186));
     link.rest = body.size() > 8186 ? body.substr(8186) : "";
   }
-  Try seen;
+  Attempt seen;
   seen.request = id;
   seen.key = key;
   seen.type = flow.type;
   seen.life = life_;
-  seen.unnumbered = true;
+  seen.has_servers_number = true;
   seen.sent = now();
-  seen.due = seen.sent + flow.patience;
-  journal_.tries[id] = std::move(seen);
+  seen.due = seen.sent + flow.timeout;
+  journal_.attempts[id] = std::move(seen);
   ++owed_;
   loop_.send(fd, out);
 }
@@ -208,7 +208,7 @@
     case 5: break;
     default: return drop(fd), false;
   }
-  if (const auto found = journal_.tries.find(link.request); found != journal_.tries.end()) {
+  if (const auto found = journal_.attempts.find(link.request); found != journal_.attempts.end()) {
     Answer answer;
     answer.at = now();
     answer.result = link.result;
@@ -228,7 +228,7 @@
 
 void AjpGateway::drop(int fd) {
   if (const std::uint64_t request = links_.at(fd).request; request != 0) {
-    journal_.tries.at(request).lost = true;
+    journal_.attempts.at(request).lost = true;
     --owed_;
   }
   links_.erase(fd);
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -6,15 +6,18 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace damsonspoke::standins {
 namespace {
 
-constexpr std::size_t kOpenALink = 24;  // of the 32 that the protocol allows
-constexpr int kLateReaderBytes = 2048;  // under one answer: the rest waits in the server's buffer
+constexpr std::size_t kMostOpenOnLink = 24;  // of the 32 that the protocol allows
+constexpr int kLateReaderBytes = 2048;       // under one answer: the rest waits in the server's buffer
+constexpr std::uint64_t kSubjects = 8;       // of shared reads
+
+constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 std::string base64(const std::string& bytes) {
-  static constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (std::size_t i = 0; i < bytes.size(); i += 3) {
     std::uint32_t three = 0;
@@ -31,13 +34,8 @@
   std::uint32_t bits = 0;
   int have = 0;
   for (const char c : text) {
-    const int value = c >= 'A' && c <= 'Z'   ? c - 'A'
-                      : c >= 'a' && c <= 'z' ? c - 'a' + 26
-                      : c >= '0' && c <= '9' ? c - '0' + 52
-                      : c == '+'             ? 62
-                      : c == '/'             ? 63
-                                             : -1;
-    if (value < 0) break;
+    const std::size_t value = kDigits.find(c);
+    if (value == std::string_view::npos) break;
     bits = bits << 6 | static_cast<std::uint32_t>(value);
     if ((have += 6) >= 8) out += static_cast<char>(bits >> (have -= 8) & 255);
   }
@@ -54,41 +52,62 @@
   }
 }
 
+// What an answer says, as read now.
+Answer answer_in(const nlohmann::json& message) {
+  Answer answer;
+  answer.at = now();
+  if (message.contains("result")) {
+    answer.kind = AnswerKind::kSucceeded;
+    answer.result = from_base64(message["result"].value("arg", ""));
+    return answer;
+  }
+  const auto& error = message["error"];
+  answer.kind = kind_of(error.value("code", 0));
+  if (error.contains("data")) answer.retry_after = error["data"].value("later", 0.0) / 1000;
+  return answer;
+}
+
+// Whether nothing more is attempted after such an answer.
+bool is_final(AnswerKind kind) {
+  return kind == AnswerKind::kSucceeded || kind == AnswerKind::kUnknownOutcome ||
+         kind == AnswerKind::kConflict || kind == AnswerKind::kBad;
+}
+
 }  // namespace
 
 Callers::Callers(Loop& loop, Journal& journal, Options options)
     : loop_(loop), journal_(journal), options_(std::move(options)), random_(options_.seed) {
-  for (std::size_t i = 0; i < options_.flows.size(); ++i) next_thing(i);
+  for (std::size_t i = 0; i < options_.flows.size(); ++i) schedule_next_thing(i);
 }
 
 Callers::~Callers() {
   while (!links_.empty()) drop(links_.begin()->first);
 }
 
-double Callers::chance() { return std::ldexp(static_cast<double>(random_() >> 11), -53); }
+double Callers::draw() { return std::ldexp(static_cast<double>(random_() >> 11), -53); }
 
 void Callers::reach(std::uint16_t port, int server, int life) {
   const auto at = static_cast<std::size_t>(server);
   if (servers_.size() <= at) servers_.resize(at + 1);
   servers_[at] = {port, life, false};
 }
-void Callers::avoid(int server) { servers_.at(static_cast<std::size_t>(server)).avoided = true; }
-void Callers::want_more(bool more) { more_ = more; }
+void Callers::avoid(int server) { servers_.at(static_cast<std::size_t>(server)).is_avoided = true; }
+void Callers::want_more(bool more) { wants_more_ = more; }
 
 void Callers::cut_off(int server) {
   for (auto it = links_.begin(); it != links_.end();) {
     const int fd = it->first;
-    const bool of_it = it->second.server == server && !it->second.reads_late;
+    const bool is_of_it = it->second.server == server && !it->second.reads_late;
     ++it;
-    if (of_it) drop(fd);
+    if (is_of_it) drop(fd);
   }
   servers_.at(static_cast<std::size_t>(server)).port = 0;
 }
 
-int Callers::choose(int last) {
+int Callers::choose_server(int last) {
   std::vector<int> there, others;
   for (std::size_t i = 0; i < servers_.size(); ++i) {
-    if (servers_[i].port == 0 || servers_[i].avoided) continue;
+    if (servers_[i].port == 0 || servers_[i].is_avoided) continue;
     there.push_back(static_cast<int>(i));
     if (static_cast<int>(i) != last) others.push_back(static_cast<int>(i));
   }
@@ -97,101 +116,116 @@
 }
 
 // Things come at random, whatever becomes of those before: load does not wait for answers.
-void Callers::next_thing(std::size_t flow) {
-  const Flow& of = options_.flows[flow];
-  const double pause = -std::log(1 - chance()) / of.per_s;
+void Callers::schedule_next_thing(std::size_t flow) {
+  const double pause = -std::log(1 - draw()) / options_.flows[flow].per_s;
   loop_.after(pause, [this, flow] {
-    next_thing(flow);
-    if (!more_ || choose(-1) < 0) return;
-    const Flow& f = options_.flows[flow];
-    const std::uint64_t number = ++things_;
-    Thing thing;
-    thing.flow = flow;
-    const std::uint64_t subject = f.shared ? 1 + random_() % 8 : number;
-    thing.key = fmt::format("{}-{}", f.type, subject);
-    thing.body = thing.key + ' ';
-    if (thing.body.size() < f.body_bytes) thing.body.resize(f.body_bytes, 'b');
-    thing.out = f.copies;
-    ++wanted_;
-    all_[number] = std::move(thing);
-    ask_for(number);
-    for (int i = 1; i < f.copies; ++i) loop_.after(chance() * f.spread, [this, number] { ask_for(number); });
+    schedule_next_thing(flow);
+    if (wants_more_ && choose_server(-1) >= 0) begin_thing(flow);
   });
 }
 
-void Callers::ask_for(std::uint64_t number) {
-  Thing& thing = all_.at(number);
+void Callers::begin_thing(std::size_t flow) {
+  const Flow& of = options_.flows[flow];
+  const std::uint64_t number = ++things_;
+  Thing thing;
+  thing.flow = flow;
+  const std::uint64_t subject = of.shared ? 1 + random_() % kSubjects : number;
+  thing.key = fmt::format("{}-{}", of.type, subject);
+  thing.body = thing.key + ' ';
+  if (thing.body.size() < of.body_bytes) thing.body.resize(of.body_bytes, 'b');
+  thing.attempts = of.copies;
+  ++wanted_;
+  wanted_things_[number] = std::move(thing);
+  attempt(number);
+  for (int i = 1; i < of.copies; ++i) loop_.after(draw() * of.spread, [this, number] { attempt(number); });
+}
+
+void Callers::attempt(std::uint64_t number) {
+  Thing& thing = wanted_things_.at(number);
   const std::string key = thing.key, body = thing.body;
   const Flow& flow = options_.flows[thing.flow];
-  const int server = thing.tried = choose(thing.tried);
-  const std::uint64_t request = server < 0 ? 0 : send_try(flow, key, body, server, false);
+  const int server = thing.last_server = choose_server(thing.last_server);
+  const std::uint64_t request = server < 0 ? 0 : send_to(server, flow, key, body, false);
   if (request != 0) {
     thing_of_[request] = number;
     return;
   }
-  // Nobody listens: tried again as long as somebody may.
-  loop_.after(flow.pause, [this, number] { ask_for(number); });
+  // Nobody listens: once more, as long as somebody may.
+  loop_.after(flow.pause, [this, number] { attempt(number); });
 }
 
 std::uint64_t Callers::ask(const Flow& flow, const std::string& key, const std::string& body,
                            bool on_its_own) {
-  const int server = choose(-1);
-  return server < 0 ? 0 : send_try(flow, key, body, server, on_its_own);
+  const int server = choose_server(-1);
+  return server < 0 ? 0 : send_to(server, flow, key, body, on_its_own);
 }
 
-int Callers::link(int server, bool own) {
+int Callers::link_to(int server, bool is_new) {
   int count = 0, best = -1;  // the emptiest one of those there are
   for (auto& [fd, link] : links_) {
     if (link.server != server || link.reads_late) continue;
     ++count;
-    if (link.no_more || link.open.size() >= kOpenALink) continue;
+    if (link.is_draining || link.open.size() >= kMostOpenOnLink) continue;
     if (best < 0 || link.open.size() < links_.at(best).open.size()) best = fd;
   }
-  if (!own && best >= 0 && count >= options_.connections) return best;
+  if (!is_new && best >= 0 && count >= options_.connections) return best;
+  const int fd = dial(server, 0);
+  if (fd >= 0) loop_.watch(fd, [this, fd] { read(fd); });
+  return fd;
+}
+
+int Callers::dial(int server, int receive_bytes) {
   const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
-  const int fd = port == 0 ? -1 : connected_socket(port, options_.from, {0, options_.connect_patience});
+  const int fd =
+      port == 0 ? -1 : connected_socket(port, options_.from, {receive_bytes, options_.connect_timeout});
   if (fd < 0) return -1;
   ++dialled_;
   links_[fd].server = server;
-  loop_.watch(fd, [this, fd] { read(fd); });
   return fd;
 }
 
-std::uint64_t Callers::send_try(const Flow& flow, const std::string& key, const std::string& body, int server,
-                                bool own) {
-  const int fd = link(server, own);
+std::uint64_t Callers::send_to(int server, const Flow& flow, const std::string& key, const std::string& body,
+                               bool on_new_link) {
+  const int fd = link_to(server, on_new_link);
   return fd < 0 ? 0 : send_on(fd, flow, key, body);
 }
 
-std::uint64_t Callers::send_on(int fd, const Flow& flow, const std::string& key, const std::string& body) {
-  const int server = links_.at(fd).server;
-  const std::uint64_t request = (random_() & 0xffffffff00000000ULL) | next_request_++,
-                      number = next_number_++;
-  const double door = unix_now();
+std::string Callers::text_of(std::uint64_t request, std::uint64_t number, const Flow& flow,
+                             const std::string& key, const std::string& body, double received_at,
+                             std::string& type) {
   std::string more;
-  if (flow.marked) more += fmt::format(R"(,"key":"{}")", key);
+  if (flow.has_key) more += fmt::format(R"(,"key":"{}")", key);
   if (flow.shared) {
-    std::uint64_t item = 1;
-    for (const char c : key) item = item * 131 + static_cast<unsigned char>(c);
-    more += fmt::format(R"(,"item":"{:016x}")", item);
+    std::uint64_t subject = 1;
+    for (const char c : key) subject = subject * 131 + static_cast<unsigned char>(c);
+    more += fmt::format(R"(,"item":"{:016x}")", subject);
   }
   if (flow.tenant_of) more += fmt::format(R"(,"team":"{}")", flow.tenant_of(random_()));
-  const std::string type = flow.type_of ? flow.type_of(random_()) : flow.type;
-  const std::string text = fmt::format(
+  type = flow.type_of ? flow.type_of(random_()) : flow.type;
+  return fmt::format(
       R"({{"jsonrpc":"2.0","id":{},"method":"{}","params":{{"txn":"{:016x}","door":{:.0f},"lb":{},"ram":10,"limit":{:.0f}{},"arg":"{}"}}}})",
-      number, type, request, door * 1000, options_.hotels > 1 ? 1 + random_() % options_.hotels : 1,
-      flow.patience * 1000, more, base64(body));
-  Try seen;
-  seen.request = request;
-  seen.key = key;
-  seen.type = type;
-  seen.life = servers_.at(static_cast<std::size_t>(server)).life;
-  seen.sent = now();
-  seen.due = seen.sent + flow.patience;
-  seen.read_late = links_.at(fd).reads_late;
-  journal_.tries[request] = std::move(seen);
+      number, type, request, received_at * 1000, options_.hotels > 1 ? 1 + random_() % options_.hotels : 1,
+      flow.timeout * 1000, more, base64(body));
+}
+
+std::uint64_t Callers::send_on(int fd, const Flow& flow, const std::string& key, const std::string& body) {
+  const int server = links_.at(fd).server;
+  const std::uint64_t request = (random_() & 0xffffffff00000000ULL) | next_request_++,
+                      number = next_number_++;
+  const double received_at = unix_now();
+  std::string type;
+  const std::string text = text_of(request, number, flow, key, body, received_at, type);
+  Attempt sent;
+  sent.request = request;
+  sent.key = key;
+  sent.type = type;
+  sent.life = servers_.at(static_cast<std::size_t>(server)).life;
+  sent.sent = now();
+  sent.due = sent.sent + flow.timeout;
+  sent.is_read_late = links_.at(fd).reads_late;
+  journal_.attempts[request] = std::move(sent);
   links_.at(fd).open[number] = request;
-  ++owed_;
+  ++open_attempts_;
   loop_.send(fd, fmt::format("Content-Length: {}\r\n\r\n{}", text.size(), text));
   return request;
 }
@@ -203,12 +237,8 @@
 }
 
 int Callers::open_late_reader(int server, double read_at) {
-  const std::uint16_t port = servers_.at(static_cast<std::size_t>(server)).port;
-  const int fd =
-      port == 0 ? -1 : connected_socket(port, options_.from, {kLateReaderBytes, options_.connect_patience});
+  const int fd = dial(server, kLateReaderBytes);
   if (fd < 0) return -1;
-  ++dialled_;
-  links_[fd].server = server;
   links_[fd].reads_late = true;
   loop_.mute(fd);
   loop_.at(read_at, [this, fd] { loop_.watch(fd, [this, fd] { read(fd); }); });
@@ -236,69 +266,58 @@
     if (link.in.size() < head + 4 + length) break;
     const std::string text = link.in.substr(head + 4, length);
     link.in.erase(0, head + 4 + length);
-    take(link, text);
+    take_message(link, text);
   }
-  if (link.no_more && link.open.empty()) drop(fd);
+  if (link.is_draining && link.open.empty()) drop(fd);
 }
 
-void Callers::take(Link& link, const std::string& text) {
+void Callers::take_message(Link& link, const std::string& text) {
   const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
   if (!message.is_object()) return;
   if (message.value("method", "") == "noMore") {
-    link.no_more = !options_.ignores_no_more;
+    link.is_draining = !options_.ignores_no_more;
     return;
   }
   if (!message.contains("id") || !message["id"].is_number()) return;
   const auto number = message["id"].get<std::uint64_t>();
   const auto found = link.open.find(number);
   if (found == link.open.end()) {
-    // A second answer under one number breaks a rule: the journal has to know.
-    const auto before = link.answered.find(number);
-    if (before != link.answered.end())
-      journal_.tries.at(before->second).answers.push_back({now(), AnswerKind::kBad, {}});
+    note_second_answer(link, number);
     return;
   }
   const std::uint64_t request = found->second;
   link.answered[number] = request;
   link.open.erase(found);
-  --owed_;
-  Try& of = journal_.tries.at(request);
-  Answer answer;
-  answer.at = now();
-  double come_back = 0;
-  if (message.contains("result")) {
-    answer.kind = AnswerKind::kSucceeded;
-    answer.result = from_base64(message["result"].value("arg", ""));
-  } else {
-    const auto& error = message["error"];
-    answer.kind = kind_of(error.value("code", 0));
-    if (error.contains("data")) come_back = error["data"].value("later", 0.0) / 1000;
-    answer.retry_after = come_back;
-  }
-  const bool final = answer.kind == AnswerKind::kSucceeded || answer.kind == AnswerKind::kUnknownOutcome ||
-                     answer.kind == AnswerKind::kConflict || answer.kind == AnswerKind::kBad;
-  of.answers.push_back(std::move(answer));
-  if (on_answer) on_answer(of);
-  over(request, final, come_back);
+  --open_attempts_;
+  Attempt& attempt = journal_.attempts.at(request);
+  attempt.answers.push_back(answer_in(message));
+  const Answer answer = attempt.answers.back();
+  if (on_answer) on_answer(attempt);
+  end_attempt(request, is_final(answer.kind), answer.retry_after);
+}
+
+void Callers::note_second_answer(const Link& link, std::uint64_t number) {
+  const auto before = link.answered.find(number);
+  if (before != link.answered.end())
+    journal_.attempts.at(before->second).answers.push_back({now(), AnswerKind::kBad, {}});
 }
 
-// A try is over; a further one follows where nothing final came of it.
-void Callers::over(std::uint64_t request, bool final, double come_back) {
+void Callers::end_attempt(std::uint64_t request, bool is_final, double retry_after) {
   const auto found = thing_of_.find(request);
   if (found == thing_of_.end()) return;
   const std::uint64_t number = found->second;
   thing_of_.erase(found);
-  Thing& thing = all_.at(number);
+  Thing& thing = wanted_things_.at(number);
   const Flow& flow = options_.flows[thing.flow];
-  if (!final && !thing.over && thing.retries < flow.retries) {
+  if (!is_final && !thing.is_over && thing.retries < flow.retries) {
     ++thing.retries;
-    loop_.after(std::max(come_back, flow.pause) * (1 + chance()), [this, number] { ask_for(number); });
+    loop_.after(std::max(retry_after, flow.pause) * (1 + draw()), [this, number] { attempt(number); });
     return;
   }
-  if (final) thing.over = true;
-  if (--thing.out == 0) {
+  if (is_final) thing.is_over = true;
+  if (--thing.attempts == 0) {
     --wanted_;
-    all_.erase(number);
+    wanted_things_.erase(number);
   }
 }
 
@@ -308,12 +327,12 @@
   loop_.forget(fd);
   ::close(fd);
   for (const auto& [number, request] : link.open) {
-    --owed_;
-    Try& of = journal_.tries.at(request);
-    of.lost = true;
-    of.lost_at = now();
-    of.connection_was_new = link.answered.empty();
-    over(request, false, 0);
+    --open_attempts_;
+    Attempt& attempt = journal_.attempts.at(request);
+    attempt.lost = true;
+    attempt.lost_at = now();
+    attempt.connection_was_new = link.answered.empty();
+    end_attempt(request, false, 0);
   }
 }
 
--- a/standins/callers.h
+++ b/standins/callers.h
@@ -1,6 +1,6 @@
-// Callers that want things done, and ask again: each thing is wanted a few times, with or without a mark, and
-// every try and answer goes to the journal. Where several servers serve, a first try goes to any that takes
-// work, a further one to another than the last where there is one.
+// Callers that want things done, and ask again: each thing takes one or more attempts, with or without an
+// idempotency key, and every attempt and answer goes to the journal. Where several servers serve, a first
+// attempt goes to any that takes work, a further one to another than the last where there is one.
 #pragma once
 
 #include <cstdint>
@@ -18,19 +18,20 @@
 // One route as callers send it.
 struct Flow {
   std::string type;
-  double per_s = 10;     // things wanted
-  double patience = 2;   // s, told with each try
-  bool marked = false;   // tries carry the key
+  double per_s = 10;     // things that begin to be wanted, on average
+  double timeout = 2;    // s that an attempt waits for its answer
+  bool has_key = false;  // attempts carry the thing's key
   bool shared = false;   // reads of few subjects, named by `item`
-  int copies = 1;        // tries of a thing that are sent whatever comes of the others
+  int copies = 1;        // attempts at a thing that are sent whatever comes of the others
   double spread = 0.05;  // s within which they are
-  int retries = 0;       // further tries after a failure, a refusal or a lost connection
+  int retries = 0;       // further attempts after a failure, a rejection or a lost connection
   double pause = 0.05;   // s before those, at least
   std::size_t body_bytes = 32;
-  // Of a load over many routes and tenants: what a try is sent as, by a number drawn for it.
+  // Of a load over many routes and tenants: what an attempt is sent as, by a number drawn for it.
   std::function<std::string(std::uint64_t draw)> type_of = nullptr, tenant_of = nullptr;
 };
 
+// Many callers of one or more servers.
 class Callers {
  public:
   struct Options {
@@ -39,78 +40,104 @@
     std::uint64_t seed = 1;
     std::string from = "127.0.0.1";  // where they connect from
     unsigned hotels = 1;             // whose requests they pass on, as callers' numbers from 1
-    double connect_patience = 0;     // s, after which a connection counts as refused; 0: the system's
-    bool ignores_no_more = false;    // connections that were asked for no more are used until they end
+    double connect_timeout = 0;      // s, after which a connection counts as refused; 0: the system's
+    bool ignores_no_more = false;    // connections with a drain notice are used until they end
   };
+  // Things begin to be wanted at once. `loop` and `journal` outlive this.
   Callers(Loop& loop, Journal& journal, Options options);
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
   ~Callers();
 
-  // A server listens there now; its life's number in the journal.
+  // A server listens on this port now, in this life of the journal; servers are counted from 0.
   void reach(std::uint16_t port, int server, int life);
-  void cut_off(int server);                   // it has gone: connections end
-  void avoid(int server);                     // the list says that it takes no work; what is open goes on
-  void want_more(bool more);                  // new things; what was wanted is still tried
-  std::size_t open() const { return owed_; }  // tries without an answer
+  // The server has gone: connections to it end.
+  void cut_off(int server);
+  // The registry says that the server takes no work; what is open goes on.
+  void avoid(int server);
+  // Whether new things are wanted; there are attempts at those that were in any case.
+  void want_more(bool more);
+  // Attempts without an answer.
+  std::size_t open() const { return open_attempts_; }
+  // Things that are not over.
   std::size_t still_wanted() const { return wanted_; }
+  // That were ever wanted.
   std::uint64_t things() const { return things_; }
-  std::uint64_t dialled() const { return dialled_; }  // connections made
+  // Connections made so far.
+  std::uint64_t dialled() const { return dialled_; }
 
-  // One try on its own, for tests; returns its request.
+  // One attempt on its own, for tests, on a new connection or any; its request, or 0 where no server takes
+  // it.
   std::uint64_t ask(const Flow& flow, const std::string& key, const std::string& body,
                     bool on_its_own = false);
-  std::function<void(const Try&)> on_answer;
+  std::function<void(const Attempt&)> on_answer;  // called once an attempt is answered
+  // That are open to a server.
   std::size_t connections(int server) const;
-  // A connection with a small buffer of which nothing is read before that time, also when its server has gone
-  // by then; -1: none is made.
+  // Opens a connection with a small buffer of which nothing is read before that time, also when its server
+  // has gone by then; -1 where none is made.
   int open_late_reader(int server, double read_at);
-  // On such a connection; 0: it has ended.
+  // One attempt on such a connection; its request, or 0 where it has ended.
   std::uint64_t ask_on(int late_reader, const Flow& flow, const std::string& key, const std::string& body);
 
  private:
+  // What a caller wants, until nothing more is attempted for it.
   struct Thing {
     std::size_t flow = 0;
     std::string key, body;
     int retries = 0;
-    bool over = false;
-    int out = 0;     // tries in hand or to come
-    int tried = -1;  // the server of the last try
+    bool is_over = false;
+    int attempts = 0;      // in flight or to come
+    int last_server = -1;  // of the last attempt
   };
   struct Server {
     std::uint16_t port = 0;  // 0: none listens
     int life = 0;
-    bool avoided = false;
+    bool is_avoided = false;
   };
   struct Link {
     int server = 0;
     std::string in;
     std::map<std::uint64_t, std::uint64_t> open, answered;  // number to request
-    bool no_more = false;
+    bool is_draining = false;                               // it was asked to send no more here
     bool reads_late = false;
   };
   std::uint64_t send_on(int fd, const Flow& flow, const std::string& key, const std::string& body);
-  void next_thing(std::size_t flow);
-  void ask_for(std::uint64_t thing);
-  std::uint64_t send_try(const Flow& flow, const std::string& key, const std::string& body, int server,
-                         bool own_link);
-  int choose(int last);  // a server that takes work; -1: none does
-  int link(int server, bool own);
+  // The request's text on the wire, without its frame; `received_at` in s of the Unix clock. Sets the type
+  // that it is sent as.
+  std::string text_of(std::uint64_t request, std::uint64_t number, const Flow& flow, const std::string& key,
+                      const std::string& body, double received_at, std::string& type);
+  void schedule_next_thing(std::size_t flow);
+  void begin_thing(std::size_t flow);
+  void attempt(std::uint64_t thing);
+  std::uint64_t send_to(int server, const Flow& flow, const std::string& key, const std::string& body,
+                        bool on_new_link);
+  // A server that takes work, another than the last one where there is one; -1 where none does.
+  int choose_server(int last);
+  // The descriptor of a link with space for a request; -1 where none is made.
+  int link_to(int server, bool is_new);
+  // Connects; -1 where the server does not listen.
+  int dial(int server, int receive_bytes);
   void read(int fd);
-  void take(Link& link, const std::string& text);
-  void over(std::uint64_t request, bool good, double come_back);
+  void take_message(Link& link, const std::string& text);
+  // A second answer under one number breaks a rule: the journal has to know.
+  void note_second_answer(const Link& link, std::uint64_t number);
+  // An attempt is over; a further one follows where nothing final came of it.
+  void end_attempt(std::uint64_t request, bool is_final, double retry_after);
   void drop(int fd);
-  double chance();
+  // Evenly drawn from [0, 1).
+  double draw();
 
   Loop& loop_;
   Journal& journal_;
   Options options_;
   pcg64 random_;
   std::vector<Server> servers_;
-  std::map<int, Link> links_;
-  std::map<std::uint64_t, Thing> all_;               // by number
+  std::map<int, Link> links_;                        // by descriptor
+  std::map<std::uint64_t, Thing> wanted_things_;     // by number
   std::map<std::uint64_t, std::uint64_t> thing_of_;  // by request
   std::uint64_t next_request_ = 1, next_number_ = 1, things_ = 0, dialled_ = 0;
-  std::size_t owed_ = 0, wanted_ = 0;
-  bool more_ = true;
+  std::size_t open_attempts_ = 0, wanted_ = 0;
+  bool wants_more_ = true;
 };
 
 }  // namespace damsonspoke::standins
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -40,7 +40,7 @@
   Flow read{"read", 90, 1};
   Flow push{"push", 60, 1};
   Flow close{"close", 40, 1};
-  close.marked = true;
+  close.has_key = true;
   close.copies = 2;
   close.retries = 2;
   load.flows = {read, push, close};
@@ -63,7 +63,7 @@
   const bool left = fleet.leave();
   std::map<std::string, Row> rows;
   std::map<std::string, std::map<std::string, bool>> keys;
-  for (const auto& [request, t] : fleet.journal.tries) {
+  for (const auto& [request, t] : fleet.journal.attempts) {
     Row& row = rows[t.type];
     ++row.wanted;
     for (const Answer& a : t.answers) {
--- a/standins/endings_play.cpp
+++ b/standins/endings_play.cpp
@@ -59,11 +59,11 @@
     flow.retries = 2;
     flow.pause = 0.05;
   }
-  load.flows[1].marked = fleet.keeps_results;
+  load.flows[1].has_key = fleet.keeps_results;
   load.connections = 4;
   load.seed = seed;
   load.ignores_no_more = true;
-  if (fleet.is_wide) load.connect_patience = kConnectPatience;
+  if (fleet.is_wide) load.connect_timeout = kConnectPatience;
   return load;
 }
 
@@ -291,8 +291,8 @@
 
 void EndingsPlay::take_registry_down(Member& member, double seconds) {
   note(fmt::format("the registry of {} is down for {:.3f} s", member.name, seconds));
-  member.server->roster.go_down();
-  at(now() - began_ + seconds, [&member] { member.server->roster.listen(); });
+  member.server->registry.go_down();
+  at(now() - began_ + seconds, [&member] { member.server->registry.listen(); });
 }
 
 void EndingsPlay::cut_levels(const Member& planner, bool cut) {
@@ -463,7 +463,7 @@
   const bool listed = loop_.run_until(
       [this] {
         return std::all_of(members_.begin(), members_.end(), [](const auto& member) {
-          return member->name[0] == 'p' || member->server->roster.listed();
+          return member->name[0] == 'p' || member->server->registry.is_listed();
         });
       },
       kUpSeconds);
--- a/standins/endings_verdict.cpp
+++ b/standins/endings_verdict.cpp
@@ -55,7 +55,7 @@
   auto open = static_cast<std::ptrdiff_t>(member.server->process->descriptors());
   if (member.name[0] != 'p') open -= static_cast<std::ptrdiff_t>(callers_->connections(member.number));
   if (gateway_) open -= static_cast<std::ptrdiff_t>(gateway_->connections());
-  return open - static_cast<std::ptrdiff_t>(member.server->below.connections());
+  return open - static_cast<std::ptrdiff_t>(member.server->dependency.connections());
 }
 
 void EndingsPlay::count_descriptors() {
@@ -78,8 +78,8 @@
 void EndingsPlay::check_registry(std::vector<std::string>& broken) {
   for (const auto& member : members_) {
     if (member->name[0] == 'p' || !member->is_up) continue;
-    const Roster& roster = member->server->roster;
-    if (!loop_.run_until([&] { return roster.listed(); }, kQuietSeconds))
+    const Registry& registry = member->server->registry;
+    if (!loop_.run_until([&] { return registry.is_listed(); }, kQuietSeconds))
       broken.push_back(member->name + " once quiet: not listed");
   }
 }
@@ -125,7 +125,7 @@
 void EndingsPlay::check_losses(std::vector<std::string>& broken) const {
   std::set<std::uint64_t> ran;
   for (const RunSeen& run : journal_.runs) ran.insert(run.request);
-  for (const auto& [request, t] : journal_.tries) {
+  for (const auto& [request, t] : journal_.attempts) {
     for (const Answer& answer : t.answers) {
       if (answer.kind == AnswerKind::kBad)
         broken.push_back(fmt::format("{} {:016x} has an invalid answer", t.key, request));
@@ -133,7 +133,7 @@
     const Life& life = journal_.lives.at(static_cast<std::size_t>(t.life));
     if (!t.lost || life.killed || !t.answers.empty()) continue;
     if (drawn_.is_wide && drawn_.has_crowd && t.connection_was_new && !ran.contains(request)) continue;
-    if (t.lost_at - t.sent <= (t.read_late ? kLateCrossingSeconds : kCrossingSeconds)) continue;
+    if (t.lost_at - t.sent <= (t.is_read_late ? kLateCrossingSeconds : kCrossingSeconds)) continue;
     broken.push_back(fmt::format("{} {:016x} was lost in life {}, {:.0f} ms after it was sent", t.key,
                                  request, t.life, (t.lost_at - t.sent) * 1000));
   }
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -12,7 +12,10 @@
 
 namespace damsonspoke::standins {
 namespace {
-constexpr std::uint16_t kNobody = 9;  // discard: nothing here listens there
+
+constexpr std::uint16_t kDiscardPort = 9;  // nothing here listens there
+constexpr double kKillSeconds = 5;         // for a process to be gone
+
 }  // namespace
 
 Folder::Folder() {
@@ -41,9 +44,9 @@
 
 Server::Server(Loop& loop, Journal& journal, Callers& callers, std::string binary, SiteSpec spec,
                Runtime::Options runtime_options, int number)
-    : runtime(loop, journal, runtime_options),
-      below(loop, {}),
-      roster(loop),
+    : runtime(loop, journal, std::move(runtime_options)),
+      dependency(loop, {}),
+      registry(loop),
       loop_(loop),
       journal_(journal),
       callers_(callers),
@@ -55,7 +58,6 @@
   if (!spec_.operators.empty()) write_operators(spec_.operators);
 }
 
-// STORE in the text stands for the play's own store.
 void Server::write_operators(const std::string& text) {
   std::string filled = text;
   if (const std::size_t at = filled.find("STORE"); at != std::string::npos)
@@ -85,8 +87,8 @@
   const json config = {{"name", spec_.name},
                        {"listen", at(port_)},
                        {"runtime", at(runtime.port())},
-                       {"roster", at(spec_.roster_down ? kNobody : roster.port())},
-                       {"backend", at(by_way("below", below.port()))},
+                       {"roster", at(spec_.registry_is_down ? kDiscardPort : registry.port())},
+                       {"backend", at(by_way("below", dependency.port()))},
                        {"seed", "7"},
                        {"stop_ms", spec_.stop_after * 1000},
                        {"limits", {{"cores", 1}, {"memory_mb", spec_.memory_mb}, {"sockets", spec_.sockets}}},
@@ -135,24 +137,29 @@
     if (life().heard_at < 0 && line.find("notice to leave") != std::string::npos) life().heard_at = now();
   };
   if (on_spawned) on_spawned(process->pid());
-  const std::uint16_t port = listens_ = process->port();
+  const std::uint16_t port = listening_port_ = process->port();
   if (port == 0) return false;
   if (spec_.command != "plan") callers_.reach(by_way("callers", port), number_, life_);
   return true;
 }
 
 void Server::kill() {
-  if (process->over()) {  // it was no more before: that is its own end, and told as such
-    life().ended_at = now();
-    life().status = process->status();
-    if (spec_.command != "plan") callers_.cut_off(number_);
-    return;
-  }
+  if (process->over()) return note_own_end();
   life().killed = true;
   life().killed_at = now();
   process->signal(SIGKILL);
-  loop_.run_until([this] { return process->over(); }, 5);
+  loop_.run_until([this] { return process->over(); }, kKillSeconds);
   life().ended_at = now();
+  cut_callers_off();
+}
+
+void Server::note_own_end() {
+  life().ended_at = now();
+  life().status = process->status();
+  cut_callers_off();
+}
+
+void Server::cut_callers_off() {
   if (spec_.command != "plan") callers_.cut_off(number_);
 }
 
@@ -163,11 +170,8 @@
 
 bool Server::ended() {
   const bool over = loop_.run_until([this] { return process->over(); }, spec_.stop_after + 1);
-  if (!over) return false;
-  life().ended_at = now();
-  life().status = process->status();
-  if (spec_.command != "plan") callers_.cut_off(number_);
-  return true;
+  if (over) note_own_end();
+  return over;
 }
 
 bool Server::leave() {
@@ -179,11 +183,12 @@
              Callers::Options caller_options)
     : spec_(std::move(spec)),
       callers(loop, journal, std::move(caller_options)),
-      server(loop, journal, callers, std::move(binary), spec_, runtime_options) {}
+      server(loop, journal, callers, std::move(binary), spec_, std::move(runtime_options)) {}
 
-bool Fleet::settle(double patience) {
+bool Fleet::settle(double timeout_seconds) {
   callers.want_more(false);
-  return loop.run_until([this] { return callers.open() == 0 && callers.still_wanted() == 0; }, patience);
+  return loop.run_until([this] { return callers.open() == 0 && callers.still_wanted() == 0; },
+                        timeout_seconds);
 }
 
 RuleLimits Fleet::limits_of(const SiteSpec& spec) {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -1,22 +1,25 @@
 // Servers of the program among their stand-ins: each with its configuration and operators' file, its runtime,
-// layer below and roster; and how they are started, killed, told to leave and started again. A Fleet is one
-// of them with its callers, in one loop.
+// dependency and registry; and how they are started, killed, shut down gracefully and started again. A Fleet
+// is one of them with its callers, in one loop.
 #pragma once
 
+#include <fmt/format.h>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "below.h"
 #include "callers.h"
+#include "dependency.h"
 #include "journal.h"
 #include "process.h"
 #include "runtime.h"
 
 namespace damsonspoke::standins {
 
+// A route in the settings of a server.
 struct RouteSpec {
   std::string name;
   std::string idempotency = "retryable";  // dedup: keyed, fragile: non-retryable
@@ -25,27 +28,30 @@
   double priority_weight = 1;
 };
 
+// The settings of a server, and how it is started.
 struct SiteSpec {
   std::vector<RouteSpec> types;
-  double fresh = 0;                                     // s
+  double fresh = 0;                                     // s that reads may share an answer
   double slow_start_speed = 1, slow_start_seconds = 0;  // s, as the settings tell
   int cores = 2;
   double memory_mb = 192;
-  double stop_after = 2;          // s
+  double stop_after = 2;          // s after the notice to leave
   std::string operators;          // text of the operators' file; empty: none
   std::string command = "serve";  // or plan, forward
   std::string name = "n1";
   std::uint16_t port = 0;          // that it listens on; 0: as it comes
   int sockets = 512;               // descriptors that it may have
-  bool roster_down = false;        // nobody listens to its reports
+  bool registry_is_down = false;   // nobody listens to its reports
   std::vector<std::string> under;  // words before the program's own: a program that starts it
   std::string log_level = "info";
 };
 
-// A new folder under TMPDIR, gone with this.
+// A new folder under TMPDIR, deleted with this. Throws std::runtime_error where it can't be made.
 class Folder {
  public:
   Folder();
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
   ~Folder();
   std::string path(const std::string& name) const { return path_ + "/" + name; }
 
@@ -53,39 +59,49 @@
   std::string path_;
 };
 
-// One server. It shares loop, journal and callers with others, by its number.
-// A port that stays ours between two lives: below those that the system gives to whoever connects meanwhile.
+// A port that stays free for its server between two lives: below those that the system gives to whoever
+// connects meanwhile. Throws std::runtime_error where none is found.
 std::uint16_t lasting_port();
 
+// One server. It shares loop, journal and callers with others, by its number; these outlive it.
 class Server {
  public:
   Server(Loop& loop, Journal& journal, Callers& callers, std::string binary, SiteSpec spec,
          Runtime::Options runtime, int number = 0);
 
-  // False where it does not come up.
+  // Begins a new life and waits until it listens; false where it does not.
   bool start();
+  // Sends SIGKILL and waits for the end. Where the process had ended before, the journal has that as its own
+  // end.
   void kill();
-  // The notice to leave, then the end; true when it ended by itself in time.
+  // Shuts it down gracefully; true where it ended by itself in time.
   bool leave();
-  void notice();                                   // to leave; the list says so at once
-  std::uint16_t port() const { return listens_; }  // of its present life
-  bool ended();                                    // after the notice; waits up to its stop
+  // Sends the notice to leave, and does not wait.
+  void notice();
+  // That its present life listens on.
+  std::uint16_t port() const { return listening_port_; }
+  // Waits for its end after the notice; false where it has not ended 1 s after it should have.
+  bool ended();
+  // Replaces the operators' file; STORE and FOLDER in the text stand for the server's own.
   void write_operators(const std::string& text);
-  // Its runtime listens at another address, and its configuration says so from now on.
+  // Moves the runtime to another address and writes that into the configuration, which the server reads
+  // later.
   void move_runtime();
   std::string folder() const { return folder_.path("."); }
   std::string store_path() const { return folder_.path("results"); }
   std::string operators_path() const { return folder_.path("operator.conf"); }
   // Of a planner, the same in all its lives.
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
+  // Of its present life, in the journal.
+  int life_number() const { return life_; }
 
-  int life_number() const { return life_; }  // in the journal
-  // Where others reach it, or it reaches others, through something between them; told what and its port.
+  // Gives the port by which others reach it, or it reaches others, where something stands between them:
+  // "callers" or "below", and the port behind it.
   std::function<std::uint16_t(const char* what, std::uint16_t port)> way;
 
   Runtime runtime;
-  Below below;
-  Roster roster;
+  Dependency dependency;
+  Registry registry;
   std::unique_ptr<Process> process;
   std::function<void(pid_t)> on_spawned;            // each time, before it listens
   std::function<void(const std::string&)> on_line;  // each line of its log, in all its lives
@@ -94,6 +110,9 @@
   std::uint16_t by_way(const char* what, std::uint16_t port) const { return way ? way(what, port) : port; }
   void write_config();
   Life& life();
+  // The present life has ended by itself.
+  void note_own_end();
+  void cut_callers_off();
 
   Loop& loop_;
   Journal& journal_;
@@ -103,10 +122,11 @@
   const int number_;
   int life_ = -1;
   std::uint16_t port_ = 0;  // 0: the system picks one each time
-  std::uint16_t listens_ = 0;
+  std::uint16_t listening_port_ = 0;
   Folder folder_;
 };
 
+// One server with its callers, in a loop and with a journal of their own.
 class Fleet {
  public:
   Fleet(std::string binary, SiteSpec spec, Runtime::Options runtime, Callers::Options callers);
@@ -114,8 +134,8 @@
   bool start() { return server.start(); }
   void kill() { server.kill(); }
   bool leave() { return server.leave(); }
-  // No new things are wanted; goes on until all tries have ended.
-  bool settle(double patience);
+  // Wants nothing new and runs until all attempts have ended; false where they have not in so many seconds.
+  bool settle(double timeout_seconds);
   void write_operators(const std::string& text) { server.write_operators(text); }
   std::string folder() const { return server.folder(); }
   std::string store_path() const { return server.store_path(); }
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -1,5 +1,5 @@
-// What the stand-ins saw, and the four rules over it. One journal for a whole play, over all lives of the
-// program.
+// What the stand-ins saw, and the four service rules over it. One journal for a whole play, over all lives of
+// the program. Times are monotonic, in s; -1 where a time never came.
 #pragma once
 
 #include <cstdint>
@@ -10,31 +10,32 @@
 
 namespace damsonspoke::standins {
 
+// How a request was answered; kBad: by what no answer may be.
 enum class AnswerKind { kSucceeded, kRejected, kFailed, kUnknownOutcome, kConflict, kBad };
 
+// One answer, as the caller read it.
 struct Answer {
-  double at = 0;  // s, monotonic
+  double at = 0;
   AnswerKind kind = AnswerKind::kFailed;
   std::string result;
   double retry_after = 0;  // s, told with a rejection; 0: none
 };
 
-// One try of a request, as its caller saw it.
-struct Try {
+// One attempt at what a caller wants, as its caller saw it: a request of its own.
+struct Attempt {
   std::uint64_t request = 0;
-  std::string key;  // of the thing wanted; tries of one thing share it
+  std::string key;  // of what is wanted; all attempts at it share the key
   std::string type;
-  int life = 0;          // of the program, when it was sent
-  double sent = 0;       // s
-  double due = 0;        // s
-  bool lost = false;     // its connection ended before an answer
-  double lost_at = -1;   // s; when it did
-  bool refused = false;  // never sent
-  bool read_late =
-      false;  // its caller did not look at its connection for a while: the times tell when it did
+  int life = 0;  // of the program, when it was sent
+  double sent = 0;
+  double due = 0;
+  bool lost = false;  // its connection ended before an answer
+  double lost_at = -1;
+  bool refused = false;             // never sent
+  bool is_read_late = false;        // its caller read nothing for a while: the times tell when it read
   bool connection_was_new = false;  // when lost: nothing had been answered on its connection
-  bool unnumbered =
-      false;  // the program gave its request a number of its own: its runs are known by key alone
+  bool has_servers_number =
+      false;  // the program numbered its request itself: its runs are known by key alone
   std::vector<Answer> answers;
 };
 
@@ -49,29 +50,31 @@
   bool completed = false;
 };
 
-// One call that a run wanted, as the runtime saw it.
+// One call that a run made, as the runtime saw it.
 struct CallSeen {
   std::uint64_t request = 0;
   int number = 0;  // from 1, of its run
   bool replied = false;
   std::string reply;  // as it was given to the run while it waited for this call
 };
-// What its body says, and after kReplyTo the reply of a layer below that names calls.
+// The body of a call. A dependency that names calls replies with kReplyTo and that.
 std::string call_name(const CallSeen& call);
 inline constexpr char kReplyTo[] = "reply to ";
 
-// One life of the program.
+// One life of the program: a process, from its start to its end.
 struct Life {
   double began = 0;
-  double leave_at = -1;  // the notice was sent
-  double heard_at = -1;  // its log said that it heard, as read here: never sooner than it did
+  double leave_at = -1;  // the notice to leave was sent
+  double heard_at = -1;  // its log said that it heard that, as read here: never sooner than it did
   double ended_at = -1;
-  bool killed = false;  // by us
-  int status = 0;       // otherwise
-  // Times in which nothing could come of it by our own doing: it stood still, or its callers' link was cut.
+  bool killed = false;  // by the play
+  int status = 0;       // where it ended by itself
+  // Times in which it could do nothing for callers by the play's doing: it stood still, or its callers' link
+  // was cut.
   std::vector<std::pair<double, double>> out_of_reach;
   double killed_at = -1;  // SIGKILL was sent
-  bool reachable(double from, double to) const {
+  // Whether none of these times touches this one.
+  bool is_reachable(double from, double to) const {
     for (const auto& [began, ended] : out_of_reach) {
       if (from <= ended && to >= began) return false;
     }
@@ -79,14 +82,16 @@
   }
 };
 
+// All that a play records.
 struct Journal {
-  std::map<std::uint64_t, Try> tries;
+  std::map<std::uint64_t, Attempt> attempts;  // by request
   std::vector<RunSeen> runs;
   std::vector<CallSeen> calls;
   std::vector<Life> lives;
-  int most_running = 0;
+  int most_running = 0;  // requests at once
 };
 
+// What the rules allow in a play.
 struct RuleLimits {
   std::vector<std::string> keyed;   // routes that must not run twice a key
   double slack = 0.1;               // s after the due time that an answer may come
@@ -94,14 +99,15 @@
   double hearing = 0.25;            // s that the notice may take to be heard on a crowded machine
   double rounding = 0.001;          // s; callers tell in whole milliseconds when a request came
   int survivable = 0;               // requests running at once; 0: any
-  bool replies_name_calls = false;  // the layer below does: each other reply has been changed
-  // Links of runtimes are cut: a retryable request's start may be sent again after its end. Where a request's
-  // number is the program's own, its runs count as one then.
+  bool replies_name_calls = false;  // the dependency does: each other reply has been changed
+  // Links of runtimes are cut: a retryable request's start may be sent again after its end. Where the program
+  // numbers a request itself, its runs count as one then.
   bool starts_are_sent_again = false;
 };
 
+// How the rules were kept: how often each was broken, and how.
 struct Verdict {
-  std::vector<std::string> broken;  // plain words, the first few of each kind
+  std::vector<std::string> broken;  // sentences, the first five of each kind
   int double_runs = 0;
   int wrong_results = 0;
   int unanswered = 0;
@@ -111,6 +117,7 @@
   bool kept() const { return broken.empty(); }
 };
 
+// Holds the four service rules against all that was recorded.
 Verdict check_rules(const Journal& journal, const RuleLimits& limits);
 
 }  // namespace damsonspoke::standins
--- a/standins/journal_file.cpp
+++ b/standins/journal_file.cpp
@@ -36,7 +36,7 @@
     fmt::print(out, "life {} began {} notice {} killed {} ended {} status {}\n", number++,
                time_text(life.began, began), time_text(life.leave_at, began),
                time_text(life.killed_at, began), time_text(life.ended_at, began), life.status);
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     fmt::print(out, "try {:016x} {} life {} sent {} due {}", request, t.key, t.life, time_text(t.sent, began),
                time_text(t.due, began));
     if (t.lost) fmt::print(out, " lost {}", time_text(t.lost_at, began));
--- a/standins/loop.cpp
+++ b/standins/loop.cpp
@@ -17,6 +17,9 @@
 namespace damsonspoke::standins {
 namespace {
 
+constexpr int kMostTimersATurn = 1000;        // sockets are looked at between two lots of them
+constexpr double kLongestWaitSeconds = 0.01;  // until a condition is looked at again
+
 sockaddr_in loopback(std::uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -64,9 +67,9 @@
 namespace {
 
 // Whether a connection that has begun is made in time.
-bool is_made(int fd, double patience) {
+bool is_made(int fd, double timeout_seconds) {
   pollfd made{fd, POLLOUT, 0};
-  if (::poll(&made, 1, static_cast<int>(patience * 1000)) <= 0) return false;
+  if (::poll(&made, 1, static_cast<int>(timeout_seconds * 1000)) <= 0) return false;
   int error = 0;
   socklen_t size = sizeof error;
   return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
@@ -75,8 +78,8 @@
 }  // namespace
 
 int connected_socket(std::uint16_t port, const std::string& from, ConnectOptions options) {
-  const int waits = options.patience > 0 ? SOCK_NONBLOCK : 0;
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | waits, 0);
+  const int non_blocking = options.timeout > 0 ? SOCK_NONBLOCK : 0;
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | non_blocking, 0);
   const sockaddr_in address = loopback(port);
   sockaddr_in mine = loopback(0);
   ::inet_pton(AF_INET, from.c_str(), &mine.sin_addr);
@@ -84,7 +87,7 @@
   if (fd >= 0 && bytes > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
   bool good = fd >= 0 && ::bind(fd, reinterpret_cast<const sockaddr*>(&mine), sizeof mine) == 0;
   if (good && ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
-    good = waits != 0 && errno == EINPROGRESS && is_made(fd, options.patience);
+    good = non_blocking != 0 && errno == EINPROGRESS && is_made(fd, options.timeout);
   if (!good) {
     ::close(fd);
     return -1;
@@ -117,41 +120,47 @@
 
 void Loop::at(double time, std::function<void()> task) { timers_.emplace(time, std::move(task)); }
 
-void Loop::turn(double longest) {
+void Loop::turn(double longest_wait) {
   std::vector<pollfd> fds;
   for (const auto& [fd, task] : watched_) {
-    const bool waits = unsent_.contains(fd);
+    const bool has_unsent = unsent_.contains(fd);
     // A mute one is looked at only while it has something to send: its peer's end would wake us for ever.
-    if (task || waits)
-      fds.push_back({fd, static_cast<short>((task ? POLLIN : 0) | (waits ? POLLOUT : 0)), 0});
+    if (task || has_unsent)
+      fds.push_back({fd, static_cast<short>((task ? POLLIN : 0) | (has_unsent ? POLLOUT : 0)), 0});
   }
-  double wait = longest;
-  if (!timers_.empty()) wait = std::clamp(timers_.begin()->first - now(), 0.0, longest);
+  double wait = longest_wait;
+  if (!timers_.empty()) wait = std::clamp(timers_.begin()->first - now(), 0.0, longest_wait);
   timespec time{static_cast<time_t>(wait), static_cast<long>(std::fmod(wait, 1.0) * 1e9)};
   ::ppoll(fds.data(), fds.size(), &time, nullptr);
-  for (const pollfd& ready : fds) {
-    if ((ready.revents & POLLOUT) != 0 && unsent_.contains(ready.fd)) send(ready.fd, "");
-    if ((ready.revents & ~POLLOUT) == 0) continue;
-    const auto found = watched_.find(ready.fd);
-    if (found == watched_.end()) continue;
-    if (!found->second) {  // mute, and broken: nobody takes what waits
-      unsent_.erase(ready.fd);
-      continue;
-    }
-    const std::function<void()> task = found->second;  // it may forget itself
-    task();
+  for (const pollfd& ready : fds)
+    serve(ready.fd, (ready.revents & POLLOUT) != 0, (ready.revents & ~POLLOUT) != 0);
+  call_due_timers();
+}
+
+void Loop::serve(int fd, bool is_writable, bool is_readable) {
+  if (is_writable && unsent_.contains(fd)) send(fd, "");
+  const auto found = watched_.find(fd);
+  if (!is_readable || found == watched_.end()) return;
+  if (!found->second) {  // mute, and broken: nobody takes what waits
+    unsent_.erase(fd);
+    return;
   }
-  for (int i = 0; i < 1000 && !timers_.empty() && timers_.begin()->first <= now(); ++i) {
+  const std::function<void()> task = found->second;  // it may forget itself
+  task();
+}
+
+void Loop::call_due_timers() {
+  for (int i = 0; i < kMostTimersATurn && !timers_.empty() && timers_.begin()->first <= now(); ++i) {
     const auto first = timers_.extract(timers_.begin());
     first.mapped()();
   }
 }
 
-bool Loop::run_until(const std::function<bool()>& enough, double patience) {
-  const double until = now() + patience;
-  while (!enough()) {
+bool Loop::run_until(const std::function<bool()>& is_enough, double timeout_seconds) {
+  const double until = now() + timeout_seconds;
+  while (!is_enough()) {
     if (now() >= until) return false;
-    turn(0.01);
+    turn(kLongestWaitSeconds);
   }
   return true;
 }
--- a/standins/loop.h
+++ b/standins/loop.h
@@ -10,41 +10,54 @@
 
 namespace damsonspoke::standins {
 
-double now();       // s, monotonic
-double unix_now();  // s
+// Monotonic time, in s.
+double now();
+// Time since the Unix epoch, in s.
+double unix_now();
 
-// Sockets on loopback; a port of 0 is one that the system picks.
+// Sockets on loopback, all non-blocking; a port of 0 is one that the system picks and that is set. The first
+// two throw std::runtime_error where the port can't be had.
 int listening_socket(std::uint16_t& port);
 int datagram_socket(std::uint16_t& port);
-int accepted_socket(int listener);  // non-blocking; -1: none
+// The next connection of a listener; -1 where there is none.
+int accepted_socket(int listener);
 struct ConnectOptions {
   int receive_bytes = 0;  // of its buffer in the system; 0: as it is set there
-  double patience = 0;    // s, after which it counts as refused; 0: as long as the system waits
+  double timeout = 0;     // s, after which it counts as refused; 0: as long as the system waits
 };
-// Non-blocking from then on; -1: refused. `from`: an address of 127.0.0.0/8.
+// Connects from an address of 127.0.0.0/8 and waits until that is done; -1 where it is refused.
 int connected_socket(std::uint16_t port, const std::string& from = "127.0.0.1", ConnectOptions options = {});
 
+// Sockets that are watched, bytes that wait to be sent, and timers. Nothing happens but in run_until() and
+// run_for(). Descriptors stay their owners', who call forget() before they close one.
 class Loop {
  public:
+  // Calls `on_readable` whenever the socket has bytes, a connection or its end to read.
   void watch(int fd, std::function<void()> on_readable);
+  // Neither reads nor sends any more; what was not sent yet is dropped.
   void forget(int fd);
-  // No longer read from; what is to be sent still goes.
+  // Reads no more from the socket; what waits to be sent still goes.
   void mute(int fd) { watched_[fd] = nullptr; }
-  std::size_t unsent(int fd) const;  // bytes that wait for the peer to take them
-  // Sends now what goes, the rest when it can.
+  // Bytes that wait for the peer to take them.
+  std::size_t unsent(int fd) const;
+  // Sends at once what the system takes, the rest when it can.
   void send(int fd, const std::string& bytes);
+  // Calls `task` at a monotonic time, or after so many seconds.
   void at(double time, std::function<void()> task);
   void after(double seconds, std::function<void()> task) { at(now() + seconds, std::move(task)); }
-  // Goes on until it is enough; false when patience (s) ends first.
-  bool run_until(const std::function<bool()>& enough, double patience);
+  // Runs until `is_enough` says so; false when so many seconds pass first.
+  bool run_until(const std::function<bool()>& is_enough, double timeout_seconds);
   void run_for(double seconds);
 
  private:
-  void turn(double longest);
+  // Waits for sockets and timers, so many seconds at most, and serves them.
+  void turn(double longest_wait);
+  void serve(int fd, bool is_writable, bool is_readable);
+  void call_due_timers();
 
-  std::map<int, std::function<void()>> watched_;
+  std::map<int, std::function<void()>> watched_;  // an empty function: mute
   std::map<int, std::string> unsent_;
-  std::multimap<double, std::function<void()>> timers_;
+  std::multimap<double, std::function<void()>> timers_;  // by monotonic time
 };
 
 }  // namespace damsonspoke::standins
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -13,12 +13,20 @@
 #include <stdexcept>
 
 namespace damsonspoke::standins {
+namespace {
+
+constexpr int kUserTimeField = 14, kSystemTimeField = 15;  // of /proc/PID/stat, from 1; see proc(5)
+constexpr double kCountersSeconds = 2;                     // for them to come
+
+}  // namespace
 
 Process::Process(Loop& loop, const std::vector<std::string>& command) : loop_(loop) {
   int log[2];
   if (::pipe2(log, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  std::vector<std::string> copies = command;  // execv() takes words that it might change
   std::vector<char*> words;
-  for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
+  words.reserve(copies.size() + 1);
+  for (std::string& word : copies) words.push_back(word.data());
   words.push_back(nullptr);
   pid_ = ::fork();
   if (pid_ == 0) {
@@ -54,7 +62,7 @@
   }
 }
 
-std::string Process::expect_log(const std::string& part, double patience) {
+std::string Process::expect_log(const std::string& part, double timeout_seconds) {
   std::string found;
   loop_.run_until(
       [&] {
@@ -66,7 +74,7 @@
         found.clear();
         return over();
       },
-      patience);
+      timeout_seconds);
   return found;
 }
 
@@ -88,11 +96,11 @@
 }
 
 double processor_time(pid_t pid) {
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::ifstream stat(fmt::format("/proc/{}/stat", pid));
   std::string field;
   double ticks = 0;
-  for (int i = 1; i <= 15 && stat >> field; ++i) {
-    if (i >= 14) ticks += std::atof(field.c_str());
+  for (int i = 1; i <= kSystemTimeField && stat >> field; ++i) {
+    if (i >= kUserTimeField) ticks += std::atof(field.c_str());
   }
   return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
@@ -127,7 +135,7 @@
         }
         return seen.contains("invariants.broken");
       },
-      2);
+      kCountersSeconds);
   return seen;
 }
 
--- a/standins/process.h
+++ b/standins/process.h
@@ -13,26 +13,41 @@
 
 namespace damsonspoke::standins {
 
-double processor_time(pid_t pid);  // s so far
+// Processor time that a process has used so far, in s.
+double processor_time(pid_t pid);
 
+// A child process; its log is what it writes to its standard error.
 class Process {
  public:
+  // Starts the program that the first word names. Throws std::runtime_error where there is no pipe for its
+  // log; a program that can't be started ends with status 127. `loop` outlives this.
   Process(Loop& loop, const std::vector<std::string>& command);
-  ~Process();  // kills it, if need be
-
-  // The first line from now on that holds this; empty when patience (s) ends first.
-  std::string expect_log(const std::string& part, double patience = 10);
-  std::uint16_t port();  // that it says it listens on; 0: it does not
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  // Kills the process where it has not ended.
+  ~Process();
+
+  // Waits for the next line of the log that contains this text, and gives it; empty when so many seconds have
+  // passed, or the process has ended, before it came.
+  std::string expect_log(const std::string& part, double timeout_seconds = 10);
+  // Waits until its log says which port it listens on; 0 where it does not.
+  std::uint16_t port();
+  // Does nothing where the process has ended.
   void signal(int number);
-  bool over();                            // and then status()
-  int status() const { return status_; }  // exit status, or minus the signal
+  // Whether the process has ended; status() is known then.
+  bool over();
+  // The exit status, or minus the signal that ended it.
+  int status() const { return status_; }
   pid_t pid() const { return pid_; }
   long resident_kb() const;
-  std::size_t descriptors() const;  // that are open
+  // Descriptors that it has open.
+  std::size_t descriptors() const;
+  // That it has used so far, in s.
   double processor_time() const { return standins::processor_time(pid_); }
-  // Asks for the counters and reads them.
+  // Asks for the counters and waits for them, 2 s at most; by name, as far as they came.
   std::map<std::string, std::uint64_t> counters();
-  std::function<void(const std::string&)> on_line;  // each line of its log
+
+  std::function<void(const std::string&)> on_line;  // called for each line of the log
 
  private:
   void read();
@@ -41,8 +56,8 @@
   pid_t pid_ = -1;
   int log_ = -1, status_ = 0;
   bool over_ = false;
-  std::string buffer_;
-  std::deque<std::string> lines_;
+  std::string buffer_;             // of the log, without the end of a line yet
+  std::deque<std::string> lines_;  // that were not looked at yet
 };
 
 }  // namespace damsonspoke::standins
--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -30,8 +30,8 @@
     Flow flow;
     flow.type = request.name;
     flow.per_s = request.per_s;
-    flow.patience = request.timeout;
-    flow.marked = request.idempotency == "dedup";
+    flow.timeout = request.timeout;
+    flow.has_key = request.idempotency == "dedup";
     flow.retries = script.retries;
     flow.pause = script.pause;
     out.flows.push_back(flow);
@@ -149,7 +149,7 @@
       }
       one->server = std::make_unique<Server>(loop, journal, callers_, binary_, site, work,
                                              kind.letter == 'p' ? 0 : front++);
-      one->server->below.options = {script.below_takes, static_cast<std::size_t>(script.below_most)};
+      one->server->dependency.options = {script.below_takes, static_cast<std::size_t>(script.below_most)};
       one->server->way = [this, name = one->name](const char* what, std::uint16_t port) {
         return std::string_view(what) == "below" ? between_.path(name, "below", port)
                                                  : between_.path("callers", name, port);
@@ -200,8 +200,9 @@
     return one->up;
   });
   const auto all_listed = [this] {
-    return std::all_of(members_.begin(), members_.end(),
-                       [](const auto& one) { return one->name[0] == 'p' || one->server->roster.listed(); });
+    return std::all_of(members_.begin(), members_.end(), [](const auto& one) {
+      return one->name[0] == 'p' || one->server->registry.is_listed();
+    });
   };
   return all_up && loop.run_until(all_listed, kComeUp);
 }
@@ -211,7 +212,7 @@
     const auto step = steps_.extract(steps_.begin());
     loop.run_until([&] { return now() >= began_ + step.key(); }, script.lasts + 1);
     tell(fmt::format("{:.1f} s of {:.1f} s, {} ops asked", now() - began_, script.lasts,
-                     journal.tries.size()));
+                     journal.attempts.size()));
     step.mapped()();
   }
 }
--- a/standins/rehearsal_faults.cpp
+++ b/standins/rehearsal_faults.cpp
@@ -276,7 +276,7 @@
 void Rehearsal::plan_dependency(const FaultSpec& fault) {
   const auto set = [this](double takes) {
     return [this, takes] {
-      for (const auto& one : members_) one->server->below.options.takes = takes;
+      for (const auto& one : members_) one->server->dependency.options.takes = takes;
     };
   };
   add(fault.at, set(fault.amount));
--- a/standins/rehearsal_verdict.cpp
+++ b/standins/rehearsal_verdict.cpp
@@ -20,7 +20,7 @@
   Service(const RehearsalScript& script, double began, Played& out)
       : script_(script), began_(began), out_(out) {}
 
-  void count_try(const Try& attempt) {
+  void count_try(const Attempt& attempt) {
     ++tries_;
     Thing& thing = things_[name_of(attempt)];
     thing.first = std::min(thing.first, attempt.sent);
@@ -36,7 +36,7 @@
   }
 
   // Once all tries are counted: a thing's time runs from its first.
-  void count_answers(const Try& attempt) {
+  void count_answers(const Attempt& attempt) {
     Thing& thing = things_[name_of(attempt)];
     const double due = thing.first + thing.request->target;
     for (const Answer& answer : attempt.answers)
@@ -76,7 +76,7 @@
     }
     [[nodiscard]] double share() const { return asked > 0 ? served / asked : 0; }
   };
-  static std::string name_of(const Try& attempt) { return attempt.type + ' ' + attempt.key; }
+  static std::string name_of(const Attempt& attempt) { return attempt.type + ' ' + attempt.key; }
   SecondSeen& second_of(double at) {
     const double place = std::clamp(at - began_, 0.0, out_.lasted);
     return out_.seconds[static_cast<std::size_t>(place)];
@@ -163,10 +163,10 @@
   out.verdict = check_rules(journal, limits);
   out.seconds.resize(static_cast<std::size_t>(out.lasted) + 1);
   Service service(script, began, out);
-  for (const auto& [number, attempt] : journal.tries) {
+  for (const auto& [number, attempt] : journal.attempts) {
     if (!attempt.refused && attempt.sent >= began) service.count_try(attempt);
   }
-  for (const auto& [number, attempt] : journal.tries) {
+  for (const auto& [number, attempt] : journal.attempts) {
     if (!attempt.refused && attempt.sent >= began) service.count_answers(attempt);
   }
   service.sum_up();
--- a/standins/rules.cpp
+++ b/standins/rules.cpp
@@ -10,13 +10,14 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr std::size_t kTold = 5;  // breaks of one kind that are told
+constexpr std::size_t kMostSentences = 5;  // about breaks of one kind
 
-class Told {
+// Counts the breaks of one kind and puts the first of them into the verdict.
+class BreakReport {
  public:
-  Told(Verdict& verdict, int& count) : verdict_(verdict), count_(count) {}
+  BreakReport(Verdict& verdict, int& count) : verdict_(verdict), count_(count) {}
   void add(std::string text) {
-    if (static_cast<std::size_t>(count_++) < kTold) verdict_.broken.push_back(std::move(text));
+    if (static_cast<std::size_t>(count_++) < kMostSentences) verdict_.broken.push_back(std::move(text));
   }
 
  private:
@@ -25,27 +26,29 @@
 };
 
 // Rule 1: one final answer each, in time, unless its caller or the program itself was cut off.
-void one_answer(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
-  Told none(verdict, verdict.unanswered), late(verdict, verdict.late), twice(verdict, verdict.answered_twice);
-  for (const auto& [request, t] : journal.tries) {
-    if (t.refused) continue;
-    const Life& life = journal.lives.at(static_cast<std::size_t>(t.life));
-    const bool reachable = life.reachable(t.sent, t.due + limits.slack);
-    const bool cut = t.lost && (life.killed || life.leave_at >= 0);
-    if (t.answers.empty() && !cut && reachable)
-      none.add(fmt::format("rule 1: {} {:016x} has no answer", t.type, request));
-    if (t.answers.size() > 1)
-      twice.add(fmt::format("rule 1: {} {:016x} has {} answers", t.type, request, t.answers.size()));
-    if (!t.answers.empty() && t.answers.front().at > t.due + limits.slack && reachable) {
-      late.add(fmt::format("rule 1: {} {:016x} answered {:.0f} ms after its due time", t.type, request,
-                           (t.answers.front().at - t.due) * 1000));
+void check_one_answer(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  BreakReport none(verdict, verdict.unanswered), late(verdict, verdict.late),
+      twice(verdict, verdict.answered_twice);
+  for (const auto& [request, attempt] : journal.attempts) {
+    if (attempt.refused) continue;
+    const Life& life = journal.lives.at(static_cast<std::size_t>(attempt.life));
+    const bool is_reachable = life.is_reachable(attempt.sent, attempt.due + limits.slack);
+    const bool was_cut = attempt.lost && (life.killed || life.leave_at >= 0);
+    if (attempt.answers.empty() && !was_cut && is_reachable)
+      none.add(fmt::format("rule 1: {} {:016x} has no answer", attempt.type, request));
+    if (attempt.answers.size() > 1)
+      twice.add(
+          fmt::format("rule 1: {} {:016x} has {} answers", attempt.type, request, attempt.answers.size()));
+    if (!attempt.answers.empty() && attempt.answers.front().at > attempt.due + limits.slack && is_reachable) {
+      late.add(fmt::format("rule 1: {} {:016x} answered {:.0f} ms after its due time", attempt.type, request,
+                           (attempt.answers.front().at - attempt.due) * 1000));
     }
   }
 }
 
 // Rule 1: a reply reaches the run as it was, at the call that it belongs to.
-void unchanged_replies(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
-  Told told(verdict, verdict.changed_replies);
+void check_replies(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  BreakReport changed(verdict, verdict.changed_replies);
   for (const CallSeen& call : journal.calls) {
     if (!call.replied || call.reply == kReplyTo + call_name(call)) continue;
     int number = 0;
@@ -53,20 +56,21 @@
     const std::string shape = std::string(kReplyTo) + "call %d of %" SCNx64;
     if (std::sscanf(call.reply.c_str(), shape.c_str(), &number, &request) == 2) {
       if (request == call.request)
-        told.add(fmt::format("rule 1: {:016x}: the reply to call {} answered call {}", request, number,
-                             call.number));
+        changed.add(fmt::format("rule 1: {:016x}: the reply to call {} answered call {}", request, number,
+                                call.number));
       else
-        told.add(fmt::format("rule 1: the reply to call {} of {:016x} answered call {} of {:016x}", number,
-                             request, call.number, call.request));
+        changed.add(fmt::format("rule 1: the reply to call {} of {:016x} answered call {} of {:016x}", number,
+                                request, call.number, call.request));
     } else if (limits.replies_name_calls) {
-      told.add(fmt::format("rule 1: {:016x}: the reply to call {} was changed", call.request, call.number));
+      changed.add(
+          fmt::format("rule 1: {:016x}: the reply to call {} was changed", call.request, call.number));
     }
   }
 }
 
 // Rule 2: a key runs once, and what anybody is told of it is what that run came to.
-void one_effect(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
-  Told runs(verdict, verdict.double_runs), wrong(verdict, verdict.wrong_results);
+void check_one_effect(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  BreakReport runs(verdict, verdict.double_runs), wrong(verdict, verdict.wrong_results);
   std::map<std::string, std::vector<const RunSeen*>> by_key;
   for (const RunSeen& run : journal.runs) by_key[run.type + " " + run.key].push_back(&run);
   for (const auto& [name, of] : by_key) {
@@ -85,35 +89,35 @@
     runs.add(fmt::format("rule 2: {} {:016x} ran in lives {} and {}", run.type, run.request, at->second,
                          run.life));
   }
-  for (const auto& [request, t] : journal.tries) {
-    for (const Answer& answer : t.answers) {
+  for (const auto& [request, attempt] : journal.attempts) {
+    for (const Answer& answer : attempt.answers) {
       if (answer.kind == AnswerKind::kRejected && ran.contains(request)) {
-        wrong.add(fmt::format("rule 2: {} {:016x} was nacked and had run", t.type, request));
+        wrong.add(fmt::format("rule 2: {} {:016x} was nacked and had run", attempt.type, request));
       }
       if (answer.kind != AnswerKind::kSucceeded) continue;
-      const auto found = by_key.find(t.type + " " + t.key);
+      const auto found = by_key.find(attempt.type + " " + attempt.key);
       const bool known = found != by_key.end() &&
                          std::any_of(found->second.begin(), found->second.end(),
                                      [&](const RunSeen* run) { return run->result == answer.result; });
       if (!known)
-        wrong.add(
-            fmt::format("rule 2: {} {:016x} was acked with what no run of its key made", t.type, request));
+        wrong.add(fmt::format("rule 2: {} {:016x} was acked with what no run of its key made", attempt.type,
+                              request));
     }
   }
 }
 
-// Rules 2 and 3 where a request's number is the program's own: by key, of which there are no more runs than
-// tries that were not rejected, and none at all where each try came after the grace.
-void unnumbered(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
-  Told wrong(verdict, verdict.wrong_results);
+// Rules 2 and 3 where the program numbers requests itself: by key, of which there are no more runs than
+// attempts that were not rejected, and none at all where each attempt came after the grace.
+void check_runs_by_key(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  BreakReport wrong(verdict, verdict.wrong_results);
   std::map<std::string, int> may_run, runs;
-  for (const auto& [request, t] : journal.tries) {
-    if (!t.unnumbered) continue;
-    const Life& life = journal.lives.at(static_cast<std::size_t>(t.life));
+  for (const auto& [request, attempt] : journal.attempts) {
+    if (!attempt.has_servers_number) continue;
+    const Life& life = journal.lives.at(static_cast<std::size_t>(attempt.life));
     const double heard = std::clamp(life.heard_at, life.leave_at, life.leave_at + limits.hearing);
-    const bool late = life.leave_at >= 0 && t.sent > heard + limits.grace + limits.rounding;
-    const bool rejected = !t.answers.empty() && t.answers.front().kind == AnswerKind::kRejected;
-    may_run[t.type + " " + t.key] += !late && !rejected;
+    const bool late = life.leave_at >= 0 && attempt.sent > heard + limits.grace + limits.rounding;
+    const bool rejected = !attempt.answers.empty() && attempt.answers.front().kind == AnswerKind::kRejected;
+    may_run[attempt.type + " " + attempt.key] += !late && !rejected;
   }
   std::set<std::uint64_t> seen;
   for (const RunSeen& run : journal.runs) {
@@ -131,21 +135,21 @@
 
 // Rule 3: nothing that comes after the grace runs. The grace begins when the program hears of the notice,
 // which it has to do soon: between the sending of a signal and its arrival lies what the machine makes of it.
-void drain(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+void check_drain(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
   int count = 0;
-  Told told(verdict, count);
+  BreakReport broken(verdict, count);
   for (const RunSeen& run : journal.runs) {
     const Life& life = journal.lives.at(static_cast<std::size_t>(run.life));
-    const auto found = journal.tries.find(run.request);
-    if (life.leave_at < 0 || found == journal.tries.end()) continue;
+    const auto found = journal.attempts.find(run.request);
+    if (life.leave_at < 0 || found == journal.attempts.end()) continue;
     const double heard = std::clamp(life.heard_at, life.leave_at, life.leave_at + limits.hearing);
     if (found->second.sent > heard + limits.grace + limits.rounding)
-      told.add(fmt::format("rule 3: {:016x} came after the grace and ran", run.request));
+      broken.add(fmt::format("rule 3: {:016x} came after the grace and ran", run.request));
   }
 }
 
-// Rule 4: it ends when it is told to, and the crowd stays under what the runtime survives.
-void no_fall(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+// Rule 4: it ends when it is told to, and no more requests run at once than the runtime survives.
+void check_endurance(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
   for (const Life& life : journal.lives) {
     if (life.ended_at >= 0 && !life.killed && (life.leave_at < 0 || life.status != 0))
       verdict.broken.push_back(fmt::format("rule 4: the program ended by itself, status {}", life.status));
@@ -162,12 +166,12 @@
 
 Verdict check_rules(const Journal& journal, const RuleLimits& limits) {
   Verdict verdict;
-  one_answer(journal, limits, verdict);
-  unchanged_replies(journal, limits, verdict);
-  one_effect(journal, limits, verdict);
-  unnumbered(journal, limits, verdict);
-  drain(journal, limits, verdict);
-  no_fall(journal, limits, verdict);
+  check_one_answer(journal, limits, verdict);
+  check_replies(journal, limits, verdict);
+  check_one_effect(journal, limits, verdict);
+  check_runs_by_key(journal, limits, verdict);
+  check_drain(journal, limits, verdict);
+  check_endurance(journal, limits, verdict);
   return verdict;
 }
 
--- a/standins/runtime.cpp
+++ b/standins/runtime.cpp
@@ -12,16 +12,16 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr double kStep = 0.001;        // s; between steps of the work
-constexpr double kBusyMemory = 0.5;    // s; over which the busy gauge is a mean
-constexpr std::size_t kKept = 4000;    // notices, as the protocol says
-constexpr double kMovedSeconds = 1.5;  // that the old link stays after a move, as the service page says
-constexpr std::size_t kMostInput = 1 << 22;
+constexpr double kStepSeconds = 0.001;      // between steps of the work
+constexpr double kBusyMeanSeconds = 0.5;    // over which the busy gauge is a mean
+constexpr std::size_t kKeptNotices = 4000;  // as the protocol says
+constexpr double kMovedSeconds = 1.5;       // that the old link stays after a move, as the service page says
+constexpr std::size_t kMaxInputBytes = 1 << 22;
 
 }  // namespace
 
-Runtime::Runtime(Loop& loop, Journal& journal, Options how)
-    : options(how), loop_(loop), journal_(journal), worked_at_(now()), began_(now()) {
+Runtime::Runtime(Loop& loop, Journal& journal, Options chosen)
+    : options(std::move(chosen)), loop_(loop), journal_(journal), worked_at_(now()), began_(now()) {
   listener_ = listening_socket(port_);
   loop_.watch(listener_, [this] { accept(); });
   work();
@@ -50,9 +50,9 @@
 
 void Runtime::start_anew() {
   began_ = now();
-  kept_.clear();
+  kept_notices_.clear();
   notices_ = 0;
-  known_.clear();
+  known_requests_.clear();
   runs_.clear();  // their effects stand; the journal has them
   close_link();
 }
@@ -67,7 +67,7 @@
 void Runtime::break_link() {
   if (link_ < 0) return;
   if (std::exchange(ends_runs_at_next_link_, false)) {
-    for (auto& [request, run] : runs_) run.ends_at_link = !run.at_call;
+    for (auto& [request, run] : runs_) run.ends_at_next_link = !run.awaits_reply;
   }
   close_link();
 }
@@ -104,7 +104,7 @@
 void Runtime::read() {
   char bytes[65536];
   const ssize_t got = ::recv(link_, bytes, sizeof bytes, MSG_DONTWAIT);
-  if (got == 0 || (got < 0 && errno != EAGAIN) || in_.size() > kMostInput) {
+  if (got == 0 || (got < 0 && errno != EAGAIN) || in_.size() > kMaxInputBytes) {
     close_link();
     return;
   }
@@ -115,39 +115,39 @@
 void Runtime::carry_out(const RuntimeCommand& command) {
   switch (command.kind) {
     case CommandKind::kSync: return synchronize(command.notice);
-    case CommandKind::kGauges: return tell_gauges(command.tag);
+    case CommandKind::kGauges: return send_gauges(command.tag);
     case CommandKind::kSelfTest:
       return loop_.send(link_, fmt::format("verdict {} complete\r\n", command.tag));
     case CommandKind::kStart: return start(command.request, command.type, command.payload);
     case CommandKind::kStop:
-      if (knows(command)) stop(command.request);
+      if (check_known(command)) stop(command.request);
       return;
     case CommandKind::kGive:
-      if (knows(command)) give(command.request, command.payload);
+      if (check_known(command)) give(command.request, command.payload);
       return;
     case CommandKind::kOmit:
-      if (knows(command)) omit(command.request, command.notice);
+      if (check_known(command)) omit(command.request, command.notice);
       return;
-    case CommandKind::kContinue: static_cast<void>(knows(command)); return;  // nothing is ever paused
+    case CommandKind::kContinue: static_cast<void>(check_known(command)); return;  // nothing is ever paused
     case CommandKind::kNone: return;
   }
 }
 
-void Runtime::synchronize(std::uint64_t last) {
-  if (options.late > 0) {  // the link is taken, and nothing said on it meanwhile
-    loop_.after(std::exchange(options.late, 0), [this, link = link_] {
+void Runtime::synchronize(std::uint64_t last_notice) {
+  if (options.link_delay_seconds > 0) {  // the link is taken, and nothing said on it meanwhile
+    loop_.after(std::exchange(options.link_delay_seconds, 0), [this, link = link_] {
       if (link == link_) synchronize(0);
     });
     return;
   }
   loop_.send(link_, fmt::format("ready {} {:.0f}\r\n", options.slow_start_seconds > 0 ? "chilly" : "hot",
                                 (now() - began_) * 1000));
-  for (const auto& [number, text] : kept_) {
-    if (number > last) loop_.send(link_, text);
+  for (const auto& [number, text] : kept_notices_) {
+    if (number > last_notice) loop_.send(link_, text);
   }
 }
 
-void Runtime::tell_gauges(const std::string& tag) {
+void Runtime::send_gauges(const std::string& tag) {
   const double busy = std::min(1.0, busy_);
   loop_.send(link_, fmt::format("load {} {:.3f} {} 0 0\r\n", tag, busy, runs_.size()));
   end_runs_of_last_link();
@@ -157,8 +157,8 @@
   if (runs_.contains(request)) end(request, "cancelled", "");
 }
 
-bool Runtime::knows(const RuntimeCommand& command) {
-  if (known_.contains(command.request)) return true;
+bool Runtime::check_known(const RuntimeCommand& command) {
+  if (known_requests_.contains(command.request)) return true;
   loop_.send(link_, fmt::format("nack {} {:016x}\r\n", command.word, command.request));
   return false;
 }
@@ -166,8 +166,8 @@
 // Whichever call the run waits for: a reply does not say which one it belongs to.
 void Runtime::give(std::uint64_t request, const std::string& reply) {
   const auto found = runs_.find(request);
-  if (found == runs_.end() || !found->second.at_call) return;
-  found->second.at_call = false;
+  if (found == runs_.end() || !found->second.awaits_reply) return;
+  found->second.awaits_reply = false;
   CallSeen& call = journal_.calls.at(found->second.call);
   call.replied = true;
   call.reply = reply;
@@ -176,13 +176,13 @@
 void Runtime::omit(std::uint64_t request, std::uint64_t notice) {
   const auto found = runs_.find(request);
   if (found == runs_.end() || found->second.notice != notice) return;
-  found->second.at_call = false;
+  found->second.awaits_reply = false;
 }
 
 void Runtime::start(std::uint64_t request, const std::string& type, const std::string& body) {
-  known_.insert(request);
+  known_requests_.insert(request);
   if (runs_.contains(request)) return;  // it runs already
-  std::string result = fmt::format("{} made {} ", key_of(body), ++made_);
+  std::string result = fmt::format("{} made {} ", key_of(body), ++results_);
   if (result.size() < options.result_bytes) result.resize(options.result_bytes, 'r');
   journal_.runs.push_back({request, key_of(body), type, life_, now(), 0, std::move(result), false});
   const auto special = options.work_by_type.find(type);
@@ -194,22 +194,22 @@
   journal_.most_running = std::max(journal_.most_running, static_cast<int>(runs_.size()));
 }
 
-void Runtime::end(std::uint64_t request, const char* how, const std::string& result) {
+void Runtime::end(std::uint64_t request, const char* outcome, const std::string& result) {
   runs_.erase(request);
-  const std::string text = fmt::format("end {} {:016x} {} {:.0f} {}\r\n{}\r\n", ++notices_, request, how,
+  const std::string text = fmt::format("end {} {:016x} {} {:.0f} {}\r\n{}\r\n", ++notices_, request, outcome,
                                        options.work * 1000, result.size(), result);
-  notice(text);
+  send_notice(text);
 }
 
-void Runtime::notice(const std::string& text) {
-  kept_.emplace_back(notices_, text);
-  if (kept_.size() > kKept) kept_.pop_front();
+void Runtime::send_notice(const std::string& text) {
+  kept_notices_.emplace_back(notices_, text);
+  if (kept_notices_.size() > kKeptNotices) kept_notices_.pop_front();
   if (link_ >= 0) loop_.send(link_, text);
 }
 
-void Runtime::want_call(std::uint64_t request) {
+void Runtime::request_call(std::uint64_t request) {
   Run& run = runs_.at(request);
-  run.at_call = true;
+  run.awaits_reply = true;
   run.notice = ++notices_;
   run.call = journal_.calls.size();
   CallSeen call;
@@ -217,50 +217,57 @@
   call.number = ++run.calls;
   journal_.calls.push_back(call);
   const std::string body = call_name(call);
-  notice(fmt::format("wants {} {:016x} {}\r\n{}\r\n", notices_, request, body.size(), body));
+  send_notice(fmt::format("wants {} {:016x} {}\r\n{}\r\n", notices_, request, body.size(), body));
 }
 
 void Runtime::complete(std::uint64_t request) {
   RunSeen& seen = journal_.runs[runs_.at(request).record];
-  const bool fails = static_cast<double>(request / 1000 % 1000) / 1000 < options.fails;
+  const bool fails = static_cast<double>(request / 1000 % 1000) / 1000 < options.failing_share;
   seen.completed = !fails;
   seen.ended = now();
-  fails ? end(request, "error", "") : end(request, "complete", seen.result);
+  if (fails) {
+    end(request, "error", "");
+  } else {
+    end(request, "complete", seen.result);
+  }
 }
 
 void Runtime::end_runs_of_last_link() {
   std::vector<std::uint64_t> over;
   for (const auto& [request, run] : runs_) {
-    if (run.ends_at_link) over.push_back(request);
+    if (run.ends_at_next_link) over.push_back(request);
   }
   for (const std::uint64_t request : over) complete(request);
 }
 
-// What runs shares the cores evenly.
+int Runtime::count_on_cores() const {
+  return static_cast<int>(
+      std::count_if(runs_.begin(), runs_.end(), [](const auto& one) { return !one.second.awaits_reply; }));
+}
+
 void Runtime::work() {
   const double dt = now() - worked_at_;
   worked_at_ = now();
-  int on_cores = 0;
-  for (const auto& [request, run] : runs_) on_cores += run.at_call ? 0 : 1;
+  const int on_cores = count_on_cores();
   const double share = on_cores > options.cores ? static_cast<double>(options.cores) / on_cores : 1;
   busy_ += (std::min(1.0, static_cast<double>(on_cores) / options.cores) - busy_) *
-           std::min(1.0, dt / kBusyMemory);
-  std::vector<std::uint64_t> over, wanting;
+           std::min(1.0, dt / kBusyMeanSeconds);
+  std::vector<std::uint64_t> over, calling;
   for (auto& [request, run] : runs_) {
-    if (run.at_call) continue;
+    if (run.awaits_reply) continue;
     run.left -= dt * share * speed();
-    const double place =
-        static_cast<double>(request % 1000) / 1000;  // the same request fares the same each time
-    const bool wants = place < options.calls && run.calls < options.calls_in_a_row;
-    if (wants && run.left < run.work / 2) {
-      wanting.push_back(request);
+    // A request fares the same each time that it runs.
+    const double drawn = static_cast<double>(request % 1000) / 1000;
+    const bool makes_call = drawn < options.calls && run.calls < options.calls_in_a_row;
+    if (makes_call && run.left < run.work / 2) {
+      calling.push_back(request);
     } else if (run.left <= 0) {
       over.push_back(request);
     }
   }
-  for (const std::uint64_t request : wanting) want_call(request);
+  for (const std::uint64_t request : calling) request_call(request);
   for (const std::uint64_t request : over) complete(request);
-  loop_.after(kStep, [this] { work(); });
+  loop_.after(kStepSeconds, [this] { work(); });
 }
 
 }  // namespace damsonspoke::standins
--- a/standins/service_over_kills.cpp
+++ b/standins/service_over_kills.cpp
@@ -14,7 +14,7 @@
   bool says_when_to_retry = false;  // the last answer
 };
 
-bool lost_by_kill(const Journal& journal, const Try& t) {
+bool lost_by_kill(const Journal& journal, const Attempt& t) {
   const Life& life = journal.lives.at(static_cast<std::size_t>(t.life));
   return t.lost && life.killed && t.sent <= life.ended_at && t.lost_at >= life.killed_at;
 }
@@ -31,7 +31,7 @@
 ServiceOverKills judge_service_over_kills(const Journal& journal) {
   ServiceOverKills out;
   std::map<std::string, Wanted> things;
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     if (t.refused) continue;
     Wanted& wanted = things[t.type + ' ' + t.key];
     for (const Answer& answer : t.answers) record(wanted, answer);
--- a/standins/two_level.cpp
+++ b/standins/two_level.cpp
@@ -36,7 +36,7 @@
   }
   const auto linked = [&] {
     for (const auto& forwarder : forwarders) {
-      if (!forwarder->roster.listed()) return false;
+      if (!forwarder->registry.is_listed()) return false;
     }
     return true;
   };
--- a/tests/ajp_program.cpp
+++ b/tests/ajp_program.cpp
@@ -38,7 +38,7 @@
     const std::string line = server.process->expect_log("takes AJP callers");
     port = static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(' ') + 1).c_str()));
     gateway.reach(port, 0);
-    loop.run_until([this] { return server.roster.listed(); }, 5);
+    loop.run_until([this] { return server.registry.is_listed(); }, 5);
   }
   Loop& fleet_loop() { return loop; }
   static SiteSpec site(const std::string& more, int sockets) {
@@ -320,7 +320,7 @@
   told("a gateway that asks", asks.send(bare::forward(post("/ops/read"))).answer());
   play.loop.run_for(0.5);
   int asked = 0, succeeded = 0;
-  for (const auto& [request, t] : play.journal.tries) {
+  for (const auto& [request, t] : play.journal.attempts) {
     if (t.sent < filled || t.answers.empty()) continue;
     ++asked;
     succeeded += t.answers[0].kind == AnswerKind::kSucceeded;
@@ -338,8 +338,8 @@
   play.loop.run_for(3);
   const bool settled = play.settle();
   int asked[2][2] = {}, succeeded[2][2] = {}, rejected = 0, failed = 0;
-  for (const auto& [request, t] : play.journal.tries) {
-    const int front = t.unnumbered, close = t.type == "close";
+  for (const auto& [request, t] : play.journal.attempts) {
+    const int front = t.has_servers_number, close = t.type == "close";
     ++asked[front][close];
     for (const Answer& a : t.answers) {
       succeeded[front][close] += a.kind == AnswerKind::kSucceeded;
@@ -366,7 +366,7 @@
   Play play(0, 0, flows, 0.005);
   play.loop.run_for(1.5);
   int succeeded = 0;
-  for (const auto& [request, t] : play.journal.tries)
+  for (const auto& [request, t] : play.journal.attempts)
     succeeded += !t.answers.empty() && t.answers[0].kind == AnswerKind::kSucceeded;
   say("served", succeeded > 120);
   say("leaves in order", play.server.leave());
--- a/tests/conns/connection_admission_program.cpp
+++ b/tests/conns/connection_admission_program.cpp
@@ -36,7 +36,7 @@
 struct Play {
   explicit Play(const SiteSpec& spec, double reads = 40) : fleet(binary, spec, {}, load(reads)), spec_(spec) {
     if (!fleet.start()) std::printf("the relay does not start\n");
-    fleet.loop.run_until([this] { return fleet.server.roster.listed(); }, 5);
+    fleet.loop.run_until([this] { return fleet.server.registry.is_listed(); }, 5);
     port = fleet.server.port();
   }
   static Callers::Options load(double reads) {
@@ -64,7 +64,7 @@
     std::printf("rules: %s\n", v.kept() ? "kept" : "BROKEN");
     int asked = 0;
     int succeeded = 0;
-    for (const auto& [request, t] : fleet.journal.tries) {
+    for (const auto& [request, t] : fleet.journal.attempts) {
       ++asked;
       for (const Answer& a : t.answers) succeeded += a.kind == AnswerKind::kSucceeded;
     }
--- a/tests/results/results_fleet.cpp
+++ b/tests/results/results_fleet.cpp
@@ -1,5 +1,5 @@
-// Remembered results under load: a relay among stand-ins that work and ask again, and the four rules over
-// what they saw. CTest compares with tests/traces/results_fleet_NAME.txt. usage: results_fleet BINARY
+// Remembered results under load: a server among stand-ins that work and ask again, and the four service rules
+// over what they saw. CTest compares with tests/traces/results_fleet_NAME.txt. usage: results_fleet BINARY
 // SCENARIO
 #include <csignal>
 #include <cstdio>
@@ -22,45 +22,47 @@
   return site;
 }
 
-// Push is marked, pull is known by what it says; each thing is tried `copies` times whatever comes of it.
+// "push" has a key, "pull" is known by its body; `copies` attempts are made at each thing, whatever comes of
+// them.
 Callers::Options load_of(double per_s, int copies) {
   Flow push{"push", per_s, 1.5};
-  push.marked = true;
+  push.has_key = true;
   push.copies = copies;
   push.spread = 0.1;
   push.retries = 2;
   Flow pull = push;
   pull.type = "pull";
-  pull.marked = false;
+  pull.has_key = false;
   return {{push, pull}, 8, 3};
 }
 
 Runtime::Options work_of(double work, std::size_t result_bytes = 64) {
-  Runtime::Options o;
-  o.cores = 4;
-  o.work = work;
-  o.result_bytes = result_bytes;
-  return o;
+  Runtime::Options options;
+  options.cores = 4;
+  options.work = work;
+  options.result_bytes = result_bytes;
+  return options;
 }
 
-int count(const Journal& journal, AnswerKind kind) {
-  int n = 0;
-  for (const auto& [request, t] : journal.tries) {
-    for (const Answer& a : t.answers) n += a.kind == kind;
+int count_answers(const Journal& journal, AnswerKind kind) {
+  int count = 0;
+  for (const auto& [request, attempt] : journal.attempts) {
+    for (const Answer& answer : attempt.answers) count += answer.kind == kind;
   }
-  return n;
+  return count;
 }
 
-void verdict(Fleet& fleet) {
-  const Verdict v = check_rules(fleet.journal, fleet.limits());
-  for (const std::string& line : v.broken) std::printf("%s\n", line.c_str());
-  std::printf("the four rules: %s\n", v.kept() ? "kept" : "broken");
+void print_verdict(Fleet& fleet) {
+  const Verdict verdict = check_rules(fleet.journal, fleet.limits());
+  for (const std::string& line : verdict.broken) std::printf("%s\n", line.c_str());
+  std::printf("the four rules: %s\n", verdict.kept() ? "kept" : "broken");
 }
 
 const char* yes(bool is) { return is ? "yes" : "no"; }
 
-void ends(Fleet& fleet, double patience) {
-  std::printf("settles: %s\n", yes(fleet.settle(patience)));
+// Waits for all attempts to end, then shuts the server down gracefully.
+void end(Fleet& fleet, double timeout_seconds) {
+  std::printf("settles: %s\n", yes(fleet.settle(timeout_seconds)));
   std::printf("leaves: %s\n", yes(fleet.leave()));
 }
 
@@ -69,26 +71,28 @@
   Fleet fleet(binary, site_of("    store STORE\n"), work_of(0.005), load_of(60, 3));
   std::printf("starts: %s\n", yes(fleet.start()));
   fleet.loop.run_for(2);
-  ends(fleet, 5);
+  end(fleet, 5);
   std::set<std::string> unique;
   for (const RunSeen& run : fleet.journal.runs) unique.insert(run.key);
-  const auto tries = static_cast<int>(fleet.journal.tries.size());
+  const auto attempts = static_cast<int>(fleet.journal.attempts.size());
   std::printf("runs a thing: %.2f; nearly all tries acked: %s; enough of them: %s\n",
               static_cast<double>(fleet.journal.runs.size()) / static_cast<double>(unique.size()),
-              yes(count(fleet.journal, AnswerKind::kSucceeded) > tries * 9 / 10), yes(tries > 300));
-  verdict(fleet);
+              yes(count_answers(fleet.journal, AnswerKind::kSucceeded) > attempts * 9 / 10),
+              yes(attempts > 300));
+  print_verdict(fleet);
 }
 
-// Twice what the cores can do, all of it asked three times; then the notice to leave in the middle of it.
+// Twice what the cores can do, all of it asked three times; then the notice to leave comes in the middle of
+// it.
 void drain() {
   Fleet fleet(binary, site_of("    store STORE\n    safety power\n"), work_of(0.02), load_of(200, 3));
   std::printf("starts: %s\n", yes(fleet.start()));
   fleet.loop.run_for(1.5);
   std::printf("leaves in order: %s\n", yes(fleet.leave()));
-  const int succeeded = count(fleet.journal, AnswerKind::kSucceeded),
-            rejected = count(fleet.journal, AnswerKind::kRejected);
+  const int succeeded = count_answers(fleet.journal, AnswerKind::kSucceeded),
+            rejected = count_answers(fleet.journal, AnswerKind::kRejected);
   std::printf("some were acked: %s, some nacked: %s\n", yes(succeeded > 100), yes(rejected > 100));
-  verdict(fleet);
+  print_verdict(fleet);
 }
 
 // The disk's bound is reached within a second: nothing dies, nothing runs twice, what can't be written never
@@ -100,8 +104,8 @@
   auto counters = fleet.process->counters();
   std::printf("nacked for want of the store: %s\n",
               yes(counters["results.store_unavailable"] + counters["results.not_durable"] > 50));
-  ends(fleet, 8);
-  verdict(fleet);
+  end(fleet, 8);
+  print_verdict(fleet);
 }
 
 // Bounds shrink and grow under load; windows are short, so that entries age all the time.
@@ -118,8 +122,8 @@
   fleet.loop.run_for(0.6);
   auto counters = fleet.process->counters();
   std::printf("nacked for want of room: %s\n", yes(counters["results.no_capacity"] > 20));
-  ends(fleet, 8);
-  verdict(fleet);
+  end(fleet, 8);
+  print_verdict(fleet);
 }
 
 // Many results of 4 KiB under half a MB of memory: the rest is answered from the store.
@@ -133,8 +137,8 @@
   std::printf("many kept: %s, within the bound: %s, some answered from the store: %s\n",
               yes(counters["results.entries"] > 150), yes(counters["results.bytes"] <= 512 * 1024),
               yes(counters["results.from_store"] > 5));
-  ends(fleet, 8);
-  verdict(fleet);
+  end(fleet, 8);
+  print_verdict(fleet);
 }
 
 }  // namespace
--- a/tests/results/results_kills.cpp
+++ b/tests/results/results_kills.cpp
@@ -1,8 +1,10 @@
-// Kills the program at random moments while callers ask for each thing three times and more; then the four
-// rules over all lives: no key runs twice, no result is changed or another key's. usage: results_kills BINARY
-// KILLS [SEED]
+// Kills the program at random moments while callers make three and more attempts at each thing; then the four
+// service rules over all lives: no key runs twice, no result is changed or another key's. usage:
+// results_kills BINARY KILLS [SEED]
 #include <cstdio>
 #include <cstdlib>
+#include <map>
+#include <string>
 
 #include "fleet.h"
 
@@ -20,60 +22,71 @@
 Callers::Options load_of_callers(std::uint64_t seed) {
   Callers::Options load;
   Flow push{"push", 60, 1};
-  push.marked = true;
+  push.has_key = true;
   push.copies = 3;
   push.spread = 0.3;
   push.retries = 6;
   Flow pull = push;
   pull.type = "pull";
-  pull.marked = false;
+  pull.has_key = false;
   load.flows = {push, pull};
   load.seed = seed;
   return load;
 }
 
 Runtime::Options runtime_options() {
-  Runtime::Options work;
-  work.cores = 4;
-  work.work = 0.012;
-  work.fails = 0.01;
-  return work;
+  Runtime::Options options;
+  options.cores = 4;
+  options.work = 0.012;
+  options.failing_share = 0.01;
+  return options;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  if (argc < 3) {
-    std::fprintf(stderr, "usage: results_kills BINARY KILLS [SEED]\n");
-    return 2;
+std::map<AnswerKind, int> count_answers(const Journal& journal) {
+  std::map<AnswerKind, int> counts;
+  for (const auto& [request, attempt] : journal.attempts) {
+    for (const Answer& answer : attempt.answers) ++counts[answer.kind];
   }
-  const int kills = std::atoi(argv[2]);
-  const std::uint64_t seed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
-  Fleet fleet(argv[1], killed_site(), runtime_options(), load_of_callers(seed));
+  return counts;
+}
+
+// Starts and kills it so many times, then starts it once more; false where it does not start.
+bool play_lives(Fleet& fleet, int kills, std::uint64_t seed) {
   pcg64 random(seed);
   for (int i = 0; i < kills; ++i) {
     if (!fleet.start()) {
       std::printf("the program does not start in life %d\n", i);
-      return 1;
+      return false;
     }
     fleet.loop.run_for(0.06 + static_cast<double>(random() % 1000) / 1000 * 0.2);
     fleet.kill();
   }
   if (!fleet.start()) {
     std::printf("the program does not start again\n");
-    return 1;
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 3) {
+    std::fprintf(stderr, "usage: results_kills BINARY KILLS [SEED]\n");
+    return 2;
   }
+  const int kills = std::atoi(argv[2]);
+  const std::uint64_t seed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
+  Fleet fleet(argv[1], killed_site(), runtime_options(), load_of_callers(seed));
+  if (!play_lives(fleet, kills, seed)) return 1;
   fleet.loop.run_for(0.3);
-  const bool settled = fleet.settle(15);
-  const bool left = fleet.leave();
+  const bool has_settled = fleet.settle(15);
+  const bool has_left = fleet.leave();
   const Verdict verdict = check_rules(fleet.journal, fleet.limits());
   for (const std::string& line : verdict.broken) std::printf("%s\n", line.c_str());
-  std::map<AnswerKind, int> answers;
-  for (const auto& [request, t] : fleet.journal.tries) {
-    for (const Answer& a : t.answers) ++answers[a.kind];
-  }
+  std::map<AnswerKind, int> answers = count_answers(fleet.journal);
   std::fprintf(stderr, "lives %zu, tries %zu, runs %zu, acked %d, unknown %d, failed %d, nacked %d\n",
-               fleet.journal.lives.size(), fleet.journal.tries.size(), fleet.journal.runs.size(),
+               fleet.journal.lives.size(), fleet.journal.attempts.size(), fleet.journal.runs.size(),
                answers[AnswerKind::kSucceeded], answers[AnswerKind::kUnknownOutcome],
                answers[AnswerKind::kFailed], answers[AnswerKind::kRejected]);
   std::printf("double runs %d, wrong results %d, without an answer %d, late %d, answered twice %d\n",
@@ -84,6 +97,6 @@
                       (kills < 10 || answers[AnswerKind::kUnknownOutcome] > 0)
                   ? "yes"
                   : "no");
-  std::printf("settled: %s, left in order: %s\n", settled ? "yes" : "no", left ? "yes" : "no");
+  std::printf("settled: %s, left in order: %s\n", has_settled ? "yes" : "no", has_left ? "yes" : "no");
   return verdict.kept() ? 0 : 1;
 }
--- a/tests/statistics/restarts.cpp
+++ b/tests/statistics/restarts.cpp
@@ -39,7 +39,7 @@
 double first_success(Fleet& fleet, double began) {
   const int life = fleet.server.life_number();
   double at = -1;
-  fleet.callers.on_answer = [&](const Try& one) {
+  fleet.callers.on_answer = [&](const Attempt& one) {
     if (at < 0 && one.life == life && !one.answers.empty() &&
         one.answers.back().kind == AnswerKind::kSucceeded)
       at = one.answers.back().at;
@@ -53,7 +53,7 @@
   SiteSpec site;
   site.types = {{"push", "dedup", 1, 2, 600, 1}, {"pull", "retryable", 1, 2, 0, 1}};
   site.port = lasting_port();
-  site.roster_down = true;
+  site.registry_is_down = true;
   site.operators =
       "results\n    enabled on\n    memory 32M\n    entries 100000\n    store STORE\n"
       "knowledge\n    enabled on\n    folder FOLDER\n";
@@ -63,11 +63,11 @@
 Callers::Options load_of_callers() {
   Callers::Options load;
   Flow push{"push", 80, 1.5};
-  push.marked = true;
+  push.has_key = true;
   push.retries = 2;
   Flow pull = push;
   pull.type = "pull";
-  pull.marked = false;
+  pull.has_key = false;
   load.flows = {push, pull};
   load.connections = 24;
   return load;
@@ -91,7 +91,7 @@
   RestartReport report;
   for (int i = 0; i < restarts; ++i) {
     fleet.kill();
-    if (i % 3 == 2) fleet.runtime.options.late = 0.7;  // the runtime comes up after it
+    if (i % 3 == 2) fleet.runtime.options.link_delay_seconds = 0.7;  // the runtime comes up after it
     const double began = now();
     if (!fleet.start()) {
       std::printf("it does not start again, restart %d\n", i + 1);
--- a/tests/tier/forwarder_program.cpp
+++ b/tests/tier/forwarder_program.cpp
@@ -32,7 +32,7 @@
     flow.retries = retries;
     flow.pause = 0.1;
   }
-  load.flows[1].marked = true;
+  load.flows[1].has_key = true;
   load.connections = 3;
   load.seed = 5;
   return load;
@@ -44,7 +44,7 @@
 };
 Tally tally(const Journal& journal, double from = 0, const char* type = nullptr) {
   Tally out;
-  for (const auto& [request, t] : journal.tries) {
+  for (const auto& [request, t] : journal.attempts) {
     if (t.sent < from || (type != nullptr && t.type != type)) continue;
     ++out.asked;
     for (const Answer& a : t.answers) {
@@ -77,7 +77,7 @@
         fmt::format("forward\n    planners {} {}\n{}", planners[0]->address(), planners[1]->address(), more);
     forwarder = std::make_unique<Server>(loop, journal, callers, binary, spec, Runtime::Options{});
     if (!forwarder->start()) std::printf("the forwarder does not start\n");
-    loop.run_until([this] { return forwarder->roster.listed(); }, 5);
+    loop.run_until([this] { return forwarder->registry.is_listed(); }, 5);
   }
   std::uint64_t count(const char* name) {
     const auto counters = forwarder->process->counters();
@@ -166,14 +166,14 @@
   play.loop.run_for(0.3);
   const double gone = now();
   play.loop.run_for(1.5);
-  say("off the list after a grace", !play.forwarder->roster.listed());
+  say("off the list after a grace", !play.forwarder->registry.is_listed());
   const Tally t = tally(play.journal, gone);
   say("meanwhile all are nacked, at once",
       t.asked > 50 && t.rejected >= t.asked - 2 && t.longest_rejection < 0.1);
   for (int i = 0; i < 2; ++i)
     play.planners[i] =
         std::make_unique<Planner>(play.loop, play.journal, of(PlannerManner::kSound), ports[i]);
-  say("on the list again", play.loop.run_until([&] { return play.forwarder->roster.listed(); }, 3));
+  say("on the list again", play.loop.run_until([&] { return play.forwarder->registry.is_listed(); }, 3));
   const double back = now();
   play.loop.run_for(1);
   const Tally later = tally(play.journal, back);
@@ -318,8 +318,8 @@
 // Whether a run that callers asked this forwarder for has just begun.
 bool has_fresh_run(const Journal& journal, int life) {
   return std::any_of(journal.runs.begin(), journal.runs.end(), [&](const RunSeen& run) {
-    const auto found = journal.tries.find(run.request);
-    return found != journal.tries.end() && found->second.life == life && run.began > now() - kFreshSeconds;
+    const auto found = journal.attempts.find(run.request);
+    return found != journal.attempts.end() && found->second.life == life && run.began > now() - kFreshSeconds;
   });
 }
 
@@ -329,7 +329,7 @@
   SiteSpec spec = site();
   Callers::Options load = load_of(12, 8, 1);
   for (RouteSpec& route : spec.types) route.target = route.timeout = kLongPatience;
-  for (Flow& flow : load.flows) flow.patience = kLongPatience;
+  for (Flow& flow : load.flows) flow.timeout = kLongPatience;
   Real play(spec, load, 2, 3, 0.9);
   play.fleet.loop.run_for(1.5);
   const int life = play.fleet.forwarders[0]->life_number();
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -24,7 +24,7 @@
   Play(const SiteSpec& site, const Runtime::Options& runtime)
       : callers(loop, journal, {}), server(loop, journal, callers, binary, site, runtime) {
     say("starts", server.start());
-    loop.run_until([this] { return server.roster.listed(); }, 5);
+    loop.run_until([this] { return server.registry.is_listed(); }, 5);
   }
   static SiteSpec site(int sockets) {
     SiteSpec s;
