--- a/standins/crowd.cpp
+++ b/standins/crowd.cpp
@@ -14,11 +14,12 @@
 namespace damsonspoke::standins {
 namespace {
 
-constexpr double kTurn = 0.002;  // s; of the flood's thread
-constexpr double kAskAgain = 0.5, kDripEvery = 1, kJunkEvery = 0.05;
-constexpr std::size_t kMostOpen = 8000;
+constexpr double kTurnSeconds = 0.002;  // of the flood's thread
+constexpr double kAskAgainSeconds = 0.5, kDripSeconds = 1, kJunkSeconds = 0.05;
+constexpr std::size_t kMostConnections = 8000;  // of a flood
+constexpr double kLongestStaySeconds = 5;       // of a newcomer without its answer
 
-std::string check_request() {
+std::string health_request() {
   const std::string text = R"({"jsonrpc":"2.0","id":1,"method":"health","params":{}})";
   return fmt::format("Content-Length: {}\r\n\r\n{}", text.size(), text);
 }
@@ -55,36 +56,43 @@
 }
 
 Flood::~Flood() {
-  over_ = true;
+  is_over_ = true;
   thread_.join();
-  for (const auto& [fd, conn] : conns_) ::close(fd);
+  for (const auto& [fd, connection] : connections_) ::close(fd);
   ::close(poll_);
 }
 
 void Flood::run() {
   const double began = now();
-  while (!over_) {
+  while (!is_over_) {
     epoll_event events[512];
-    const int got = ::epoll_wait(poll_, events, 512, static_cast<int>(kTurn * 1000));
+    const int got = ::epoll_wait(poll_, events, 512, static_cast<int>(kTurnSeconds * 1000));
     for (int i = 0; i < got; ++i)
-      ready(events[i].data.fd, (events[i].events & EPOLLOUT) != 0, (events[i].events & EPOLLIN) != 0,
-            (events[i].events & (EPOLLERR | EPOLLHUP)) != 0);
+      handle(events[i].data.fd, (events[i].events & EPOLLOUT) != 0, (events[i].events & EPOLLIN) != 0,
+             (events[i].events & (EPOLLERR | EPOLLHUP)) != 0);
     const double time = now();
-    while (!over_ && static_cast<double>(dialled_) < (time - began) * options_.per_s &&
-           conns_.size() < kMostOpen) {
-      const std::uint64_t before = dialled_;
-      dial(time);
-      if (dialled_ == before) break;  // all hold what they may
-    }
-    if (options_.shape == FloodShape::kSilent || options_.shape == FloodShape::kReset) continue;
-    std::vector<int> due;
-    for (const auto& [fd, conn] : conns_) {
-      if (conn.connected && conn.next <= time) due.push_back(fd);
-    }
-    for (const int fd : due) speak(fd, conns_.at(fd), time);
+    dial_due(began, time);
+    if (options_.shape != FloodShape::kSilent && options_.shape != FloodShape::kReset) send_due(time);
   }
 }
 
+void Flood::dial_due(double began, double time) {
+  while (!is_over_ && static_cast<double>(dialled_) < (time - began) * options_.per_s &&
+         connections_.size() < kMostConnections) {
+    const std::uint64_t before = dialled_;
+    dial(time);
+    if (dialled_ == before) return;  // all hold what they may
+  }
+}
+
+void Flood::send_due(double time) {
+  std::vector<int> due;
+  for (const auto& [fd, connection] : connections_) {
+    if (connection.is_up && connection.next_send_at <= time) due.push_back(fd);
+  }
+  for (const int fd : due) send_next(fd, connections_.at(fd), time);
+}
+
 void Flood::dial(double time) {
   for (unsigned tried = 0; tried < options_.addresses; ++tried) {
     const unsigned address = next_address_++ % options_.addresses;
@@ -92,7 +100,7 @@
     const int fd = dialled_socket(port_, crowd_address(address));
     ++dialled_;
     if (fd < 0) return;
-    conns_[fd] = {address, false, false, time, 0};
+    connections_[fd] = {address, false, time, 0};
     ++held_by_[address];
     epoll_event event{};
     event.events = EPOLLIN | EPOLLOUT | EPOLLET;
@@ -102,19 +110,19 @@
   }
 }
 
-void Flood::ready(int fd, bool writable, bool readable, bool broken) {
-  const auto found = conns_.find(fd);
-  if (found == conns_.end()) return;
-  if (broken) {
+void Flood::handle(int fd, bool is_writable, bool is_readable, bool is_broken) {
+  const auto found = connections_.find(fd);
+  if (found == connections_.end()) return;
+  if (is_broken) {
     ++turned_away_;
     return drop(fd, false);
   }
-  if (writable && !found->second.connected) {
-    found->second.connected = true;
+  if (is_writable && !found->second.is_up) {
+    found->second.is_up = true;
     ++held_;
     if (options_.shape == FloodShape::kReset) return drop(fd, true);
   }
-  if (!readable) return;
+  if (!is_readable) return;
   char bytes[4096];
   for (;;) {
     const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
@@ -125,33 +133,33 @@
   drop(fd, false);
 }
 
-void Flood::speak(int fd, Conn& conn, double time) {
-  static const std::string check = check_request();
+void Flood::send_next(int fd, Connection& connection, double time) {
+  static const std::string kHealth = health_request();
   std::string bytes;
   switch (options_.shape) {
     case FloodShape::kDrip:
-      bytes = check.substr(conn.said++ % check.size(), 1);
-      conn.next = time + kDripEvery;
+      bytes = kHealth.substr(connection.sent_bytes++ % kHealth.size(), 1);
+      connection.next_send_at = time + kDripSeconds;
       break;
     case FloodShape::kAsking:
-      bytes = check;
-      conn.next = time + kAskAgain;
+      bytes = kHealth;
+      connection.next_send_at = time + kAskAgainSeconds;
       break;
     case FloodShape::kJunk:
       bytes = "Content-Length: 4\r\n\r\nnone";
-      conn.next = time + kJunkEvery;
+      connection.next_send_at = time + kJunkSeconds;
       break;
     default: return;
   }
   static_cast<void>(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
 }
 
-void Flood::drop(int fd, bool reset) {
-  const auto found = conns_.find(fd);
-  if (found->second.connected) --held_;
+void Flood::drop(int fd, bool with_reset) {
+  const auto found = connections_.find(fd);
+  if (found->second.is_up) --held_;
   --held_by_[found->second.address];
-  conns_.erase(found);
-  if (reset) {
+  connections_.erase(found);
+  if (with_reset) {
     const linger at_once{1, 0};
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
   }
@@ -165,23 +173,27 @@
 }
 
 Newcomers::~Newcomers() {
-  *here_ = false;
-  while (!open_.empty()) end(open_.begin()->first);
+  *is_here_ = false;
+  while (!began_at_.empty()) end(began_at_.begin()->first);
 }
 
 void Newcomers::come() {
-  if (!more_) return;
-  loop_.after(options_.every, [this, here = here_] {
+  if (!comes_) return;
+  loop_.after(options_.every, [this, here = is_here_] {
     if (*here) come();
   });
   ++came_;
   const int fd = dialled_socket(port_, options_.from);
   if (fd < 0) return;
-  open_[fd] = now();
-  const std::uint64_t serial = serials_[fd] = ++serial_;
+  began_at_[fd] = now();
+  serials_[fd] = ++last_serial_;
   loop_.watch(fd, [this, fd] { read(fd); });
-  loop_.send(fd, check_request());
-  loop_.after(5, [this, here = here_, fd, serial] {  // whatever comes of it, it is over then
+  loop_.send(fd, health_request());
+  end_after(fd, kLongestStaySeconds);
+}
+
+void Newcomers::end_after(int fd, double seconds) {
+  loop_.after(seconds, [this, here = is_here_, fd, serial = serials_.at(fd)] {
     if (*here && serials_.contains(fd) && serials_.at(fd) == serial) end(fd);
   });
 }
@@ -194,21 +206,18 @@
   std::string& in = in_[fd];
   in.append(bytes, static_cast<std::size_t>(got));
   if (in.find("\"result\"") == std::string::npos) return;
-  const double took = now() - open_.at(fd);
+  const double took = now() - began_at_.at(fd);
   longest_ = std::max(longest_, took);
   in_time_ += took <= options_.patience;
   if (options_.stays <= 0) return end(fd);
-  const std::uint64_t serial = serials_.at(fd);
   loop_.forget(fd);
-  loop_.after(options_.stays, [this, here = here_, fd, serial] {
-    if (*here && serials_.contains(fd) && serials_.at(fd) == serial) end(fd);
-  });
+  end_after(fd, options_.stays);
 }
 
 void Newcomers::end(int fd) {
   loop_.forget(fd);
   ::close(fd);
-  open_.erase(fd);
+  began_at_.erase(fd);
   in_.erase(fd);
   serials_.erase(fd);
 }
