Stand-ins finished for readers: planner, forwarder

Change: no behaviour. Neither is copied; the planner's answers to a hello and a fence are functions of their own, and the forwarder's reading is split from what it does with a message. ping_for counts its pings instead of summing a double: as many as before, as 0.25 s is exact.

--- a/standins/forwarder.h
+++ b/standins/forwarder.h
@@ -1,34 +1,43 @@
-// A forwarder by hand, for planners: says what it is told to, and keeps what it hears.
+// A scripted forwarder, for planners: it sends what a test tells it to, and keeps what it gets.
 #pragma once
 
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
 
 #include "loop.h"
 #include "wire/tier.h"
 
 namespace damsonspoke::standins {
 
+// One forwarder with one link, from its construction on; `loop` outlives it.
 class ScriptedForwarder {
  public:
   ScriptedForwarder(Loop& loop, std::uint16_t port) : loop_(loop), fd_(connected_socket(port)) {
     if (fd_ >= 0) loop_.watch(fd_, [this] { read(); });
   }
+  ScriptedForwarder(const ScriptedForwarder&) = delete;
+  ScriptedForwarder& operator=(const ScriptedForwarder&) = delete;
   ~ScriptedForwarder() { cut(); }
+
+  // Closes the link.
   void cut() {
-    if (fd_ >= 0 && !over_) loop_.forget(fd_);
+    if (fd_ >= 0 && !is_closed_) loop_.forget(fd_);
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
   }
+  // Sends nothing where the link has ended.
   ScriptedForwarder& send(const wire::tier::Message& message) {
-    if (fd_ >= 0 && !over_) loop_.send(fd_, wire::tier::encode(message));
+    if (fd_ >= 0 && !is_closed_) loop_.send(fd_, wire::tier::encode(message));
     return *this;
   }
+  // Sends a hello and waits for the planner's, 1 s at most.
   ScriptedForwarder& hello(const char* name, std::uint64_t epoch) {
     send(hello_of(name, epoch));
     loop_.run_until([this] { return greeted; }, 1);
@@ -36,30 +45,40 @@
   }
   static wire::tier::Hello hello_of(const char* name, std::uint64_t epoch) {
     wire::tier::Hello hello;
-    hello.name = name, hello.epoch = epoch, hello.routes = {"read"};
+    hello.name = name;
+    hello.epoch = epoch;
+    hello.routes = {"read"};
     return hello;
   }
+  // Sends an attempt at a request of 10 kB that its caller awaits for 1.9 s.
   ScriptedForwarder& submit(std::uint64_t attempt, std::uint64_t request) {
     wire::tier::Submit submit;
-    submit.attempt = attempt, submit.request = request, submit.size_sixteenth_kb = 160,
-    submit.remaining_us = 1900000, submit.body = "k ";
+    submit.attempt = attempt;
+    submit.request = request;
+    submit.size_sixteenth_kb = 160;
+    submit.remaining_us = 1900000;
+    submit.body = "k ";
     return send(submit);
   }
-  // How an attempt was answered, within so many seconds; -1: not.
-  int answer(std::uint64_t attempt, double patience = 1) {
-    loop_.run_until([&] { return answers.contains(attempt); }, patience);
+  // The result of an attempt that is answered within so many seconds; -1 where it is not.
+  int answer(std::uint64_t attempt, double timeout_seconds = 1) {
+    loop_.run_until([&] { return answers.contains(attempt); }, timeout_seconds);
     return answers.contains(attempt) ? static_cast<int>(answers[attempt]) : -1;
   }
-  bool closed(double patience) {
-    return loop_.run_until([this] { return over_; }, patience);
+  // Whether the planner closes the link within so many seconds.
+  bool closed(double timeout_seconds) {
+    return loop_.run_until([this] { return is_closed_; }, timeout_seconds);
   }
-  // Nothing but pings, for so long.
+  // Sends nothing but pings for so long.
   void ping_for(double seconds) {
-    for (double left = seconds; left > 0; left -= 0.25) {
+    const int pings = static_cast<int>(std::ceil(seconds / kPingSeconds));
+    for (int i = 0; i < pings; ++i) {
       send(wire::tier::Ping{1});
-      loop_.run_for(0.25);
+      loop_.run_for(kPingSeconds);
     }
   }
+
+  // What came so far.
   bool greeted = false, no_more = false;
   int pongs = 0;
   std::uint32_t window = 0;         // that it was told of last
@@ -67,12 +86,14 @@
   std::map<std::uint64_t, wire::tier::Result> answers;
 
  private:
+  static constexpr double kPingSeconds = 0.25;
+
   void read() {
     char bytes[65536];
     const ssize_t got = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
     if (got < 0 && errno == EAGAIN) return;
     if (got <= 0) {
-      over_ = true;
+      is_closed_ = true;
       loop_.forget(fd_);
       return;
     }
@@ -81,19 +102,26 @@
       const wire::tier::DecodedFrame taken = wire::tier::decode_next_frame(in_);
       if (taken.state != wire::tier::Framing::kFrame) return;
       in_.erase(0, taken.length);
-      if (const auto* hello = std::get_if<wire::tier::Hello>(&taken.message))
-        greeted = true, window = hello->window, planner_epoch = hello->epoch;
-      if (const auto* told = std::get_if<wire::tier::LoadReport>(&taken.message)) window = told->window;
-      if (std::holds_alternative<wire::tier::Draining>(taken.message)) no_more = true;
-      if (std::holds_alternative<wire::tier::Pong>(taken.message)) ++pongs;
-      if (const auto* answer = std::get_if<wire::tier::Answer>(&taken.message))
-        answers[answer->attempt] = answer->result;
+      take(taken.message);
     }
   }
+  void take(const wire::tier::Message& message) {
+    if (const auto* hello = std::get_if<wire::tier::Hello>(&message)) {
+      greeted = true;
+      window = hello->window;
+      planner_epoch = hello->epoch;
+    }
+    if (const auto* report = std::get_if<wire::tier::LoadReport>(&message)) window = report->window;
+    if (std::holds_alternative<wire::tier::Draining>(message)) no_more = true;
+    if (std::holds_alternative<wire::tier::Pong>(message)) ++pongs;
+    if (const auto* answer = std::get_if<wire::tier::Answer>(&message))
+      answers[answer->attempt] = answer->result;
+  }
+
   Loop& loop_;
   int fd_ = -1;
   std::string in_;
-  bool over_ = false;
+  bool is_closed_ = false;
 };
 
 }  // namespace damsonspoke::standins
--- a/standins/planner.h
+++ b/standins/planner.h
@@ -1,5 +1,5 @@
-// A planner that keeps to a script: it speaks the protocol between the tiers and is sound, or wrong in one
-// way. What it runs goes to the journal.
+// A scripted planner: it speaks the protocol between the tiers and is sound, or wrong in one way. What it
+// runs goes to the journal.
 #pragma once
 
 #include <cstdint>
@@ -15,60 +15,74 @@
 
 namespace damsonspoke::standins {
 
+// How a planner behaves.
 enum class PlannerManner {
   kSound,
-  kMute,        // takes requests, answers pings, says nothing of requests, not even to a fence
-  kRejections,  // refuses everything
+  kMute,        // takes requests, answers pings, says nothing of requests, not even in answer to a fence
+  kRejections,  // rejects everything
   kHalf,        // sends the first half of its first answer and then nothing, ever
-  kLies,        // says that a fenced attempt never ran, and acks it all the same
+  kLies,        // says that a fenced attempt never ran, and answers it all the same
   kStranger     // answers attempts that it was never given, those on their way to it too, then what it was
 };
 
+// A planner on a loopback socket, from its construction on; `loop` and `journal` outlive it.
 class Planner {
  public:
   struct Options {
     PlannerManner manner = PlannerManner::kSound;
     double takes = 0.005;  // s a request
     std::uint32_t window = 64;
-    double cold = 0;  // attempts: its budget, handed out in parts; 0: warm, everybody has the window
+    double cold = 0;  // attempts: its budget while it warms up, shared out; 0: warm, everybody has the window
   };
   Planner(Loop& loop, Journal& journal, Options options, std::uint16_t port = 0);
+  Planner(const Planner&) = delete;
+  Planner& operator=(const Planner&) = delete;
   ~Planner();
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  // Attempts and fences that it got so far.
   std::uint64_t taken() const { return taken_; }
   std::uint64_t fences() const { return fences_; }
+  // Forwarders that are linked now.
   std::size_t linked() const { return links_.size(); }
-  // Cold: attempts open here at once, over all forwarders, at most; and the fewest that any linked one sent.
+  // The most attempts that were open here at once, over all forwarders.
   std::size_t most_open() const { return most_open_; }
+  // The fewest attempts that any of the linked forwarders has sent.
   std::uint64_t fewest_sent() const;
-  Options options;
+
+  Options options;  // may change at any time
 
  private:
   void accept();
   void read(int fd);
   void take(int fd, const wire::tier::Message& message);
+  void greet(int fd, const wire::tier::Hello& hello);
+  void answer_fence(int fd, const wire::tier::Fence& fence);
   void submit(int fd, const wire::tier::Submit& request);
   void guess(int fd, std::uint64_t serial, std::uint64_t last);
   void answer(int fd, std::uint64_t serial, std::uint64_t attempt, wire::tier::Result result,
               const std::string& body);
   void put(int fd, const wire::tier::Message& message) { loop_.send(fd, wire::tier::encode(message)); }
 
+  // A forwarder's link.
   struct Link {
     std::string in;
-    std::uint64_t serial = 0;  // a descriptor may come again
-    bool halved = false;
-    std::uint64_t last = 0;          // attempt that it was given
-    std::vector<std::string> types;  // as its hello names them
-    std::uint64_t sent = 0;          // attempts that it was given
-    std::size_t open = 0;            // and has not answered
-    std::uint32_t told = 0;          // the part that it was told of
+    std::uint64_t serial = 0;         // a descriptor may come again
+    bool is_halved = false;           // half an answer was sent on it, and nothing follows
+    std::uint64_t last_attempt = 0;   // that came
+    std::vector<std::string> routes;  // as its hello names them
+    std::uint64_t sent = 0;           // attempts that came
+    std::size_t open = 0;             // of them without an answer
+    std::uint32_t told_share = 0;     // that the forwarder was told of
   };
-  void hand_out();
-  std::size_t open() const;
-  tier::SlowStartShares parts_;
+  // Tells forwarders of their shares, as a planner does while it warms up, and goes on with that.
+  void hand_out_shares();
+  // Attempts of all forwarders.
+  std::size_t count_open() const;
+
+  tier::SlowStartShares shares_;
   std::size_t most_open_ = 0;
-  std::shared_ptr<bool> here_ = std::make_shared<bool>(true);  // timers may outlive this
+  std::shared_ptr<bool> is_here_ = std::make_shared<bool>(true);  // timers may outlive this
   Loop& loop_;
   Journal& journal_;
   int listener_ = -1;
