Stand-ins finished for readers: scripted_site

Change: no behaviour. Site is not copied; what comes of the runtime and of a caller is taken in by functions of their own; public functions have comments. Its functions keep their names, which scenarios under work use.

--- a/standins/scripted_site.h
+++ b/standins/scripted_site.h
@@ -1,5 +1,5 @@
-// A scripted site: one backend with its four peers, which say and hear just what a scenario tells them to,
-// and print it. Everything that comes is kept in a line a peer until it is asked for.
+// A scripted site: one server with its four peers, which say and hear just what a scenario tells them to, and
+// print it for the scenario's trace. Everything that comes is kept in a queue a peer until it is asked for.
 #pragma once
 
 #include <arpa/inet.h>
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -36,8 +37,10 @@
 inline constexpr double kPatience = 10;                // s; for whatever is expected, far above what it takes
 
 inline std::string binary;      // the program under test
-inline bool debug_log = false;  // it tells more, as at level debug
+inline bool debug_log = false;  // its log is at level debug
 
+// A socket on a port of loopback that the system picks; listening, where it is a stream. Ends the test where
+// there is none.
 inline int bound_socket(int kind, std::uint16_t& port) {
   const int fd = ::socket(AF_INET, kind | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -51,20 +54,21 @@
   return fd;
 }
 
+// Sends all of this at once, or prints that it can't.
 inline void put(int fd, const std::string& text) {
   if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size())) {
     std::printf("(cannot send)\n");
   }
 }
 
+// The text with each occurrence of `from` replaced.
 inline std::string replaced(std::string text, const std::string& from, const std::string& to) {
   for (std::size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size())
     text.replace(at, from.size(), to);
   return text;
 }
 
-// One backend with its peers. Everything that comes is kept in a line a peer until it is asked for; the
-// gauges are answered without being asked for.
+// One server with its peers, from its construction on. The gauges are answered without being asked for.
 class Site {
  public:
   // Routes of its own, and an operators' file, in which STORE stands for the path of a store.
@@ -85,13 +89,17 @@
     if (!remembering_.operators.empty()) write_operators(remembering_.operators);
     start();
   }
+  Site(const Site&) = delete;
+  Site& operator=(const Site&) = delete;
   std::string store_path() const { return config_path_ + ".store"; }
   std::string folder() const { return config_path_ + ".folder"; }
   std::string operators_path() const { return config_path_ + ".operators"; }
+  // Replaces the operators' file; STORE and FOLDER in the text stand for the site's own.
   void write_operators(const std::string& text) {
     if (text.find("FOLDER") != std::string::npos) std::filesystem::create_directory(folder());
     std::ofstream(operators_path()) << replaced(replaced(text, "STORE", store_path()), "FOLDER", folder());
   }
+  // Starts the program and waits until it listens.
   void start() {
     int log[2];
     if (::pipe2(log, O_CLOEXEC) != 0) std::abort();
@@ -108,6 +116,7 @@
     const std::string line = expect_log("listens on");
     port_ = static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(':') + 1).c_str()));
   }
+  // The same as restart(), and prints it.
   void kill_and_start() {
     std::printf("-- %s\n", pid_ > 0 ? "killed, and started again" : "started again");
     restart();
@@ -156,7 +165,7 @@
         << R"("dep-share":4,"calls-over":5000,"linger":200,"calls-by-class":[true,true],"worth-without":[0.5,0],)"
         << R"("list-follows":true,"gauges":["cpu_busy","runnable"])" << more_family_ << "}}}";
   }
-  // What the next configuration file has.
+  // Routes for the next configuration file.
   void other_types(const std::string& types) { remembering_.types = types; }
   // A new configuration file; a good one moves all peers, a bad one holds only this text.
   void reload(const std::string& bad = "") {
@@ -166,6 +175,7 @@
     const std::string line = expect_log("new configuration");
     std::printf("log: %s\n", line.substr(line.find("new conf"), bad.empty() ? 17 : 60).c_str());
   }
+  // Kills the program where it has not ended, and deletes its files.
   ~Site() {
     if (pid_ > 0) {
       ::kill(pid_, SIGKILL);
@@ -178,6 +188,7 @@
   }
 
   // ---- The runtime.
+  // Waits for the `sync` of a new link and answers it.
   void runtime_comes_up(const std::string& state = "hot 0") {
     if (!pump([&] { return !runtime_lines_.empty(); })) return;
     std::printf("runtime hears: %s\n", taken(runtime_lines_).c_str());
@@ -189,6 +200,7 @@
     runtime_comes_up();
     roster_hears("HERE n1 on");
   }
+  // Prints the next lines, each of which it waits for.
   void runtime_hears(int lines = 1) {
     for (int i = 0; i < lines; ++i) {
       const bool came = pump([&] { return !runtime_lines_.empty(); });
@@ -207,7 +219,7 @@
     buffers_["runtime"].clear();
     runtime_lines_.clear();
   }
-  bool answers_gauges = true;
+  bool answers_gauges = true;  // those that come from now on
   int answered_gauges = 0;
   // Said after the next answer to gauges, once the program has had time to read that, and before anything is
   // read that it sends then: its commands and this cross.
@@ -228,11 +240,11 @@
     return lines;
   }
 
-  // ---- The layer below.
+  // ---- The dependency.
   void below_hears(int lines = 1) {
     for (int i = 0; i < lines; ++i) {
       std::string line = pump([&] { return !below_lines_.empty(); }) ? taken(below_lines_) : "(nothing)";
-      // The patience hangs on the clock.
+      // The timeout hangs on the clock.
       if (line.rfind("invoke", 0) == 0) line.replace(24, line.find(' ', 24) - 24, "MS");
       std::printf("below hears: %s\n", line.c_str());
     }
@@ -241,6 +253,7 @@
     std::printf("below says: %s\n", replaced(text, "\r\n", " / ").c_str());
     put(below_, text + "\r\n");
   }
+  // Puts the present connection aside; below_is() takes it up again.
   int keep_below() { return std::exchange(below_, -1); }
   void below_is(int fd) { below_ = fd; }
   void below_breaks() {
@@ -248,6 +261,7 @@
     ::close(below_);
     below_ = -1;
   }
+  // Prints whether the program closes the connection.
   void below_closes() {
     std::printf("the connection below is closed: %s\n", pump([&] { return below_ < 0; }) ? "yes" : "no");
   }
@@ -257,7 +271,8 @@
     below_listener_ = -1;
   }
 
-  // ---- The roster.
+  // ---- The registry.
+  // Waits for this report, past others.
   void roster_hears(const std::string& wanted) {
     const bool came = pump([&] {
       while (!reports_.empty()) {
@@ -275,6 +290,7 @@
   }
 
   // ---- Callers.
+  // A new connection; -1 where it is refused. One that does not read has a small buffer too.
   int connect(bool reads = true) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int little = 4096;
@@ -291,7 +307,9 @@
     return fd;
   }
   void reads(int fd) { callers_[fd]; }  // from now on
+  // Sends this as fast as the program takes it, while the scenario waits for something.
   void keep_sending(int fd, const std::string& rest) { unsent_[fd] = rest; }
+  // Closes the connection, or resets it.
   void hang_up(int fd, bool reset = false) {
     const linger now{1, 0};
     if (reset) ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -301,7 +319,7 @@
   void send(int fd, const std::string& body) {
     put(fd, "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
-  // A request whose txn is its number.
+  // Sends a request whose `txn` is its number, and prints that; `more` are further members of its params.
   void send_request(int fd, int id, const char* type = "push", const char* more = R"("ram":10,"limit":3000)",
                     const char* body = "Ym9keQ==") {
     char text[400];
@@ -315,6 +333,7 @@
     send(fd, text);
   }
   void caller_hears(int fd) { std::printf("caller hears: %s\n", heard(fd).c_str()); }
+  // The next message on a connection; "(the end)" or "(nothing)" where none comes.
   std::string heard(int fd) {
     Caller& caller = callers_[fd];
     pump([&] { return !caller.messages.empty() || caller.over; });
@@ -323,6 +342,7 @@
   }
 
   // ---- The process.
+  // Waits for the next line of the log that contains this text; empty where none comes.
   std::string expect_log(const std::string& part) {
     std::string found;
     pump([&] {
@@ -337,7 +357,7 @@
   void signal(int number) { ::kill(pid_, number); }
   std::uint16_t port() const { return port_; }
   pid_t pid() const { return pid_; }
-  // So many more than are open may be opened from now on.
+  // Lets the program open so many descriptors more than it has open now.
   void descriptors(int more) {
     int top = 0;
     for (int fd = 0; fd < 256; ++fd) {
@@ -371,6 +391,7 @@
     for (const std::string& name : names) std::printf("counter %s: %s\n", name.c_str(), seen[name].c_str());
     std::printf("counter invariants.broken: %s\n", seen["invariants.broken"].c_str());
   }
+  // Waits for the end of the program and prints its status.
   void ends() {
     int status = -1;
     const bool over = pump([&] { return ::waitpid(pid_, &status, WNOHANG) == pid_; });
@@ -380,7 +401,9 @@
                                               ? ("status " + std::to_string(WEXITSTATUS(status))).c_str()
                                               : "killed");
   }
-  double processor_time() const { return standins::processor_time(pid_); }  // s so far, of the program
+  // That the program has used so far, in s.
+  double processor_time() const { return standins::processor_time(pid_); }
+  // Takes in what comes for so long.
   void pause(double seconds) {
     const auto until = Clock::now() + std::chrono::duration<double>(seconds);
     pump([&] { return Clock::now() >= until; });
@@ -400,9 +423,9 @@
   }
 
   // Takes in what comes until it is enough; false when patience ends first.
-  bool pump(const std::function<bool()>& enough) {
+  bool pump(const std::function<bool()>& is_enough) {
     const auto until = Clock::now() + std::chrono::duration<double>(kPatience);
-    while (!enough()) {
+    while (!is_enough()) {
       if (Clock::now() >= until) return false;
       std::vector<pollfd> fds;
       for (const int fd : {runtime_listener_, below_listener_, roster_, log_, runtime_, below_}) {
@@ -427,6 +450,7 @@
     std::this_thread::sleep_for(kReadingTime);
     put(runtime_, std::exchange(after_gauges_, {}));
   }
+  // Takes in what a descriptor has.
   void take(int fd) {
     if (fd == runtime_listener_) {
       runtime_ = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
@@ -440,40 +464,47 @@
     char bytes[65536];
     const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     const ssize_t read = got < 0 && errno == ENOTSOCK ? ::read(fd, bytes, sizeof bytes) : got;
-    const std::string_view text(bytes, read > 0 ? static_cast<std::size_t>(read) : 0);
+    const bool is_over = read <= 0;
+    const std::string_view text(bytes, is_over ? 0 : static_cast<std::size_t>(read));
     if (fd == roster_) {
       reports_.emplace_back(text);
     } else if (fd == log_) {
-      if (read <= 0) log_ = -1;
+      if (is_over) log_ = -1;
       lines(buffers_["log"], text, "\n", log_lines_);
     } else if (fd == runtime_) {
-      if (read <= 0) runtime_ = -1;
-      std::deque<std::string> all;
-      lines(buffers_["runtime"], text, "\r\n", all);
-      for (std::string& line : all) {
-        if (line.rfind("gauges ", 0) != 0) {
-          runtime_lines_.push_back(line);
-        } else if (answers_gauges && runtime_ >= 0) {
-          put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n");
-          say_after_gauges();
-          ++answered_gauges;
-        }
-      }
+      take_of_runtime(text, is_over);
     } else if (fd == below_) {
-      if (read <= 0) below_ = -1;
+      if (is_over) below_ = -1;
       lines(buffers_["below"], text, "\r\n", below_lines_);
     } else {
-      Caller& caller = callers_[fd];
-      if (read <= 0) caller.over = true;
-      caller.buffer += text;
-      for (std::size_t head; (head = caller.buffer.find("\r\n\r\n")) != std::string::npos;) {
-        const std::size_t length = static_cast<std::size_t>(std::atoi(caller.buffer.c_str() + 16));
-        if (caller.buffer.size() < head + 4 + length) break;
-        caller.messages.push_back(caller.buffer.substr(head + 4, length));
-        caller.buffer.erase(0, head + 4 + length);
+      take_of_caller(callers_[fd], text, is_over);
+    }
+  }
+  void take_of_runtime(std::string_view text, bool is_over) {
+    if (is_over) runtime_ = -1;
+    std::deque<std::string> all;
+    lines(buffers_["runtime"], text, "\r\n", all);
+    for (std::string& line : all) {
+      if (line.rfind("gauges ", 0) != 0) {
+        runtime_lines_.push_back(line);
+      } else if (answers_gauges && runtime_ >= 0) {
+        put(runtime_, "load " + line.substr(7) + " 0.25 1\r\n");
+        say_after_gauges();
+        ++answered_gauges;
       }
     }
   }
+  static void take_of_caller(Caller& caller, std::string_view text, bool is_over) {
+    if (is_over) caller.over = true;
+    caller.buffer += text;
+    for (std::size_t head; (head = caller.buffer.find("\r\n\r\n")) != std::string::npos;) {
+      const auto length = static_cast<std::size_t>(std::atoi(caller.buffer.c_str() + 16));
+      if (caller.buffer.size() < head + 4 + length) break;
+      caller.messages.push_back(caller.buffer.substr(head + 4, length));
+      caller.buffer.erase(0, head + 4 + length);
+    }
+  }
+  // Moves complete lines out of the buffer.
   static void lines(std::string& buffer, std::string_view text, const char* end,
                     std::deque<std::string>& into) {
     buffer += text;
