link_ends and the stepped reactor finished for readers

Change: no scenario and no printed line. The clients of link_ends are not copied and have whole names, the tag of gauges is taken in one place, and the stepped reactor has comments on what it does.

--- a/tests/link_ends.cpp
+++ b/tests/link_ends.cpp
@@ -1,7 +1,7 @@
-// Links whose ends cross what goes over them: calls below and the runtime's link against bare sockets, with
-// the program's reactor standing still while the other side writes, closes or resets. What an end proves is
-// judged by what really left. CTest compares with tests/traces/link_ends_NAME.txt. usage: link_ends -
-// SCENARIO
+// Links whose ends cross what goes over them: calls of the dependency and the runtime's link against bare
+// sockets, with the program's reactor standing still while the other side writes, closes or resets. What an
+// end proves is judged by what really left. CTest compares with tests/traces/link_ends_NAME.txt. usage:
+// link_ends - SCENARIO
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -25,9 +25,9 @@
 namespace {
 
 // The other side: a listener on loopback and what came to it, looked at only when the test says so.
-class Bare {
+class BareListener {
  public:
-  explicit Bare(int backlog = 64) {
+  explicit BareListener(int backlog = 64) {
     fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     sockaddr_in at{};
     at.sin_family = AF_INET;
@@ -37,26 +37,31 @@
     ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
     port_ = ntohs(at.sin_port);
   }
-  ~Bare() {
+  BareListener(const BareListener&) = delete;
+  BareListener& operator=(const BareListener&) = delete;
+  ~BareListener() {
     for (const int fd : links_) ::close(fd);
     if (fd_ >= 0) ::close(fd_);
   }
   std::string address() const { return fmt::format("127.0.0.1:{}", port_); }
   std::uint16_t port() const { return port_; }
+  // Refuses connections from now on.
   void refuse() {
     ::close(fd_);
     fd_ = -1;
   }
-  // Accepts what waits; how many links there are.
-  int links() {
+  // Accepts what waits, and counts the links that are open.
+  int count_links() {
     for (int fd; fd_ >= 0 && (fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0;)
       links_.push_back(fd);
     return static_cast<int>(links_.size());
   }
-  int newest() { return links() > 0 ? links_.back() : -1; }
-  static std::string heard(int fd, double patience = 0) {
+  // The descriptor of the newest link; -1 where there is none.
+  int newest() { return count_links() > 0 ? links_.back() : -1; }
+  // What has come, or comes within so many seconds.
+  static std::string heard(int fd, double timeout_seconds = 0) {
     pollfd one{fd, POLLIN, 0};
-    ::poll(&one, 1, static_cast<int>(patience * 1000));
+    ::poll(&one, 1, static_cast<int>(timeout_seconds * 1000));
     char bytes[65536];
     const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     return got > 0 ? std::string(bytes, static_cast<std::size_t>(got)) : std::string();
@@ -64,9 +69,9 @@
   static void say(int fd, const std::string& text) {
     if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0) std::printf("(cannot say it)\n");
   }
-  void close(int fd, bool reset) {
+  void close(int fd, bool with_reset) {
     const linger now{1, 0};
-    if (reset) ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    if (with_reset) ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     ::close(fd);
     std::erase(links_, fd);
   }
@@ -95,36 +100,41 @@
   return "?";
 }
 
-// ---- Calls below.
+// ---- Calls of the dependency.
+
+// A client of the dependency whose other side is a bare listener.
 struct Calls : peers::DependencyEvents {
   explicit Calls(std::size_t most = 8, int backlog = 64)
       : bare(backlog),
         log(Level::kError),
         dependency(stepped.reactor, bare.address(), most, *this, counters, log) {}
+  Calls(const Calls&) = delete;
+  Calls& operator=(const Calls&) = delete;
   ~Calls() override { stepped.end(); }
   void on_call_ended(RequestId id, Outcome outcome, double, std::string_view) override {
     ends[id].push_back(outcome);
   }
   void run(double seconds) { stepped.run_for(seconds); }
-  // Until it has ended, 2 s at most.
+  // How a call has ended, once it has, 2 s at most.
   std::string end_of(RequestId id) {
     for (int i = 0; i < 100 && ends[id].empty(); ++i) run(0.02);
     run(0.02);
     if (ends[id].empty()) return "no end";
     return name_of(ends[id].front()) + (ends[id].size() > 1 ? ", AND ANOTHER END" : "");
   }
-  // Has it written, and the other side read, the whole call.
+  // Makes a call and waits until the other side has read all of it; the link's descriptor, -1 where it has
+  // not.
   int made(RequestId id, double timeout) {
     dependency.call(id, timeout, "body");
     for (int i = 0; i < 100; ++i) {
       run(0.01);
       const int fd = bare.newest();
-      if (fd >= 0 && Bare::heard(fd).find("body") != std::string::npos) return fd;
+      if (fd >= 0 && BareListener::heard(fd).find("body") != std::string::npos) return fd;
     }
     return -1;
   }
   SteppedReactor stepped;
-  Bare bare;
+  BareListener bare;
   Counters counters;
   Logger log;
   std::map<RequestId, std::vector<Outcome>> ends;
@@ -136,111 +146,111 @@
 // What meets in one turn of the reactor.
 void one_turn() {
   {
-    Calls c;
-    const int fd = c.made(1, 0.2);
+    Calls calls;
+    const int fd = calls.made(1, 0.2);
     ::usleep(250'000);  // its time is over before the reactor looks again; the reply is there too
-    Bare::say(fd, reply(1));
-    fmt::print("reply and timeout: {}\n", c.end_of(1));
+    BareListener::say(fd, reply(1));
+    fmt::print("reply and timeout: {}\n", calls.end_of(1));
   }
   {
-    Calls c;
-    const int fd = c.made(1, 5);
-    Bare::say(fd, reply(1));
-    c.bare.close(fd, true);
-    const std::string end = c.end_of(1);
+    Calls calls;
+    const int fd = calls.made(1, 5);
+    BareListener::say(fd, reply(1));
+    calls.bare.close(fd, true);
+    const std::string end = calls.end_of(1);
     say("reply and reset: one end, and none that proves it did not run",
         (end == "ok" || end == "broken, may have run"));
   }
   {
-    Calls c;
-    const int fd = c.made(1, 5);
-    Bare::say(fd, reply(1) + reply(1));
-    c.bare.close(fd, false);
-    fmt::print("reply twice and the end: {}\n", c.end_of(1));
+    Calls calls;
+    const int fd = calls.made(1, 5);
+    BareListener::say(fd, reply(1) + reply(1));
+    calls.bare.close(fd, false);
+    fmt::print("reply twice and the end: {}\n", calls.end_of(1));
   }
   {
-    Calls c;
-    const int fd = c.made(1, 0.2);
-    Bare::say(fd, reply(1));
-    c.dependency.cancel(1);
+    Calls calls;
+    const int fd = calls.made(1, 0.2);
+    BareListener::say(fd, reply(1));
+    calls.dependency.cancel(1);
     ::usleep(250'000);
-    c.run(0.1);
-    fmt::print("reply, timeout and cancel: {} ends\n", c.ends[1].size());
+    calls.run(0.1);
+    fmt::print("reply, timeout and cancel: {} ends\n", calls.ends[1].size());
   }
   {
-    Calls c;
-    const int fd = c.made(1, 0.2);
-    c.bare.close(fd, true);
+    Calls calls;
+    const int fd = calls.made(1, 0.2);
+    calls.bare.close(fd, true);
     ::usleep(250'000);
-    fmt::print("reset and timeout: {}\n", c.end_of(1));
+    fmt::print("reset and timeout: {}\n", calls.end_of(1));
   }
 }
 
 // Connects that are slow, that succeed as the timeout ends, and that nobody takes.
 void dials() {
   {
-    Calls c;
-    c.dependency.call(1, 0.2, "body");  // the system makes the connection while nobody here looks
+    Calls calls;
+    calls.dependency.call(1, 0.2, "body");  // the system makes the connection while nobody here looks
     ::usleep(250'000);
-    fmt::print("connected as its timeout ended: {}\n", c.end_of(1));
-    const int fd = c.bare.newest();
-    fmt::print("  bytes of it that left: {}\n", fd >= 0 ? Bare::heard(fd, 0.1).size() : 0);
+    fmt::print("connected as its timeout ended: {}\n", calls.end_of(1));
+    const int fd = calls.bare.newest();
+    fmt::print("  bytes of it that left: {}\n", fd >= 0 ? BareListener::heard(fd, 0.1).size() : 0);
   }
   {
-    Calls c(8, 0);  // its queue is full with two that nobody accepts
+    Calls calls(8, 0);  // its queue is full with two that nobody accepts
     std::vector<int> in_front;
     for (int i = 0; i < 4; ++i) {
       const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
       sockaddr_in at{};
       at.sin_family = AF_INET;
       at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      at.sin_port = htons(c.bare.port());
+      at.sin_port = htons(calls.bare.port());
       static_cast<void>(::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at));
       in_front.push_back(fd);
     }
-    c.dependency.call(1, 0.3, "body");
-    fmt::print("a connect that hangs: {}\n", c.end_of(1));
+    calls.dependency.call(1, 0.3, "body");
+    fmt::print("a connect that hangs: {}\n", calls.end_of(1));
     for (const int fd : in_front) ::close(fd);
   }
   {
-    Calls c;
-    c.bare.refuse();
-    c.dependency.call(1, 1, "body");
-    fmt::print("refused: {}\n", c.end_of(1));
+    Calls calls;
+    calls.bare.refuse();
+    calls.dependency.call(1, 1, "body");
+    fmt::print("refused: {}\n", calls.end_of(1));
   }
   {
-    Calls c(1);  // one connection for all
-    c.dependency.call(1, 5, "body");
-    c.dependency.call(2, 0.2, "other");
+    Calls calls(1);  // one connection for all
+    calls.dependency.call(1, 5, "body");
+    calls.dependency.call(2, 0.2, "other");
     ::usleep(250'000);  // connected, nothing written; the second's time is over
-    c.run(0.05);
-    fmt::print("two on a connection that is just made, the second's time over: {}\n", c.end_of(2));
-    Bare::say(c.bare.newest(), reply(1));
-    fmt::print("  the first: {}\n", c.end_of(1));
+    calls.run(0.05);
+    fmt::print("two on a connection that is just made, the second's time over: {}\n", calls.end_of(2));
+    BareListener::say(calls.bare.newest(), reply(1));
+    fmt::print("  the first: {}\n", calls.end_of(1));
   }
 }
 
 // A connection that has carried a call and is used again as the other side closes it.
 void reuse() {
   {
-    Calls c;
-    const int fd = c.made(1, 5);
-    Bare::say(fd, reply(1));
-    c.end_of(1);
-    c.bare.close(fd, false);  // nobody here has read its end yet
-    const int next = c.made(2, 5);
+    Calls calls;
+    const int fd = calls.made(1, 5);
+    BareListener::say(fd, reply(1));
+    calls.end_of(1);
+    calls.bare.close(fd, false);  // nobody here has read its end yet
+    const int next = calls.made(2, 5);
     fmt::print("closed before the next call: it goes on another, {}\n", next >= 0 ? "yes" : "no");
-    Bare::say(next, reply(2));
-    fmt::print("  {}\n", c.end_of(2));
+    BareListener::say(next, reply(2));
+    fmt::print("  {}\n", calls.end_of(2));
   }
   {
-    Calls c;
-    const int fd = c.made(1, 5);
-    Bare::say(fd, reply(1));
-    c.end_of(1);
-    c.dependency.call(2, 5, "body");  // written at once, on the connection that is there
-    c.bare.close(fd, true);
-    fmt::print("closed as the next call was written: {}\n", c.end_of(2));
+    Calls calls;
+    const int fd = calls.made(1, 5);
+    BareListener::say(fd, reply(1));
+    calls.end_of(1);
+    calls.dependency.call(2, 5, "body");  // written at once, on the connection that is there
+    calls.bare.close(fd, true);
+    fmt::print("closed as the next call was written: {}\n", calls.end_of(2));
   }
 }
 
@@ -252,14 +262,16 @@
     const std::size_t step = std::strcmp(how, "silent") == 0 ? 5 : 1;
     int plays = 0;
     for (std::size_t at = 0; at < whole.size(); at += step, ++plays) {
-      Calls c;
-      const int fd = c.made(1, 0.6);
-      if (at > 0) Bare::say(fd, whole.substr(0, at));
-      if (std::strcmp(how, "silent") != 0) c.bare.close(fd, std::strcmp(how, "reset") == 0);
-      c.end_of(1);
-      ends += static_cast<int>(c.ends[1].size());
-      for (const Outcome outcome : c.ends[1])
-        ok += outcome == Outcome::kOk, proofs += proves_not_run(outcome);
+      Calls calls;
+      const int fd = calls.made(1, 0.6);
+      if (at > 0) BareListener::say(fd, whole.substr(0, at));
+      if (std::strcmp(how, "silent") != 0) calls.bare.close(fd, std::strcmp(how, "reset") == 0);
+      calls.end_of(1);
+      ends += static_cast<int>(calls.ends[1].size());
+      for (const Outcome outcome : calls.ends[1]) {
+        ok += outcome == Outcome::kOk;
+        proofs += proves_not_run(outcome);
+      }
     }
     fmt::print("cut at each byte, then {}: plays - ends {}, taken for a reply {}, for a proof {}\n", how,
                plays - ends, ok, proofs);
@@ -267,73 +279,85 @@
 }
 
 // ---- The runtime's link.
+
+// A client of the runtime whose other side is a bare listener.
 struct Link : peers::RuntimeEvents {
   Link()
       : log(Level::kError), runtime(stepped.reactor, bare.address(), 64 * 1024, {}, *this, counters, log) {}
+  Link(const Link&) = delete;
+  Link& operator=(const Link&) = delete;
   ~Link() override { stepped.end(); }
   void on_runtime_ready(bool, double) override { ++readies; }
   void on_run_ended(RequestId id, Outcome outcome, double, std::string_view result) override {
     ends[id].push_back(name_of(outcome) + (result.empty() ? "" : " " + std::string(result)));
   }
   void on_call_requested(RequestId id, std::uint64_t, std::string_view body) override {
-    wanted[id] += std::string(body) + ";";
+    calls[id] += std::string(body) + ";";
   }
   void on_self_test_result(std::uint64_t, bool) override {}
   void on_not_started(RequestId id) override { ends[id].push_back("not started"); }
   void on_run_given_up(RequestId id) override { ends[id].push_back("given up"); }
   void on_runtime_restarted(const std::unordered_set<RequestId>& unsent) override {
-    ++anew, spared = unsent.size();
+    ++restarts;
+    unsent_starts = unsent.size();
   }
   void start(RequestId id, bool may_repeat = true, double seconds_left = 5) {
     runtime.start({id, "push", "body", may_repeat, seconds_left});
   }
-  // Lets it run until this has come to the other side; gauges are answered meanwhile.
-  bool hears(const std::string& part, bool gauges = true) {
+  // Lets the client run until this has come to the other side, 1.5 s at most.
+  bool hears(const std::string& part, bool answers_gauges = true) {
     for (int i = 0; i < 150; ++i) {
       stepped.run_for(0.01);
       const int fd = bare.newest();
       if (fd < 0) continue;
-      in += Bare::heard(fd);
-      answer_gauges(fd, gauges);
+      in += BareListener::heard(fd);
+      if (answers_gauges) answer_gauges(fd);
       if (in.find(part) != std::string::npos) return true;
     }
     return false;
   }
-  // What was missed has been read: its gauges are answered.
+  // Lets the client run until it has read what it missed, as answered gauges tell it.
   void catches_up() {
     for (int i = 0; i < 200 && counters[Count::kGaugesMostUs] == 0; ++i) {
       stepped.run_for(0.01);
-      in += Bare::heard(bare.newest());
-      answer_gauges(bare.newest(), true);
+      in += BareListener::heard(bare.newest());
+      answer_gauges(bare.newest());
     }
   }
-  void answer_gauges(int fd, bool gauges) {
-    for (std::size_t at; gauges && (at = in.find("gauges ")) != std::string::npos;) {
+  void answer_gauges(int fd) {
+    for (std::size_t at; (at = in.find("gauges ")) != std::string::npos;) {
       const std::size_t end = in.find("\r\n", at);
       if (end == std::string::npos) return;
-      Bare::say(fd, "load " + in.substr(at + 7, end - at - 7) + "\r\n");
+      BareListener::say(fd, "load " + in.substr(at + 7, end - at - 7) + "\r\n");
       in.erase(at, end + 2 - at);
     }
   }
+  // Resets the link.
   void breaks() {
     in.clear();
     bare.close(bare.newest(), true);
   }
+  // How often this came.
   int count(const std::string& part) const {
     int n = 0;
     for (std::size_t at = 0; (at = in.find(part, at)) != std::string::npos; at += part.size()) ++n;
     return n;
   }
+  // The tag of the gauges that were asked for.
+  std::string gauges_tag() const {
+    const std::size_t at = in.find("gauges ") + 7;
+    return in.substr(at, in.find("\r\n", at) - at);
+  }
   std::string ends_of(RequestId id) { return fmt::format("{}", fmt::join(ends[id], " and ")); }
   SteppedReactor stepped;
-  Bare bare;
+  BareListener bare;
   Counters counters;
   Logger log;
   std::map<RequestId, std::vector<std::string>> ends;
-  std::map<RequestId, std::string> wanted;
-  int readies = 0, anew = 0;
-  std::size_t spared = 0;
-  std::string in;
+  std::map<RequestId, std::string> calls;
+  int readies = 0, restarts = 0;
+  std::size_t unsent_starts = 0;  // of the last restart
+  std::string in;                 // that came to the other side and was not taken
   peers::RuntimeClient runtime;
 };
 
@@ -345,17 +369,17 @@
     for (std::size_t at = 0; at <= whole.size(); ++at, ++plays) {
       Link link;
       link.hears("sync 0");
-      Bare::say(link.bare.newest(), "ready hot 0\r\n");
+      BareListener::say(link.bare.newest(), "ready hot 0\r\n");
       link.catches_up();
       link.start(1);
       link.stepped.run_for(0.03);
-      if (at > 0) Bare::say(link.bare.newest(), whole.substr(0, at));
+      if (at > 0) BareListener::say(link.bare.newest(), whole.substr(0, at));
       link.breaks();
       link.hears("sync ");
       const bool seen = link.in.find("sync 1") != std::string::npos;
-      Bare::say(link.bare.newest(), "ready hot 50\r\n" + (seen ? std::string() : whole));
+      BareListener::say(link.bare.newest(), "ready hot 50\r\n" + (seen ? std::string() : whole));
       link.stepped.run_for(0.05);
-      once += link.ends_of(1) == "ok result" || link.wanted[1] == "call;";
+      once += link.ends_of(1) == "ok result" || link.calls[1] == "call;";
     }
     fmt::print("{}: cut at each byte, heard once on the next link: {}\n", whole.substr(0, 5),
                once == plays ? "always" : fmt::format("{} of {}", once, plays));
@@ -367,9 +391,9 @@
 void anew() {
   Link link;
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 3000\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 3000\r\n");
   link.catches_up();
-  Bare::say(link.bare.newest(), "end 1 0000000000000009 complete 1 0\r\n\r\n");
+  BareListener::say(link.bare.newest(), "end 1 0000000000000009 complete 1 0\r\n\r\n");
   link.start(1);
   link.hears("start 0000000000000001");
   link.stepped.run_for(0.6);
@@ -378,39 +402,38 @@
   link.start(2);               // waits here, never sent
   link.in.clear();
   link.hears("sync 1");
-  Bare::say(link.bare.newest(), "ready chilly 20\r\n");
+  BareListener::say(link.bare.newest(), "ready chilly 20\r\n");
   link.hears("start 0000000000000002");
-  fmt::print("it began anew: {}, starts that had not left: {}\n", link.anew, link.spared);
+  fmt::print("it began anew: {}, starts that had not left: {}\n", link.restarts, link.unsent_starts);
   fmt::print("sent to the new one: the first {}, the second {}\n", link.count("start 0000000000000001"),
              link.count("start 0000000000000002"));
-  Bare::say(link.bare.newest(), "end 1 0000000000000002 complete 20 3\r\ntwo\r\n");
+  BareListener::say(link.bare.newest(), "end 1 0000000000000002 complete 20 3\r\ntwo\r\n");
   link.stepped.run_for(0.05);
   fmt::print("the second, by a notice numbered 1: {}; the runtime came up {} times for the module\n",
              link.ends_of(2), link.readies);
   link.breaks();
   link.hears("sync 1");
-  Bare::say(link.bare.newest(), "ready chilly 5000\r\n");
+  BareListener::say(link.bare.newest(), "ready chilly 5000\r\n");
   link.stepped.run_for(0.05);
-  fmt::print("the same one after a break: anew {}\n", link.anew);
+  fmt::print("the same one after a break: anew {}\n", link.restarts);
 }
 
 // An answer to gauges that the old link still held means nothing on the new one.
 void old_gauges() {
   Link link;
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 0\r\n");
   link.hears("gauges ", false);
-  const std::size_t at = link.in.find("gauges ");
-  const std::string tag = link.in.substr(at + 7, link.in.find("\r\n", at) - at - 7);
+  const std::string tag = link.gauges_tag();
   link.start(1);  // not sent before what was missed is read
   link.breaks();
   link.in.clear();
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "load " + tag + " 0.25 1\r\n");
+  BareListener::say(link.bare.newest(), "load " + tag + " 0.25 1\r\n");
   link.stepped.run_for(0.05);
-  link.in += Bare::heard(link.bare.newest());
+  link.in += BareListener::heard(link.bare.newest());
   fmt::print("the old link's gauges on the new one: starts sent {}\n", link.count("start "));
-  Bare::say(link.bare.newest(), "ready hot 100\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 100\r\n");
   link.hears("start ");
   fmt::print("after its own: starts sent {}\n", link.count("start "));
 }
@@ -420,18 +443,17 @@
 void end_behind_gauges() {
   Link link;
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 0\r\n");
   link.catches_up();
   link.start(1);
   link.hears("start 0000000000000001");
   link.breaks();
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 5000\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 5000\r\n");
   link.hears("gauges ", false);
-  const std::size_t at = link.in.find("gauges ");
-  const std::string tag = link.in.substr(at + 7, link.in.find("\r\n", at) - at - 7);
-  Bare::say(link.bare.newest(),
-            "load " + tag + " 0.25 1\r\nend 1 0000000000000001 complete 20 6\r\nresult\r\n");
+  const std::string tag = link.gauges_tag();
+  BareListener::say(link.bare.newest(),
+                    "load " + tag + " 0.25 1\r\nend 1 0000000000000001 complete 20 6\r\nresult\r\n");
   link.hears("start ");
   fmt::print("the end: {}, starts on the new link: {}\n", link.ends_of(1), link.count("start "));
 }
@@ -441,13 +463,13 @@
 void closed_unseen() {
   Link link;
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 0\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 0\r\n");
   link.catches_up();
   link.bare.close(link.bare.newest(), false);
   link.in.clear();
   link.start(1, false);  // the reactor stands still
   link.hears("sync 0");
-  Bare::say(link.bare.newest(), "ready hot 5000\r\n");
+  BareListener::say(link.bare.newest(), "ready hot 5000\r\n");
   link.hears("start 0000000000000001");
   fmt::print("starts on the new link: {}, in doubt: {}\n", link.count("start "),
              link.counters[Count::kRuntimeInDoubt]);
--- a/tests/stepped_reactor.h
+++ b/tests/stepped_reactor.h
@@ -12,47 +12,54 @@
 
 namespace damsonspoke {
 
+// A test calls end() before it destroys what the reactor calls.
 class SteppedReactor {
  public:
-  net::Reactor reactor;
+  SteppedReactor() = default;
+  SteppedReactor(const SteppedReactor&) = delete;
+  SteppedReactor& operator=(const SteppedReactor&) = delete;
+  ~SteppedReactor() { end(); }
 
+  // Lets the reactor run for so long.
   void run_for(double seconds) {
     run_for([&] { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); });
   }
-  // As long as that takes, on the test's own thread.
+  // Lets the reactor run while this is called on the test's own thread.
   void run_for(const std::function<void()>& meanwhile) {
     if (!thread_.joinable()) thread_ = std::thread([this] { reactor.run(); });
     release();
     meanwhile();
     reactor.post_from_elsewhere([this] { stand_still(); });
     std::unique_lock guard(lock_);
-    changed_.wait(guard, [this] { return still_; });
+    changed_.wait(guard, [this] { return stands_still_; });
   }
-  // Before what it calls goes; it does not run again.
+  // Ends the reactor, which does not run again; to be called before what it calls is destroyed.
   void end() {
     if (!thread_.joinable()) return;
     reactor.stop();
     release();
     thread_.join();
   }
-  ~SteppedReactor() { end(); }
+
+  net::Reactor reactor;
 
  private:
   void stand_still() {
     std::unique_lock guard(lock_);
-    still_ = true;
+    stands_still_ = true;
     changed_.notify_all();
-    changed_.wait(guard, [this] { return !still_; });
+    changed_.wait(guard, [this] { return !stands_still_; });
   }
   void release() {
     const std::lock_guard guard(lock_);
-    still_ = false;
+    stands_still_ = false;
     changed_.notify_all();
   }
+
   std::thread thread_;
   std::mutex lock_;
   std::condition_variable changed_;
-  bool still_ = false;
+  bool stands_still_ = false;
 };
 
 }  // namespace damsonspoke
