--- a/tests/ajp_program.cpp
+++ b/tests/ajp_program.cpp
@@ -258,7 +258,7 @@
   Server server(loop, journal, callers, binary, spec, Play::work_of(1.7));
   say("starts", server.start());
   const std::string line = server.process->expect_log("takes AJP callers");
-  loop.run_until([&] { return server.roster.listed(); }, 5);
+  loop.run_until([&] { return server.registry.is_listed(); }, 5);
   loop.run_for(0.5);
   AjpScript one(loop, static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(' ') + 1).c_str())));
   one.send(bare::forward(post("/ops/close", 3, {{"x-key", "k"}})) + bare::body("abc"));
