Stand-in callers note when they sent before they tell the server when it came

Cause: the caller took the time that it tells the server (door) first and its own note of the time after building the text; a caller that is taken off its core in between notes a later time than the server is told, and the server decides by what it is told. By deduction: its log shows that it heard the notice before, and it admits nothing that is told to come after the grace. Change: the note comes first. It is never later than what the server is told, so answers and losses are judged from an earlier moment, as strictly or more.

--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -212,6 +212,8 @@
   const int server = links_.at(fd).server;
   const std::uint64_t request = (random_() & 0xffffffff00000000ULL) | next_request_++,
                       number = next_number_++;
+  // Before the time that the server is told: a process that stands still in between sends later than that.
+  const double sent_at = now();
   const double received_at = unix_now();
   std::string type;
   const std::string text = text_of(request, number, flow, key, body, received_at, type);
@@ -220,7 +222,7 @@
   sent.key = key;
   sent.type = type;
   sent.life = servers_.at(static_cast<std::size_t>(server)).life;
-  sent.sent = now();
+  sent.sent = sent_at;
   sent.due = sent.sent + flow.timeout;
   sent.is_read_late = links_.at(fd).reads_late;
   journal_.attempts[request] = std::move(sent);
