--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -162,8 +162,8 @@
   // Interrupts a run; on_run_ended() reports that as kCancelled. The platform says whether its progress is
   // lost.
   virtual void stop(RequestId id) = 0;
-  // Continues a run that was stopped and kept its progress.
-  virtual void resume(RequestId id) = 0;
+  // Continues a run that was stopped and kept its progress. `seconds_left`: until its request is due.
+  virtual void resume(RequestId id, double seconds_left) = 0;
   // Resumes a run that waits for a call, with its reply or without one.
   // Where it is not known whether the reply has arrived, the call is skipped if it may be.
   virtual void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) = 0;
--- a/src/peers/runtime/client.cpp
+++ b/src/peers/runtime/client.cpp
@@ -384,7 +384,11 @@
 
 void RuntimeClient::stop(RequestId id) { issue({id, true}, repeatable(wire::encode_stop(id))); }
 
-void RuntimeClient::resume(RequestId id) { issue({id, false}, repeatable(wire::encode_resume(id))); }
+void RuntimeClient::resume(RequestId id, double seconds_left) {
+  RuntimeCommand command = repeatable(wire::encode_resume(id));
+  command.give_up_at = net::monotonic_now() + seconds_left + kGiveUpMarginSeconds;
+  issue({id, false}, std::move(command));
+}
 
 // A reply names no call: a second one would answer the next call of its run. To skip the call names it.
 void RuntimeClient::send_reply(RequestId id, std::string_view reply, const RequestedCall& call) {
--- a/src/peers/runtime/client.h
+++ b/src/peers/runtime/client.h
@@ -40,7 +40,7 @@
 
   void start(const RunStart& run) override;
   void stop(RequestId id) override;
-  void resume(RequestId id) override;
+  void resume(RequestId id, double seconds_left) override;
   void send_reply(RequestId id, std::string_view reply, const RequestedCall& call) override;
   void skip_call(RequestId id, std::uint64_t notice) override;
   // Forgets the commands of the run: none of them is sent again.
--- a/src/peers/runtime/command_ledger.h
+++ b/src/peers/runtime/command_ledger.h
@@ -116,7 +116,7 @@
   struct RequestEntries {
     Entry run;
     Entry stop;
-    double give_up_at = 0;  // of its last start or reply
+    double give_up_at = 0;  // of its last start, resumption or reply
     bool may_be_over = false;
   };
 
--- a/src/stages/command_sender.cpp
+++ b/src/stages/command_sender.cpp
@@ -16,7 +16,7 @@
 void CommandSender::resume(InFlightRequest& request) {
   counters_.add(Count::kRunsResumed);
   request.run = RunStage::kRunning;
-  peers_.runtime->resume(request.id);
+  peers_.runtime->resume(request.id, request.deadline - net::unix_now());
 }
 
 void CommandSender::stop(InFlightRequest& request) {
--- a/tests/runtime/command_ledger_test.cpp
+++ b/tests/runtime/command_ledger_test.cpp
@@ -144,6 +144,25 @@
   EXPECT_EQ(sent_over_new_link(ledger, 1.4), std::vector<std::string>{"omit"});
 }
 
+// Guards against runs that are held for ever, and against those that are given up before they are due.
+TEST(CommandLedger, ARunWhoseNoticesWereLostIsGivenUpWhenDueUnlessItIsHeardOf) {
+  constexpr RequestId kHeardOf = kId + 1;
+  constexpr RequestId kNeverLeft = kId + 2;
+  CommandLedger ledger;
+  for (const RequestId id : {kId, kHeardOf}) {
+    ledger.add({id, false}, start(InDoubt::kWait, 3));
+    ledger.mark_sent({id, false}, 5, 1);
+  }
+  ledger.mark_arrived(ledger.last_sent());
+  ledger.add({kNeverLeft, false}, start(InDoubt::kWait, 3));
+  EXPECT_FALSE(ledger.next_give_up());
+  ledger.on_notices_lost();
+  ledger.on_call_wanted(kHeardOf);
+  EXPECT_EQ(ledger.next_give_up(), 3);
+  EXPECT_TRUE(ledger.requests_to_give_up(2.9).empty());
+  EXPECT_EQ(ledger.requests_to_give_up(3), std::vector<RequestId>{kId});
+}
+
 TEST(CommandLedger, CommandsKeepTheirOrder) {
   CommandLedger ledger;
   ledger.add({kId, false}, start(InDoubt::kSendAgain));
--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -32,7 +32,7 @@
 constexpr int kMostSteps = 300;  // of waiting for what should come
 constexpr int kCrowd = 8;        // more than a listener without a backlog takes
 constexpr RequestId kLastAtSilence = 11;
-constexpr int kQuietSteps = 20;  // in which a second command would come
+constexpr int kQuietSteps = 20;     // in which a second command would come
 
 // A listener on loopback; what came is looked at only when the test says so.
 class BareRuntime {
@@ -253,7 +253,7 @@
   for (int i = 0; i < kMostSteps && client.counters[Count::kRuntimeBroken] == 0; ++i)
     client.stepped.run_for(kStepSeconds);
   send_reply(client, 1, "reply", 1, false);
-  client.runtime.resume(2);
+  client.runtime.resume(2, kSecondsUntilDue);
   start(client, 3, "body", false);
   client.runtime.stop(3);
   client.synchronize("hot 900");
--- a/tests/stages.cpp
+++ b/tests/stages.cpp
@@ -42,7 +42,9 @@
                 std::string(run.body).c_str());
   }
   void stop(RequestId id) override { std::printf("  runtime: stop %d\n", number(id)); }
-  void resume(RequestId id) override { std::printf("  runtime: resume %d\n", number(id)); }
+  void resume(RequestId id, double /*seconds_left*/) override {
+    std::printf("  runtime: resume %d\n", number(id));
+  }
   void send_reply(RequestId id, std::string_view reply, const peers::RequestedCall&) override {
     std::printf("  runtime: give %d '%s'\n", number(id), std::string(reply).c_str());
   }
