--- a/tests/runtime_client_crossings.cpp
+++ b/tests/runtime_client_crossings.cpp
@@ -32,7 +32,7 @@
 constexpr int kMostSteps = 300;  // of waiting for what should come
 constexpr int kCrowd = 8;        // more than a listener without a backlog takes
 constexpr RequestId kLastAtSilence = 11;
-constexpr int kQuietSteps = 20;     // in which a second command would come
+constexpr int kQuietSteps = 20;  // in which a second command would come
 
 // A listener on loopback; what came is looked at only when the test says so.
 class BareRuntime {
