--- a/tests/runtime/command_ledger_test.cpp
+++ b/tests/runtime/command_ledger_test.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr RequestId kId = 7;
+constexpr RequestId kHeardOf = 8;
+constexpr RequestId kNeverLeft = 9;
 
 RuntimeCommand command(const std::string& text, InDoubt in_doubt) {
   RuntimeCommand out;
@@ -146,8 +148,6 @@
 
 // Guards against runs that are held for ever, and against those that are given up before they are due.
 TEST(CommandLedger, ARunWhoseNoticesWereLostIsGivenUpWhenDueUnlessItIsHeardOf) {
-  constexpr RequestId kHeardOf = kId + 1;
-  constexpr RequestId kNeverLeft = kId + 2;
   CommandLedger ledger;
   for (const RequestId id : {kId, kHeardOf}) {
     ledger.add({id, false}, start(InDoubt::kWait, 3));
