--- a/review/standins/peers.h
+++ b/review/standins/peers.h
@@ -401,7 +401,8 @@
     run.end = end;
     const double ms = unix_ms() - run.started_at;
     runs_.erase(id);
-    if (!is_quiet_) record.line(name_ + ": end " + id + " " + end + (result.empty() ? "" : " result '" + result + "'"));
+    if (!is_quiet_)
+      record.line(name_ + ": end " + id + " " + end + (result.empty() ? "" : " result '" + result + "'"));
     notify([&](std::uint64_t n) {
       return text("end %llu %s %s %.0f %zu\r\n%s\r\n", static_cast<unsigned long long>(n), id.c_str(),
                   end.c_str(), ms, result.size(), result.c_str());
@@ -543,6 +544,11 @@
     const std::lock_guard guard(mutex_);
     return number_ - static_cast<int>(answers_.size());
   }
+  // The last message that answers no request; empty: there was none.
+  std::string last_words() {
+    const std::lock_guard guard(mutex_);
+    return last_words_;
+  }
   Answer wait_for(int number, double ms) {
     std::unique_lock guard(mutex_);
     changed_.wait_for(guard, std::chrono::duration<double, std::milli>(ms),
@@ -572,6 +578,11 @@
   void take(const std::string& body) {
     const std::size_t at = body.find("\"id\":");
     if (at == std::string::npos) return;  // a notification
+    if (body.compare(at, 9, "\"id\":null") == 0) {
+      const std::lock_guard guard(mutex_);
+      last_words_ = body;
+      return;
+    }
     Answer answer;
     answer.at = unix_ms();
     answer.message = body;
@@ -595,6 +606,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<int, Answer> answers_;
+  std::string last_words_;
   bool ended_ = false;
   std::thread reader_;
 };
