A keyed request is a duplicate by its arrival, not by when it is read

Its repeat reached the machine 0.4 s inside the window and was read 0.5 s after it.

Cause: ResultReplay::answer_if_known looked the key up with the present time, and IdempotencyCache erased the entry at the end of the window. Whatever delays reading has this effect: a slow message, a busy loop, a forwarder's queue before a planner, a restart whose recovery drops rows whose windows have ended.

A message that is written whole after the window's end with a door inside it runs twice too, so the slow writer is not the cause.

Change: the look-up takes the arrival. Entries are retained after their windows for the longest timeout of any route, within the same limits of bytes and entries; retained ones are evicted for new keys. What is erased raises a watermark: a keyed request with an unknown key that arrived before it fails with "outcome unknown" (results.possibly_forgotten). So no run depends on how long entries are retained. A request that takes over a key whose window has ended and never runs leaves the run before it known. Recovery keeps rows likewise.

Why this works: the watermark is at least the end of each erased window, so a request that arrived inside an erased window never counts as unknown.

--- a/src/results/idempotency_cache.cpp
+++ b/src/results/idempotency_cache.cpp
@@ -77,19 +77,33 @@
   return true;
 }
 
-bool IdempotencyCache::evict_until_fits(std::size_t bytes, std::size_t entries) {
+// The retained entries of the oldest windows make room for new requests: a request that is read so late that
+// it could be a duplicate of them then fails, by the watermark.
+bool IdempotencyCache::evict_ended_window(double now) {
+  if (expiries_.empty() || expiries_.begin()->first >= now) return false;
+  const auto [expires_at, key] = *expiries_.begin();
+  if (entries_.at(key).kind == EntryKind::kKeyed) {
+    raise_watermark(expires_at);
+    evicted_keys_.push_back(key);
+  }
+  erase(key);
+  ++evicted_count_;
+  return true;
+}
+
+bool IdempotencyCache::evict_until_fits(std::size_t bytes, std::size_t entries, std::optional<double> now) {
   while (used_bytes_ + bytes > limits_.max_bytes || entries_.size() + entries > limits_.max_entries) {
-    if (!evict_one()) return false;
+    if (!evict_one() && !(now && evict_ended_window(*now))) return false;
   }
   return true;
 }
 
-bool IdempotencyCache::evict_until_key_fits(const Key& key) {
+bool IdempotencyCache::evict_until_key_fits(const Key& key, double now) {
   for (;;) {
     const auto found = entries_.find(key);
-    if (found == entries_.end()) return evict_until_fits(kActiveEntryBytes, 1);
+    if (found == entries_.end()) return evict_until_fits(kActiveEntryBytes, 1, now);
     const std::size_t old_charge = charge_of(found->second);
-    if (!evict_until_fits(kActiveEntryBytes - old_charge, 0)) return false;
+    if (!evict_until_fits(kActiveEntryBytes - old_charge, 0, now)) return false;
     // The entry to be replaced may itself have been evicted, so its charge no longer counts.
     const auto current = entries_.find(key);
     if (current != entries_.end() && charge_of(current->second) == old_charge) return true;
@@ -105,36 +119,47 @@
 
 // ---- Arriving requests and duplicates.
 
-Lookup IdempotencyCache::look_up(double now, const Key& key, Fingerprint fingerprint, EntryKind kind) {
+Lookup IdempotencyCache::look_up(double now, double arrived_at, const Key& key, Fingerprint fingerprint,
+                                 EntryKind kind) {
   const Entry* entry = find(key);
-  if (entry != nullptr && (entry->is_active() || entry->expires_at > now)) {
+  if (entry != nullptr && (entry->is_active() || entry->expires_at > arrived_at)) {
     if (entry->fingerprint != fingerprint) return {LookupOutcome::kFingerprintMismatch, 0, 0};
     if (entry->state == EntryState::kOutcomeUnknown) return {LookupOutcome::kOutcomeUnknown, 0, 0};
     return {LookupOutcome::kDuplicate, entry->id, 0};
   }
+  // An entry that was not erased is proof that no later window of its key was.
+  if (kind == EntryKind::kKeyed && entry == nullptr && arrived_at < watermark_)
+    return {LookupOutcome::kPossiblyForgotten, 0, 0};
   // A read that cannot be remembered may still run.
-  if (evict_until_key_fits(key) || kind == EntryKind::kSharedRead) return {LookupOutcome::kMiss, 0, 0};
+  if (evict_until_key_fits(key, now) || kind == EntryKind::kSharedRead) return {LookupOutcome::kMiss, 0, 0};
   const double first_expiry = expiries_.empty() ? now : expiries_.begin()->first;
   return {LookupOutcome::kNoCapacity, 0, std::max(0.0, first_expiry - now)};
 }
 
-bool IdempotencyCache::reserve(double now, RequestId id, const Key& key, Fingerprint fingerprint,
-                               EntryKind kind, double expires_at) {
-  const auto found = entries_.find(key);
+bool IdempotencyCache::reserve(double now, const Reservation& reservation) {
+  std::optional<double> replaced_expires_at;
+  const auto found = entries_.find(reservation.key);
   if (found != entries_.end()) {
     const Entry& old = found->second;
-    if (active_keys_.contains(old.id) || old.expires_at > now) return false;
-    erase(key);
+    if (active_keys_.contains(old.id) || old.expires_at > reservation.arrived_at) return false;
+    const bool is_retained = old.expires_at + limits_.allowed_lateness_seconds > now;
+    if (old.kind == EntryKind::kKeyed && is_retained) replaced_expires_at = old.expires_at;
+    erase(reservation.key);
+  }
+  const bool fits = !active_keys_.contains(reservation.id) && evict_until_fits(kActiveEntryBytes, 1, now);
+  if (!fits) {
+    if (replaced_expires_at) raise_watermark(*replaced_expires_at);
+    return false;
   }
-  if (active_keys_.contains(id) || !evict_until_fits(kActiveEntryBytes, 1)) return false;
   Entry entry;
-  entry.key = key;
-  entry.fingerprint = fingerprint;
-  entry.id = id;
-  entry.kind = kind;
-  entry.expires_at = expires_at;
+  entry.key = reservation.key;
+  entry.fingerprint = reservation.fingerprint;
+  entry.id = reservation.id;
+  entry.kind = reservation.kind;
+  entry.expires_at = reservation.expires_at;
+  entry.replaced_expires_at = replaced_expires_at;
   add(std::move(entry));
-  active_keys_[id] = key;
+  active_keys_[reservation.id] = reservation.key;
   return true;
 }
 
@@ -183,10 +208,26 @@
   Entry* entry = active_entry(id);
   if (entry == nullptr) return {};
   std::vector<RequestId> waiters = take_waiters(*entry);
-  erase(entry->key);
+  const Entry released = *entry;
+  erase(released.key);
+  restore_replaced(released);
   return waiters;
 }
 
+// A request that never ran does not make its key's earlier run forgotten: late duplicates of that must not
+// run either. Its result is gone.
+void IdempotencyCache::restore_replaced(const Entry& entry) {
+  if (!entry.replaced_expires_at) return;
+  Entry replaced;
+  replaced.key = entry.key;
+  replaced.fingerprint = entry.fingerprint;
+  replaced.id = entry.id;
+  replaced.state = EntryState::kOutcomeUnknown;
+  replaced.expires_at = *entry.replaced_expires_at;
+  expiries_.insert({replaced.expires_at, replaced.key});
+  add(std::move(replaced));
+}
+
 void IdempotencyCache::set_result(Entry& entry, std::string result) {
   entry.result = std::move(result);
   if (entry.kind != EntryKind::kSharedRead && !limits_.has_store) return;
@@ -275,18 +316,25 @@
   evict_until_fits(0, 0);
 }
 
-bool IdempotencyCache::drop(const Key& key) {
+bool IdempotencyCache::drop(double now, const Key& key) {
   const Entry* entry = find(key);
   if (entry == nullptr || entry->is_active()) return false;
+  // Only a key that is dropped inside its window may run again.
+  if (entry->kind == EntryKind::kKeyed && entry->expires_at <= now) raise_watermark(entry->expires_at);
   erase(key);
   return true;
 }
 
 std::vector<Key> IdempotencyCache::expire(double now, std::size_t max_entries) {
-  std::vector<Key> expired;
-  for (std::size_t i = 0; i < max_entries && !expiries_.empty() && expiries_.begin()->first <= now; ++i) {
-    const Key key = expiries_.begin()->second;
-    if (entries_.at(key).kind == EntryKind::kKeyed) expired.push_back(key);
+  std::vector<Key> expired = std::exchange(evicted_keys_, {});
+  const double max_expires_at = now - limits_.allowed_lateness_seconds;
+  for (std::size_t i = 0; i < max_entries; ++i) {
+    if (expiries_.empty() || expiries_.begin()->first > max_expires_at) break;
+    const auto [expires_at, key] = *expiries_.begin();
+    if (entries_.at(key).kind == EntryKind::kKeyed) {
+      raise_watermark(expires_at);
+      expired.push_back(key);
+    }
     erase(key);
   }
   return expired;
--- a/src/results/idempotency_cache.h
+++ b/src/results/idempotency_cache.h
@@ -4,12 +4,19 @@
 // Pure policy without I/O: the time is passed in, and keys to erase, duplicates to answer and results are
 // returned. Times are seconds on one monotonic clock; sizes are bytes.
 //
+// A window covers the requests that arrive before its end, however late they are read. Entries are therefore
+// retained for a while after their windows, as a stream processor keeps a window for its allowed lateness
+// (Akidau et al., The Dataflow Model, VLDB 2015). What is erased raises a watermark: a keyed request that
+// arrived before it and whose key is unknown may have run, and must not run again.
+//
 // Based on RIFL (Lee et al., SOSP 2015): a completion record is retained for as long as its client may retry
 // and is never evicted. Based on the IETF draft "The Idempotency-Key HTTP Header Field": a request that
 // reuses a key with another body is rejected.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -39,6 +46,8 @@
   std::size_t max_entries = 0;  // at least 1
   bool has_store = false;       // results of keyed requests are also stored on disk and may be evicted
   double shared_ttl_seconds = 0;  // how long the result of a read may be shared; 0: not at all
+  // How long an entry is retained after its window, for requests that are read later than they arrived.
+  double allowed_lateness_seconds = 0;
 };
 
 enum class LookupOutcome : std::uint8_t {
@@ -47,6 +56,8 @@
   kOutcomeUnknown,       // the original request has run with an unknown result: this one must fail, not run
   kFingerprintMismatch,  // the key belongs to a request with another body
   kNoCapacity,           // the key is unknown and no entry can be added: the request must be rejected
+  kPossiblyForgotten,    // the key is unknown, but its entry may have been erased since the request arrived:
+                         // this one must fail, not run
 };
 
 struct Lookup {
@@ -55,6 +66,16 @@
   double retry_after = 0;     // for kNoCapacity: seconds until the first entry expires; 0: unknown
 };
 
+// An admitted request whose duplicates must be recognized until `expires_at`.
+struct Reservation {
+  RequestId id = 0;
+  Key key;
+  Fingerprint fingerprint = 0;
+  EntryKind kind = EntryKind::kKeyed;
+  double arrived_at = 0;
+  double expires_at = 0;  // of the window: duplicates that arrive before it are recognized
+};
+
 enum class JoinOutcome : std::uint8_t {
   kCoalesced,       // the duplicate waits for the original request
   kInMemory,        // the result is in memory, see result_in_memory()
@@ -77,6 +98,8 @@
     EntryKind kind = EntryKind::kKeyed;
     EntryState state = EntryState::kReserved;
     double expires_at = 0;
+    // End of the window of the run whose entry this one has replaced; nullopt: there was none.
+    std::optional<double> replaced_expires_at;
     std::optional<std::string> result;  // for kCompleted; nullopt: the result is in the store only
     std::uint64_t recency = 0;          // order in which results were added to memory
     std::vector<RequestId> waiters;     // coalesced duplicates, in order of arrival
@@ -88,12 +111,12 @@
 
   explicit IdempotencyCache(CacheLimits limits) : limits_(limits) {}
 
-  // Looks up an arriving request. May evict results to free capacity for it; adds no entry.
-  Lookup look_up(double now, const Key& key, Fingerprint fingerprint, EntryKind kind);
-  // Adds an entry for an admitted request until `expires_at`. Returns false if the request is a duplicate or
-  // there is no capacity.
-  [[nodiscard]] bool reserve(double now, RequestId id, const Key& key, Fingerprint fingerprint,
-                             EntryKind kind, double expires_at);
+  // Looks up a request that arrived at `arrived_at` and is read now. May evict results, and entries whose
+  // windows have ended, to free capacity for it; adds no entry.
+  Lookup look_up(double now, double arrived_at, const Key& key, Fingerprint fingerprint, EntryKind kind);
+  // Adds an entry for an admitted request. Returns false if the request is a duplicate or there is no
+  // capacity.
+  [[nodiscard]] bool reserve(double now, const Reservation& reservation);
   // Must be called before the request starts: afterwards it counts as possibly run.
   void mark_running(RequestId id);
   // Joins a duplicate to its original request: it gets the same answer.
@@ -122,11 +145,13 @@
   // Adds an entry from the store; the result of a completed entry remains in the store. The limits do not
   // apply, because the entry must be remembered.
   void restore(RequestId id, const Key& key, Fingerprint fingerprint, bool is_completed, double expires_at);
+  // An earlier process may have erased entries whose windows ended before `time`.
+  void raise_watermark(double time) { watermark_ = std::max(watermark_, time); }
   // Removes an entry at an operator's request. Returns false if there is none or it is active.
-  bool drop(const Key& key);
+  bool drop(double now, const Key& key);
 
-  // Removes up to `max_entries` expired entries and returns the keys of those that must be erased from the
-  // store.
+  // Removes up to `max_entries` entries whose windows ended longer ago than the allowed lateness. Returns the
+  // keys that must be erased from the store, including those of entries that were evicted since.
   std::vector<Key> expire(double now, std::size_t max_entries);
   // Lower limits evict immediately what may be evicted; the other entries remain until they expire.
   // `has_store` keeps its initial value.
@@ -141,6 +166,8 @@
   std::size_t used_bytes() const { return used_bytes_; }
   std::size_t waiter_count() const { return waiter_keys_.size(); }
   std::uint64_t evicted_count() const { return evicted_count_; }
+  // Entries whose windows ended before it may be erased.
+  double watermark() const { return watermark_; }
   // Whether totals and indices agree with the entries; for tests.
   [[nodiscard]] bool is_consistent() const;
 
@@ -152,10 +179,14 @@
   void erase(Key key);
   void evict_result(Entry& entry);
   bool evict_one();
-  // Evicts until the limits allow so many more bytes and entries. Returns false if that is impossible.
-  bool evict_until_fits(std::size_t bytes, std::size_t entries);
+  // Erases the oldest of the entries whose windows have ended.
+  bool evict_ended_window(double now);
+  // Evicts until the limits allow so many more bytes and entries. Returns false if that is impossible. With
+  // `now`, entries whose windows have ended are evicted, too.
+  bool evict_until_fits(std::size_t bytes, std::size_t entries, std::optional<double> now = std::nullopt);
   // The same for a new active entry with this key, which may replace an expired one.
-  bool evict_until_key_fits(const Key& key);
+  bool evict_until_key_fits(const Key& key, double now);
+  void restore_replaced(const Entry& entry);
   void schedule_expiry(double now, Entry& entry);
   std::vector<RequestId> take_waiters(Entry& entry);
   void set_result(Entry& entry, std::string result);
@@ -171,6 +202,8 @@
   std::size_t used_bytes_ = 0;
   std::uint64_t last_recency_ = 0;
   std::uint64_t evicted_count_ = 0;
+  double watermark_ = -std::numeric_limits<double>::infinity();
+  std::vector<Key> evicted_keys_;  // to be returned by expire()
 };
 
 }  // namespace damsonspoke::results
--- a/src/results/recovery.h
+++ b/src/results/recovery.h
@@ -13,10 +13,12 @@
 
 class Recovery {
  public:
-  // `windows`: idempotency windows in seconds, by route name.
-  explicit Recovery(std::unordered_map<std::string, double> windows);
+  // `windows`: idempotency windows in seconds, by route name. `allowed_lateness`: seconds for which a row is
+  // retained after its window.
+  Recovery(std::unordered_map<std::string, double> windows, double allowed_lateness);
 
-  // Returns the seconds until the row expires; nullopt if it has expired.
+  // Returns the seconds until the window of the row ends, negative if it has ended; nullopt if it ended
+  // longer ago than the allowed lateness.
   //
   // Expiry times are stored as Unix time, and the clock may have been set since. If it was set back, the
   // remaining time is limited to the window of the route. If it was set forward, windows end early, because
@@ -26,6 +28,7 @@
  private:
   std::unordered_map<std::string, double> windows_;
   double longest_window_ = 0;
+  double allowed_lateness_ = 0;
 };
 
 }  // namespace damsonspoke::results
--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -21,8 +21,17 @@
 constexpr double kMillisecondsPerSecond = 1000;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+// Duplicates are recognized for so long after they arrived: one that is read later than its caller waits for
+// the answer is of no use to it.
+double allowed_lateness(const StartSettings& site) {
+  double longest_timeout = 0;
+  for (const Route& route : site.admission.routes) longest_timeout = std::max(longest_timeout, route.timeout);
+  return longest_timeout;
+}
+
 results::CacheLimits limits_of(const ResultsOptions& options, const StartSettings& site) {
-  return {options.memory, options.entries, !options.store.empty(), site.admission.shared_answer_ttl};
+  return {options.memory, options.entries, !options.store.empty(), site.admission.shared_answer_ttl,
+          allowed_lateness(site)};
 }
 
 std::int64_t unix_now_ms() { return static_cast<std::int64_t>(net::unix_now() * kMillisecondsPerSecond); }
@@ -63,7 +72,7 @@
       replies_(reactor, stages.in_flight, stages.admission, site),
       pending_writes_(reactor),
       cache_(limits_of(options, site)),
-      recovery_(windows_of(catalog)) {
+      recovery_(windows_of(catalog), allowed_lateness(site)) {
   if (!is_enabled()) return;
   if (!options_.store.empty()) open_store();
   in_flight_.set_release_listener([this](const InFlightRequest& request) { on_request_released(request); });
@@ -78,6 +87,7 @@
 // ---- The store.
 
 void ResultReplay::open_store() {
+  cache_.raise_watermark(net::monotonic_now() - allowed_lateness(site_));
   results::Store::Options options;
   options.path = options_.store;
   options.sync_commits = options_.power_safe;
@@ -128,9 +138,10 @@
 }
 
 void ResultReplay::on_drop_requests(const std::vector<results::Key>& keys) {
+  const double now = net::monotonic_now();
   std::vector<results::Key> dropped;
   for (const results::Key& key : keys) {
-    if (cache_.drop(key)) dropped.push_back(key);
+    if (cache_.drop(now, key)) dropped.push_back(key);
   }
   log_.event(Level::kWarning, "results", "dropped keys at an operator's request",
              {{"requested", keys.size()}, {"dropped", dropped.size()}});
@@ -146,13 +157,19 @@
   const std::optional<RequestIdentity> identity = identifier_.identify(request, incoming, in_flight_request);
   if (!identity) return false;
   const double now = net::monotonic_now();
+  const double arrived_at = now - request.age;
   erase_from_store(cache_.expire(now, kMaxExpiredPerArrival));
-  const results::Lookup lookup = cache_.look_up(now, identity->key, identity->fingerprint, identity->kind);
+  const results::Lookup lookup =
+      cache_.look_up(now, arrived_at, identity->key, identity->fingerprint, identity->kind);
   switch (lookup.outcome) {
     case LookupOutcome::kMiss:
       if (answer_unknown_key(*identity, incoming.is_lookup_only, in_flight_request, now)) return true;
       break;
     case LookupOutcome::kDuplicate: request.duplicate_of = lookup.original_id; break;
+    case LookupOutcome::kPossiblyForgotten:
+      counters_.add(Count::kResultsPossiblyForgotten);
+      in_flight_.fail(in_flight_request, peers::FailureReason::kOutcomeUnknown);
+      return true;
     case LookupOutcome::kOutcomeUnknown:
       counters_.add(Count::kResultsUnknown);
       in_flight_.fail(in_flight_request, peers::FailureReason::kOutcomeUnknown);
@@ -170,7 +187,7 @@
       replies_.reject(in_flight_request, lookup.retry_after);
       return true;
   }
-  candidate_ = Candidate{request.id, *identity};
+  candidate_ = Candidate{request.id, *identity, arrived_at};
   return false;
 }
 
@@ -204,8 +221,8 @@
   if (!check_invariant(candidate_ && candidate_->id == id, counters_)) return;
   const RequestIdentity& identity = candidate_->identity;
   const double now = net::monotonic_now();
-  const bool is_remembered =
-      cache_.reserve(now, id, identity.key, identity.fingerprint, identity.kind, now + ttl);
+  const bool is_remembered = cache_.reserve(
+      now, {id, identity.key, identity.fingerprint, identity.kind, candidate_->arrived_at, now + ttl});
   if (is_remembered) counters_.add(Count::kResultsRemembered);
   // look_up() has found capacity for a keyed request just before; a shared read need not be remembered.
   check_invariant(is_remembered || identity.kind == EntryKind::kSharedRead, counters_);
--- a/src/stages/result_replay.h
+++ b/src/stages/result_replay.h
@@ -87,6 +87,7 @@
   struct Candidate {
     RequestId id = 0;
     RequestIdentity identity;
+    double arrived_at = 0;  // monotonic s
   };
 
   // ---- StoreEvents.
--- a/standins/server_fixture.h
+++ b/standins/server_fixture.h
@@ -334,13 +334,14 @@
     ::close(fd);
     callers_.erase(fd);
   }
-  // Sends the body in a frame.
-  void send(int fd, const std::string& body) {
-    send_all(fd, "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  static std::string framed(const std::string& body) {
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
-  // Sends a request whose `txn` is its id, and prints that; `more` are further members of its params.
-  void send_request(int fd, int id, const char* route = "push", const char* more = R"("ram":10,"limit":3000)",
-                    const char* body = "Ym9keQ==") {
+  // Sends the body in a frame.
+  void send(int fd, const std::string& body) { send_all(fd, framed(body)); }
+  // A request whose `txn` is its id and whose `door` is now; `more` are further members of its params.
+  static std::string request_message(int id, const char* route, const char* more,
+                                     const char* body = "Ym9keQ==") {
     char text[400];
     const double now =
         std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -348,8 +349,13 @@
         text, sizeof text,
         R"({"jsonrpc":"2.0","id":%d,"method":"%s","params":{"txn":"%016x","door":%.0f,"lb":1,%s,"arg":"%s"}})",
         id, route, id, now * 1000, more, body);
+    return framed(text);
+  }
+  // Sends such a request and prints that.
+  void send_request(int fd, int id, const char* route = "push", const char* more = R"("ram":10,"limit":3000)",
+                    const char* body = "Ym9keQ==") {
     std::printf("caller sent: %s, id %d, %s\n", route, id, more);
-    send(fd, text);
+    send_all(fd, request_message(id, route, more, body));
   }
   void print_caller_message(int fd) { std::printf("caller received: %s\n", next_message(fd).c_str()); }
   // Waits for the next message on a connection. "(connection closed)" if the connection ends first,
--- a/tests/results/given_up_entries_test.cpp
+++ b/tests/results/given_up_entries_test.cpp
@@ -15,7 +15,7 @@
 
 IdempotencyCache cache_with_run(bool has_store) {
   IdempotencyCache cache({100000, 10, has_store, 0});
-  EXPECT_TRUE(cache.reserve(0, kOriginal, kKey, kFingerprint, EntryKind::kKeyed, kWindowEnd));
+  EXPECT_TRUE(cache.reserve(0, {kOriginal, kKey, kFingerprint, EntryKind::kKeyed, 0, kWindowEnd}));
   cache.mark_running(kOriginal);
   return cache;
 }
@@ -26,7 +26,8 @@
   IdempotencyCache cache = cache_with_run(false);
   EXPECT_EQ(cache.join(kDuplicate, kKey), JoinOutcome::kCoalesced);
   EXPECT_EQ(cache.give_up(3, kOriginal), std::vector<RequestId>{kDuplicate});
-  EXPECT_EQ(cache.look_up(19, kKey, kFingerprint, EntryKind::kKeyed).outcome, LookupOutcome::kOutcomeUnknown);
+  EXPECT_EQ(cache.look_up(19, 19, kKey, kFingerprint, EntryKind::kKeyed).outcome,
+            LookupOutcome::kOutcomeUnknown);
   EXPECT_TRUE(cache.is_consistent());
 }
 
@@ -37,7 +38,7 @@
     ASSERT_NE(cache.find_given_up(kOriginal), nullptr);
     EXPECT_EQ(*cache.find_given_up(kOriginal), kKey);
     cache.complete_given_up(kOriginal, "result");
-    EXPECT_EQ(cache.look_up(4, kKey, kFingerprint, EntryKind::kKeyed).outcome, LookupOutcome::kDuplicate);
+    EXPECT_EQ(cache.look_up(4, 4, kKey, kFingerprint, EntryKind::kKeyed).outcome, LookupOutcome::kDuplicate);
     ASSERT_NE(cache.result_in_memory(kKey), nullptr);
     EXPECT_EQ(*cache.result_in_memory(kKey), "result");
     EXPECT_EQ(cache.find_given_up(kOriginal), nullptr);
@@ -60,7 +61,8 @@
   cache.give_up(3, kOriginal);
   cache.set_limits({IdempotencyCache::kEntryBytes, 10, false, 0});
   cache.complete_given_up(kOriginal, "result");
-  EXPECT_EQ(cache.look_up(4, kKey, kFingerprint, EntryKind::kKeyed).outcome, LookupOutcome::kOutcomeUnknown);
+  EXPECT_EQ(cache.look_up(4, 4, kKey, kFingerprint, EntryKind::kKeyed).outcome,
+            LookupOutcome::kOutcomeUnknown);
   EXPECT_TRUE(cache.is_consistent());
 }
 
--- a/tests/results/idempotency_cache_histories.cpp
+++ b/tests/results/idempotency_cache_histories.cpp
@@ -149,7 +149,7 @@
     const unsigned number = step.a % kKeys;
     const EntryKind kind = number < kKeyedKeys ? EntryKind::kKeyed : EntryKind::kSharedRead;
     const Fingerprint fingerprint = kind == EntryKind::kKeyed ? step.b % 2 : 0;
-    const Lookup lookup = cache_.look_up(now_, key(number), fingerprint, kind);
+    const Lookup lookup = cache_.look_up(now_, now_, key(number), fingerprint, kind);
     const RequestId id = ++last_id_;
     check_lookup(lookup, number, fingerprint, kind);
     reached_.insert("looked up " + std::to_string(static_cast<int>(lookup.outcome)));
@@ -188,7 +188,7 @@
     const auto found = model_.find(number);
     if (found != model_.end() && !found->second.is_active()) model_.erase(found);  // evicted, or expired
     const double expires_at = now_ + kWindowSeconds;
-    const bool is_reserved = cache_.reserve(now_, id, key(number), fingerprint, kind, expires_at);
+    const bool is_reserved = cache_.reserve(now_, {id, key(number), fingerprint, kind, now_, expires_at});
     expect(is_reserved || kind == EntryKind::kSharedRead,
            "reserve: rejected although look_up found capacity");
     restored_.erase(number);
@@ -269,7 +269,7 @@
     const auto found = model_.find(number);
     const bool is_droppable = found != model_.end() && !found->second.is_active();
     const bool is_evictable = is_droppable && found->second.kind == EntryKind::kSharedRead;
-    const bool is_dropped = cache_.drop(key(number));
+    const bool is_dropped = cache_.drop(now_, key(number));
     expect(is_evictable || is_dropped == is_droppable, "drop: of an active entry, or not of a completed one");
     if (is_dropped && is_droppable) model_.erase(found);
   }
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -182,6 +182,48 @@
   fixture.print_counters({"runs.started", "results.coalesced"});
 }
 
+constexpr double kPastWindowSeconds = 1.4;
+constexpr const char* kShortWindowRoutes =
+    R"([{"name":"push","target":400,"give-up":3000,"semantics":"dedup","window":1200}])";
+
+// Guards against a second run of a key whose repeat arrives inside the window and is read after its end: it
+// gets the result of the first run. One that arrives after the window runs.
+void read_late() {
+  ServerFixture fixture("", "", {kShortWindowRoutes, kInMemory});
+  fixture.complete_startup();
+  const int caller = fixture.connect();
+  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
+  fixture.print_caller_message(caller);
+  const std::string repeat = fixture.request_message(2, "push", kParamsWithKeyA);
+  fixture.pause(kPastWindowSeconds);
+  send_all(caller, repeat);
+  fixture.print_caller_message(caller);
+  fixture.send_request(caller, 3, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  fixture.print_counters({"runs.started", "results.from_memory"});
+}
+
+// Guards against the same after a restart: the window of the stored result has ended when the repeat is read.
+void read_late_after_restart() {
+  ServerFixture fixture("", "", {kShortWindowRoutes, kStored});
+  wait_for_store(fixture);
+  fixture.complete_startup();
+  fixture.send_request(fixture.connect(), 1, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  const std::string repeat = fixture.request_message(2, "push", kParamsWithKeyA);
+  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
+  fixture.pause(kPastWindowSeconds);
+  fixture.restart_and_print();
+  wait_for_store(fixture);
+  fixture.complete_startup();
+  const int caller = fixture.connect();
+  send_all(caller, repeat);
+  fixture.print_caller_message(caller);
+  fixture.print_counters({"runs.started", "results.from_store"});
+}
+
 // Reads of a subject share one run while it is in progress and for the duration `fresh` after its end.
 void shared() {
   ServerFixture fixture(R"(,"fresh":300)", "", {"", kInMemory});
@@ -489,23 +531,26 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::pair<const char*, void (*)()> scenarios[] = {{"duplicates", duplicates},
-                                                          {"deadlines", deadlines},
-                                                          {"original_disconnected", original_disconnected},
-                                                          {"failing", failing},
-                                                          {"ended_twice", ended_twice},
-                                                          {"given_up", given_up},
-                                                          {"without_key", without_key},
-                                                          {"shared", shared},
-                                                          {"restart", restart},
-                                                          {"full", full},
-                                                          {"shrink", shrink},
-                                                          {"drain", drain},
-                                                          {"damaged", damaged},
-                                                          {"operators", operators},
-                                                          {"store_locked", store_locked},
-                                                          {"store_folder_created", store_folder_created},
-                                                          {"store_locked_at_exit", store_locked_at_exit}};
+  const std::pair<const char*, void (*)()> scenarios[] = {
+      {"duplicates", duplicates},
+      {"deadlines", deadlines},
+      {"original_disconnected", original_disconnected},
+      {"failing", failing},
+      {"ended_twice", ended_twice},
+      {"given_up", given_up},
+      {"without_key", without_key},
+      {"shared", shared},
+      {"read_late", read_late},
+      {"read_late_after_restart", read_late_after_restart},
+      {"restart", restart},
+      {"full", full},
+      {"shrink", shrink},
+      {"drain", drain},
+      {"damaged", damaged},
+      {"operators", operators},
+      {"store_locked", store_locked},
+      {"store_folder_created", store_folder_created},
+      {"store_locked_at_exit", store_locked_at_exit}};
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   if (argc == 3) binary = argv[1];
--- a/tests/results/results_store.cpp
+++ b/tests/results/results_store.cpp
@@ -497,13 +497,15 @@
 void clocks() {
   Route push;
   push.idempotency_window = 10;
-  const Recovery recovery({{"push", push.idempotency_window}});
+  constexpr double kAllowedLatenessSeconds = 3;
+  const Recovery recovery({{"push", push.idempotency_window}}, kAllowedLatenessSeconds);
   const auto print_remaining = [&](const char* name, const Row& row, std::int64_t now_ms) {
     const std::optional<double> remaining = recovery.remaining_seconds(row, now_ms);
     std::printf("%-34s %s, %.1f s left\n", name, remaining ? "valid" : "expired", remaining.value_or(0));
   };
   print_remaining("four seconds later", row_of(1, 100'000), 94'000);
-  print_remaining("its window has ended", row_of(1, 100'000), 100'000);
+  print_remaining("its window has just ended", row_of(1, 100'000), 101'000);
+  print_remaining("its window has ended", row_of(1, 100'000), 103'000);
   print_remaining("the clock was set back an hour", row_of(1, 100'000 + 3'600'000), 94'000);
   Row other = row_of(1, 100'000 + 86'400'000);
   other.route = "removed";
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -350,6 +350,35 @@
   sqlite3_close(other);
 }
 
+// Guards against a second run of a key whose repeat arrives at its forwarder inside the window and waits
+// there until after the window's end. One that arrives after the window runs.
+void keyed_read_late() {
+  constexpr std::uint32_t kWaitedMicroseconds = 1'200'000;
+  SiteSpec spec = Fixture::site(512);
+  spec.types = {{"close", "dedup", 1, 5, 1.2, 1}};
+  spec.operators = "results\n    enabled on\n";
+  Fixture fixture(spec, Fixture::runtime_options(0.01));
+  Link connected(fixture);
+  wt::Hello greeting = Link::hello_of("f1", 7);
+  greeting.routes = {"close"};
+  connected.send(greeting);
+  const auto submit = [&connected](std::uint64_t attempt, std::uint32_t age_us) {
+    wt::Submit one;
+    one.attempt = attempt, one.request = 3000 + attempt, one.size_sixteenth_kb = 160;
+    one.age_us = age_us, one.remaining_us = 3000000, one.body = "k ";
+    connected.send(one);
+    return connected.answer(attempt);
+  };
+  say("the original succeeds", submit(1, 0) == static_cast<int>(wt::Result::kSucceeded));
+  connected.ping_for(1.5);
+  say("the repeat gets its result",
+      submit(2, kWaitedMicroseconds) == static_cast<int>(wt::Result::kSucceeded));
+  say("the key ran once", fixture.journal.runs.size() == 1);
+  say("one that arrives after the window runs",
+      submit(3, 0) == static_cast<int>(wt::Result::kSucceeded) && fixture.journal.runs.size() == 2);
+  fixture.end();
+}
+
 // More links than descriptors: new connections are closed, existing ones are served.
 void connection_flood() {
   Fixture fixture(0.005, 160);
@@ -382,5 +411,6 @@
                        {"superseded_in_slow_start", superseded_in_slow_start},
                        {"draining", draining},
                        {"result_held_at_stop", result_held_at_stop},
+                       {"keyed_read_late", keyed_read_late},
                        {"connection_flood", connection_flood}});
 }
