--- a/tests/results/late_reads_test.cpp
+++ b/tests/results/late_reads_test.cpp
@@ -99,13 +99,15 @@
   EXPECT_EQ(look_up(cache, 5, 3, kOtherKey), LookupOutcome::kMiss);
 }
 
+// Of the random histories.
+constexpr std::uint64_t kSeeds = 300;
+constexpr int kRequests = 400;
+constexpr unsigned kKeys = 6;
+constexpr double kWindow = 4;
+
 // Histories with few keys, small limits and reads up to twice the allowed lateness after the arrival: a
 // request never runs that arrived inside the window of a run of its key.
 TEST(LateReads, NoHistoryRunsAKeyTwiceInsideItsWindow) {
-  constexpr std::uint64_t kSeeds = 300;
-  constexpr int kRequests = 400;
-  constexpr unsigned kKeys = 6;
-  constexpr double kWindow = 4;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     pcg64 random(seed);
     const auto uniform = [&random](double most) { return most * static_cast<double>(random(1000)) / 1000; };
--- a/tests/results/results_store.cpp
+++ b/tests/results/results_store.cpp
@@ -494,10 +494,11 @@
   print_state("much later", 1000);
 }
 
+constexpr double kAllowedLatenessSeconds = 3;
+
 void clocks() {
   Route push;
   push.idempotency_window = 10;
-  constexpr double kAllowedLatenessSeconds = 3;
   const Recovery recovery({{"push", push.idempotency_window}}, kAllowedLatenessSeconds);
   const auto print_remaining = [&](const char* name, const Row& row, std::int64_t now_ms) {
     const std::optional<double> remaining = recovery.remaining_seconds(row, now_ms);
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -350,10 +350,11 @@
   sqlite3_close(other);
 }
 
+constexpr std::uint32_t kWaitedMicroseconds = 1'200'000;
+
 // Guards against a second run of a key whose repeat arrives at its forwarder inside the window and waits
 // there until after the window's end. One that arrives after the window runs.
 void keyed_read_late() {
-  constexpr std::uint32_t kWaitedMicroseconds = 1'200'000;
   SiteSpec spec = Fixture::site(512);
   spec.types = {{"close", "dedup", 1, 5, 1.2, 1}};
   spec.operators = "results\n    enabled on\n";
