Complete messages that are held back are no incomplete ones, and are read in turns

Cause, two: JsonRpcServer::on_input (and AjpServer's) left its loop at a message beyond the quota as at half a message and started the timeout of incomplete ones; and each connection had its own timer for the next period, so that the first to fire read until the period was used up.

Evidence: ajp_program_held_back, a flood of health checks beside pings, on the program before: connections closed as incomplete, others answered 0.9 to 1.6 s after their due time. So either cause is enough.

Change: a held back message is complete: no timeout runs, its connection is neither idle nor evicted, and it is read before an eviction or the last close (those were thrown away too). conns/read_scheduler orders who reads next by weight and connection (start-time fair queueing); after 0.25 s a message is read whatever the quota. Buffered input is delivered before the end of a peer's input is noticed. AJP requests, and JSON-RPC requests without a door, arrived when their bytes were read from the socket, not when their turn came.

Why it works: a whole message never meets the timeout, and waits for about one message of each other connection. Memory: the buffer of a connection as before, one entry of the scheduler each.

Also seen: the quota's share is kept exactly now.

--- a/src/app/backend.cpp
+++ b/src/app/backend.cpp
@@ -111,8 +111,11 @@
       peers::ListenerLimits{max_connections, output_bytes / 2, &quota, 0, connection_admission_.get()},
       events, counters_, log_);
   peers::AjpSite ajp_site{
-      site.route_names, routes_requiring_key(config_, options_.results), {}, keys.max_bytes};
-  for (const Route& route : site.admission.routes) ajp_site.timeouts.push_back(route.timeout);
+      site.route_names, routes_requiring_key(config_, options_.results), {}, keys.max_bytes, {}};
+  for (std::size_t i = 0; i < site.admission.routes.size(); ++i) {
+    ajp_site.timeouts.push_back(site.admission.routes[i].timeout);
+    ajp_site.relative_weights.push_back(catalog_.catalog().relative_priority_weight(static_cast<int>(i)));
+  }
   auto ajp_server = std::make_unique<peers::AjpServer>(
       reactor_, std::move(ajp_site), random_epoch(), ajp,
       peers::ListenerLimits{max_connections, output_bytes / 2, &quota, 1, connection_admission_.get()},
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -47,6 +47,12 @@
     return routes_by_weight_.empty() ? 0 : routes_by_weight_.rbegin()->first;
   }
 
+  // The priority weight of a route, relative to the highest one; 1 where all are 0.
+  [[nodiscard]] double relative_priority_weight(int position) const {
+    const double highest = highest_priority_weight();
+    return highest > 0 ? route(position).priority_weight / highest : 1;
+  }
+
   [[nodiscard]] Version version() const { return version_; }
   [[nodiscard]] HistoryDigest history() const { return history_; }
   [[nodiscard]] std::size_t memory_bytes() const { return routes_.memory_bytes() + tenants_.memory_bytes(); }
--- a/src/conns/connection_quota.cpp
+++ b/src/conns/connection_quota.cpp
@@ -65,4 +65,11 @@
   return true;
 }
 
+int ConnectionQuota::guaranteed_messages(std::size_t listener) const {
+  double share_sum = 0;
+  for (const Listener& other : listeners_) share_sum += other.share;
+  const double part = share_sum > 0 ? listeners_[listener].share / share_sum : 1;
+  return std::max(1, static_cast<int>(options_.messages_per_period * part));
+}
+
 }  // namespace damsonspoke::conns
--- a/src/conns/connection_quota.h
+++ b/src/conns/connection_quota.h
@@ -3,9 +3,10 @@
 // Connections: each listener is guaranteed a minimum number; the remaining ones are first come, first served.
 // So no listener can use up the minimum of another, and an idle listener reserves no more than its guaranteed
 // minimum. Reading: while more than one listener has messages to read, each may read its share of the
-// messages of a period; a listener alone is not limited. So a flood on one protocol does not delay requests
-// of the other one before they reach the admission controller. This is max-min fairness with guarantees:
-// Bertsekas and Gallager, Data Networks, 6.5.2.
+// messages of a period; a listener alone is not limited. Messages beyond that are held back for later
+// periods. So a flood on one protocol does not delay requests of the other one before they reach the
+// admission controller. This is max-min fairness with guarantees: Bertsekas and Gallager, Data
+// Networks, 6.5.2.
 #pragma once
 
 #include <cstddef>
@@ -37,8 +38,10 @@
   void resize(std::size_t total);
 
   // Takes the right to read one message from the period's budget; false: the listener has used up its share
-  // until next_period_at(). `now`: monotonic seconds.
+  // until next_period_at(), and the message is to be held back. `now`: monotonic seconds.
   [[nodiscard]] bool try_read(std::size_t listener, double now);
+  // The listener's share of a period's messages while all listeners read; at least 1.
+  [[nodiscard]] int guaranteed_messages(std::size_t listener) const;
   [[nodiscard]] double next_period_at() const { return period_start_ + options_.period_seconds; }
 
  private:
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -103,17 +103,15 @@
 void Connection::pause_reading(bool pause) {
   is_paused_ = pause;
   if (state_ != State::kOpen || is_input_stopped_) return;
-  observe_readable(!pause);
-  if (!pause && !input_.empty()) {
-    reactor_.post([self = shared_from_this()] { self->deliver(); });
-  }
+  if (pause || input_.empty()) return observe_readable(!pause);
+  reactor_.post([self = shared_from_this()] { self->resume_reading(); });
 }
 
-void Connection::pause_reading_until(double time) {
-  pause_reading(true);
-  reactor_.at(time, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->pause_reading(false);
-  });
+// The end of the peer's input must not be noticed before the buffered input is delivered.
+void Connection::resume_reading() {
+  if (is_paused_) return;
+  deliver_buffered();
+  if (state_ == State::kOpen && !is_paused_ && !is_input_stopped_) observe_readable(true);
 }
 
 void Connection::send(std::string_view bytes) {
@@ -237,10 +235,11 @@
     return;
   }
   bytes_in_ += static_cast<std::uint64_t>(got);
+  last_input_at_ = monotonic_now();
   const std::string_view piece(bytes, static_cast<std::size_t>(got));
   if (!input_.empty()) {
     input_.append(piece);
-    return deliver();
+    return deliver_buffered();
   }
   // Most reads contain complete messages: only the remainder is buffered, so that hundreds of connections
   // take little memory.
@@ -250,7 +249,7 @@
   if (state_ == State::kOpen) input_.assign(piece.substr(used_bytes));
 }
 
-void Connection::deliver() {
+void Connection::deliver_buffered() {
   if (state_ != State::kOpen || is_delivering_ || input_.empty()) return;
   is_delivering_ = true;
   const std::size_t used_bytes = owner_.on_input(*this, input_);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -82,9 +82,12 @@
   // Reads and delivers the input that is in the socket now, without waiting for the next event-loop
   // iteration. Must not be called from inside a callback of the owner.
   void read_now();
+  // After a pause, buffered input is delivered before more is read.
   void pause_reading(bool pause);
-  void pause_reading_until(double time);  // monotonic, s
-  void stop_reading();                    // permanently; pending output is still written
+  // Delivers the input that is buffered, also while reading is paused. Must not be called from inside
+  // on_input().
+  void deliver_buffered();
+  void stop_reading();  // permanently; pending output is still written
   bool connected() const { return state_ == State::kOpen; }
   bool open() const { return state_ != State::kClosed; }
   std::size_t pending_output_bytes() const { return output_.size() - output_offset_; }
@@ -93,6 +96,8 @@
   std::size_t unsent_bytes() const { return unsent_bytes_; }
   // Bytes read from the socket, and written to it, so far.
   std::uint64_t bytes_in() const { return bytes_in_; }
+  // When the latest input was read from the socket (monotonic s); buffered input arrived no later.
+  double last_input_at() const { return last_input_at_; }
   std::uint64_t bytes_out() const { return bytes_out_; }
   // Whether the peer has closed its side, or the connection is broken, with no unread input before that.
   // Queries the socket.
@@ -115,7 +120,7 @@
   void observe_writable(bool want);
   void observe_errors(bool want);
   void set_observers(bool read, bool write, bool error);
-  void deliver();
+  void resume_reading();
   void charge(std::size_t bytes);
   void release(std::size_t bytes);
   int fd() const { return socket_.impl()->sockfd(); }
@@ -130,6 +135,7 @@
   std::size_t output_offset_ = 0;
   std::size_t unsent_bytes_ = 0;
   std::uint64_t bytes_in_ = 0, bytes_out_ = 0;
+  double last_input_at_ = 0;
   bool observes_readable_ = false, observes_writable_ = false, observes_errors_ = false;
   bool is_paused_ = false, is_input_stopped_ = false, is_delivering_ = false;
   bool has_peer_ended_ = false;       // its end was read: no input can be unread
--- a/src/peers/ajp/request_mapping.h
+++ b/src/peers/ajp/request_mapping.h
@@ -18,9 +18,10 @@
 // The routes of the site, by number.
 struct AjpSite {
   std::vector<std::string> routes;
-  std::vector<bool> needs_key;    // whether its requests need an idempotency key
-  std::vector<double> timeouts;   // s, for clients that give no timeout
-  std::size_t max_key_bytes = 0;  // of an idempotency key
+  std::vector<bool> needs_key;           // whether its requests need an idempotency key
+  std::vector<double> timeouts;          // s, for clients that give no timeout
+  std::size_t max_key_bytes = 0;         // of an idempotency key
+  std::vector<double> relative_weights;  // priority weights, relative to the greatest one
 };
 
 // A request as far as the headers of its message describe it.
--- a/src/peers/ajp/server.cpp
+++ b/src/peers/ajp/server.cpp
@@ -45,7 +45,8 @@
       events_(events),
       counters_(counters),
       log_(log),
-      admission_(reactor, limits, counters),
+      admission_(
+          reactor, limits, [this](std::uint64_t tag) { return clients_.find(tag); }, counters),
       listener_(reactor, net::parse_address(options.listen),
                 [this](const net::Accepted& accepted) { on_accept(accepted); }),
       random_(seed) {
@@ -81,13 +82,14 @@
 }
 
 void AjpServer::update_busy(const Client& client) {
-  const bool has_request = client.state == State::kInFlight || client.state == State::kClosing;
+  const bool has_request =
+      client.state == State::kInFlight || client.state == State::kClosing || client.is_held_back;
   admission_.set_busy(client, has_request || client.connection->pending_output_bytes() > 0);
 }
 
 // No request is in flight or partly read, no output is pending, and no input is unread.
 bool AjpServer::is_idle(const Client& client) {
-  return client.state == State::kIdle && !client.is_message_incomplete() &&
+  return client.state == State::kIdle && !client.is_message_incomplete() && !client.is_held_back &&
          client.connection->pending_output_bytes() == 0 && client.connection->nothing_to_read();
 }
 
@@ -106,6 +108,7 @@
   if (!client->has_requested) admission_.penalize(*client, conns::Penalty::kSilent);
   const std::shared_ptr<net::Connection> connection = client->connection;
   connection->read_now();
+  admission_.read_held_back(*client);
   if (!connection->open()) return;
   connection->stop_reading();
   on_end_of_input(*connection);
@@ -121,15 +124,19 @@
     if (client->state == State::kInFlight) break;  // its answer first; the rest stays in the buffer
     const std::string_view rest = bytes.substr(used);
     if (rest.empty()) break;
-    if (!client->is_message_incomplete()) client->start_message(net::monotonic_now(), rest.size());
     const wa::Packet packet = wa::next_packet(rest, wa::From::kGateway, options_.packet);
+    if (packet.state == wa::Framing::kPacket &&
+        !admission_.try_read(*client, [&] { return weight_of(*client, packet.payload); })) {
+      update_busy(*client);
+      break;
+    }
+    if (!client->is_message_incomplete()) client->start_message(net::monotonic_now(), rest.size());
     if (packet.state == wa::Framing::kNeedMore) break;
     if (packet.state == wa::Framing::kBroken) {
       log_.debug("ajp", "connection {}: invalid packet, closed", connection.tag & ~kAjpTagBit);
       close_after_invalid_input(*client);
       return bytes.size();
     }
-    if (!admission_.try_read(connection)) break;
     used += packet.length;
     clients_.on_traffic(*client, net::monotonic_now());
     const bool is_valid = handle_packet(*client, packet.payload);
@@ -143,6 +150,25 @@
   return used;
 }
 
+// The weight of a packet that is held back, relative to the greatest one. Pings count as that: gateways close
+// connections whose pings are not answered. What is no request counts least.
+double AjpServer::weight_of(const Client& client, std::string_view payload) const {
+  if (client.state == State::kReadingBody) return relative_weight(client.mapped);
+  const std::optional<wa::FromGateway> message = wa::decode_from_gateway(payload);
+  if (!message) return 0;
+  if (std::holds_alternative<wa::CPing>(*message)) return 1;
+  const auto* request = std::get_if<wa::ForwardRequest>(&*message);
+  if (request == nullptr) return 0;
+  const std::variant<MappedRequest, AjpRejection> mapped = map_request(*request, options_, site_);
+  const auto* accepted = std::get_if<MappedRequest>(&mapped);
+  return accepted == nullptr ? 0 : relative_weight(*accepted);
+}
+
+double AjpServer::relative_weight(const MappedRequest& mapped) const {
+  if (mapped.is_health_check) return 1;
+  return site_.relative_weights[static_cast<std::size_t>(mapped.request.route)];
+}
+
 // Pending output is written first: it may hold the answer to an earlier request.
 void AjpServer::close_after_invalid_input(Client& client) {
   counters_.add(Count::kBadFrames);
@@ -187,7 +213,7 @@
 
 void AjpServer::handle_request(Client& client, const wa::ForwardRequest& message) {
   counters_.add(Count::kAjpRequests);
-  const double received_at = net::unix_now();
+  const double received_at = net::unix_now() - input_age(client);
   client.is_head_request = message.method == "HEAD";
   std::variant<MappedRequest, AjpRejection> mapped = map_request(message, options_, site_);
   if (const auto* rejection = std::get_if<AjpRejection>(&mapped)) return reject(client, *rejection);
@@ -246,12 +272,12 @@
   client.mapped.request.id = request.id;
   // The request counts as received once it is complete: headers from before the shutdown notice must not
   // admit a body that arrives after the grace of the drain. The client's timeout counts from the headers.
-  const double now = net::unix_now();
+  const double arrived_at = net::unix_now() - input_age(client);
   const double timeout = request.client_timeout > 0 ? request.client_timeout
                                                     : site_.timeouts[static_cast<std::size_t>(request.route)];
-  request.client_timeout = std::max(kMinTimeoutSeconds, request.received_at + timeout - now);
-  request.received_at = now;
-  client.deadline = now + request.client_timeout;
+  request.client_timeout = std::max(kMinTimeoutSeconds, request.received_at + timeout - arrived_at);
+  request.received_at = arrived_at;
+  client.deadline = arrived_at + request.client_timeout;
   events_.on_request_read(std::move(request));
 }
 
@@ -312,7 +338,8 @@
   client.mapped = {};
   respond(client, status, std::move(headers), body, !is_draining_ && !client.input_ended);
   update_busy(client);
-  if (client.state == State::kIdle && client.connection->open()) client.connection->pause_reading(false);
+  if (client.state == State::kIdle && client.connection->open() && !client.is_held_back)
+    client.connection->pause_reading(false);
 }
 
 void AjpServer::answer_succeeded(ReplyAddress reply_to, std::string_view result) {
--- a/src/peers/ajp/server.h
+++ b/src/peers/ajp/server.h
@@ -85,6 +85,8 @@
   [[nodiscard]] static bool is_idle(const Client& client);
   void update_busy(const Client& client);
 
+  [[nodiscard]] double weight_of(const Client& client, std::string_view payload) const;
+  [[nodiscard]] double relative_weight(const MappedRequest& mapped) const;
   // Handles one packet; false: it is invalid, and nothing after it can be trusted.
   [[nodiscard]] bool handle_packet(Client& client, std::string_view payload);
   [[nodiscard]] bool handle_message(Client& client, const wire::ajp::FromGateway& message);
--- a/src/peers/client_connection.h
+++ b/src/peers/client_connection.h
@@ -31,6 +31,9 @@
   bool has_requested = false;  // it has sent a valid message
   bool input_ended = false;    // nothing more is read from it
   bool is_evicted = false;     // its place was given to another connection
+  bool is_held_back = false;   // a complete message waits in its buffer for its turn to be read
+  bool has_read_turn = false;  // it may read one message that was held back
+  bool awaits_output = false;  // it reads nothing until its pending output is written
   conns::MinimumByteRate input_rate;
   conns::MinimumByteRate output_rate;
 
@@ -60,4 +63,9 @@
   }
 };
 
+// Seconds since the client's buffered input was read from the socket.
+[[nodiscard]] inline double input_age(const ClientConnection& client) {
+  return net::monotonic_now() - client.connection->last_input_at();
+}
+
 }  // namespace damsonspoke::peers
--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -21,6 +21,8 @@
     5;  // in which a client should close after it was notified of the drain
 constexpr double kMaxIdleSeconds = 15;
 constexpr int kMaxInvalidMessages = 16;
+constexpr double kLastReadSeconds = 0.02;  // of each reading of what is held back, as the server stops
+constexpr const char* kHealthMethod = "health";
 
 }  // namespace
 
@@ -34,7 +36,8 @@
       events_(events),
       counters_(counters),
       log_(log),
-      admission_(reactor, limits, counters),
+      admission_(
+          reactor, limits, [this](std::uint64_t tag) { return clients_.find(tag); }, counters),
       listener_(reactor, net::parse_address(listen),
                 [this](const net::Accepted& accepted) { on_accept(accepted); }) {
   if (admission_.is_by_client()) listener_.reserve_descriptor();
@@ -65,14 +68,15 @@
 }
 
 void JsonRpcServer::update_busy(const Client& client) {
-  admission_.set_busy(client, !client.requests.empty() || client.connection->pending_output_bytes() > 0);
+  admission_.set_busy(client, !client.requests.empty() || client.is_held_back ||
+                                  client.connection->pending_output_bytes() > 0);
 }
 
 // No request is in flight, no output is pending, and no input is unread, neither in the socket nor in the
 // buffer.
 bool JsonRpcServer::is_idle(const Client& client) {
   return client.requests.empty() && client.connection->pending_output_bytes() == 0 &&
-         !client.is_message_incomplete() && client.connection->nothing_to_read();
+         !client.is_message_incomplete() && !client.is_held_back && client.connection->nothing_to_read();
 }
 
 // Evicts an idle connection or, if there is none, the oldest silent one that has sent only a part of a
@@ -107,6 +111,7 @@
   if (!client->has_requested) admission_.penalize(*client, conns::Penalty::kSilent);
   const std::shared_ptr<net::Connection> connection = client->connection;
   connection->read_now();
+  admission_.read_held_back(*client);
   if (!connection->open()) return;
   connection->stop_reading();
   client->input_ended = true;
@@ -126,21 +131,35 @@
       reject_invalid_frame(*client);
       return bytes.size();
     }
-    if (!admission_.try_read(connection)) break;
+    if (!admission_.try_read(*client, [&] { return weight_of(frame.body); })) {
+      update_busy(*client);
+      break;
+    }
     used += frame.length;
     if (!read_frame(*client, frame.body)) return bytes.size();
     if (connection.pending_output_bytes() > kPauseReadingBytes) {
+      client->awaits_output = true;
       connection.pause_reading(true);
       counters_.add(Count::kCallersBytesIn, used);
       return used;
     }
   }
-  if (used < bytes.size() && !client->is_message_incomplete())
+  if (used < bytes.size() && !client->is_held_back && !client->is_message_incomplete())
     client->start_message(net::monotonic_now(), bytes.size() - used);
   counters_.add(Count::kCallersBytesIn, used);
   return used;
 }
 
+// The weight of a message that is held back, relative to the greatest one. Health checks count as that: they
+// decide whether clients use this server. What is no request counts least.
+double JsonRpcServer::weight_of(std::string_view body) const {
+  wire::RpcRequest message;
+  if (wire::decode_request(body, message, keys_.member) != wire::RpcProblem::kNone) return 0;
+  if (message.method == kHealthMethod) return 1;
+  const int route = catalog_.find_route(message.method);
+  return route < 0 ? 0 : catalog_.relative_priority_weight(route);
+}
+
 bool JsonRpcServer::read_frame(Client& client, std::string_view body) {
   client.finish_message();
   clients_.on_traffic(client, net::monotonic_now());
@@ -201,7 +220,7 @@
     return send(client, wire::encode_rejection(message.id, 0, false));
   }
   const bool has_bad_params = problem == wire::RpcProblem::kInvalidParams;
-  if (message.method == "health") return handle_health_check(client, message, has_bad_params);
+  if (message.method == kHealthMethod) return handle_health_check(client, message, has_bad_params);
   if (has_bad_params || !message.has_request_id || message.request_id == 0 || message.size_kb <= 0) {
     return send_error(client, message.id, {Count::kBadParams, wire::RpcError::kParams, "bad parameters"});
   }
@@ -224,6 +243,8 @@
   auto& request = std::get<IncomingRequest>(built);
   if (events_.is_in_use(request.id))
     return send_error(client, message.id, {Count::kBadIds, wire::RpcError::kRequest, "txn in use"});
+  // A client that does not say when the request arrived: no later than its bytes were read.
+  if (request.received_at <= 0) request.received_at = net::unix_now() - input_age(client);
   request.reply_to = {client.connection->tag, message.id};
   on_valid_message(client);
   client.requests[message.id] = {request.id, request.route};
@@ -287,7 +308,7 @@
 void JsonRpcServer::on_output_sent(net::Connection& connection) {
   Client* client = clients_.find(connection.tag);
   if (client == nullptr) return;
-  connection.pause_reading(false);
+  if (std::exchange(client->awaits_output, false) && !client->is_held_back) connection.pause_reading(false);
   client->output_rate.stop();
   update_busy(*client);
   close_if_done(*client);
@@ -412,10 +433,11 @@
 void JsonRpcServer::close_idle_connections() {
   std::vector<std::shared_ptr<net::Connection>> connections;
   for (const auto& [tag, client] : clients_) connections.push_back(client.connection);
+  for (const auto& connection : connections) connection->read_now();
+  admission_.read_all_held_back(kLastReadSeconds);
   for (const auto& connection : connections) {
-    connection->read_now();
     const Client* client = clients_.find(connection->tag);
-    if (client == nullptr || !connection->open()) continue;
+    if (client == nullptr || !connection->open() || client->is_held_back) continue;
     if (client->requests.empty() && connection->pending_output_bytes() == 0) connection->close_gracefully();
   }
 }
--- a/src/peers/json_rpc/server.h
+++ b/src/peers/json_rpc/server.h
@@ -77,6 +77,7 @@
   [[nodiscard]] static bool is_idle(const Client& client);
   void update_busy(const Client& client);
 
+  [[nodiscard]] double weight_of(std::string_view body) const;
   // Handles one frame; false: nothing more is read from the connection.
   [[nodiscard]] bool read_frame(Client& client, std::string_view body);
   void handle_message(Client& client, std::string_view text);
--- a/src/peers/listener_admission.h
+++ b/src/peers/listener_admission.h
@@ -9,8 +9,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "conns/connection_quota.h"
+#include "conns/read_scheduler.h"
 #include "net/connection.h"
 #include "net/listener.h"
 #include "observability/counters.h"
@@ -31,9 +33,15 @@
 // Admits the connections of one listener and accounts for their places and output.
 class ListenerAdmission {
  public:
+  // Returns the client with this tag; null: it is unknown.
+  using FindClient = std::function<ClientConnection*(std::uint64_t tag)>;
+
   // The quota and the admission must outlive this object, and this object its connections.
-  ListenerAdmission(net::Reactor& reactor, const ListenerLimits& limits, Counters& counters)
-      : reactor_(reactor), limits_(limits), counters_(counters), output_{limits.output_bytes, 0} {}
+  ListenerAdmission(net::Reactor& reactor, const ListenerLimits& limits, FindClient find_client,
+                    Counters& counters);
+  ~ListenerAdmission();
+  ListenerAdmission(const ListenerAdmission&) = delete;
+  ListenerAdmission& operator=(const ListenerAdmission&) = delete;
 
   // Whether clients are admitted by their behavior.
   [[nodiscard]] bool is_by_client() const { return limits_.admission != nullptr; }
@@ -58,8 +66,14 @@
   void on_request_read(const ClientConnection& client);
   void on_success(const ClientConnection& client, int route);
 
-  // Whether the listener may read another message now; else reading is paused until it may.
-  [[nodiscard]] bool try_read(net::Connection& connection);
+  // Whether the client's next message, which is complete, may be read now. Otherwise it is held back: the
+  // connection reads nothing, and its buffered input is delivered again when it is its turn.
+  // `weight`: returns the weight of the message, relative to the greatest one.
+  [[nodiscard]] bool try_read(ClientConnection& client, const std::function<double()>& weight);
+  // Reads all messages of this client that are held back.
+  void read_held_back(ClientConnection& client);
+  // Reads the messages of all clients that are held back, in order, for at most `seconds`.
+  void read_all_held_back(double seconds);
   // Whether the client is below the minimum byte rates of ConnectionAdmission; false where it is not
   // enabled.
   [[nodiscard]] bool is_input_too_slow(const ClientConnection& client, double now) const;
@@ -67,11 +81,19 @@
 
  private:
   [[nodiscard]] bool has_capacity(std::size_t open_count) const;
+  [[nodiscard]] double next_read_turn_at() const;
+  void schedule_read_turns(double time);
+  void give_read_turns();
+  std::optional<std::uint64_t> take_next_reader(double now);
+  void give_read_turn(ClientConnection& client);
 
   net::Reactor& reactor_;
   const ListenerLimits limits_;
+  const FindClient find_client_;
   Counters& counters_;
   net::OutputPool output_;
+  conns::ReadScheduler held_back_;
+  net::Reactor::TimerId read_turn_timer_;
 };
 
 }  // namespace damsonspoke::peers
--- a/tests/ajp_program.cpp
+++ b/tests/ajp_program.cpp
@@ -3,10 +3,17 @@
 // with tests/traces/ajp_program_NAME.txt. usage: ajp_program BINARY SCENARIO
 #include <fmt/format.h>
 #include <sqlite3.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
 
 #include "ajp_gateway.h"
 #include "ajp_script.h"
@@ -196,6 +203,83 @@
   scenario.end();
 }
 
+// A caller that writes many health checks at once, and as many again as soon as all are answered.
+class FloodingCaller {
+ public:
+  FloodingCaller(Loop& loop, std::uint16_t server_port) : loop_(loop), fd_(connected_socket(server_port)) {
+    for (int id = 1; id <= kMessagesAtOnce; ++id) {
+      const std::string body = fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":"health"}})", id);
+      messages_ += fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+    }
+    loop_.watch(fd_, [this] { read(); });
+    loop_.send(fd_, messages_);
+  }
+  FloodingCaller(const FloodingCaller&) = delete;
+  FloodingCaller& operator=(const FloodingCaller&) = delete;
+  ~FloodingCaller() {
+    loop_.forget(fd_);
+    ::close(fd_);
+  }
+  int answers() const { return answers_; }
+  bool is_closed() const { return is_closed_; }
+
+ private:
+  static constexpr int kMessagesAtOnce = 100;
+
+  void read() {
+    char bytes[65536];
+    const ssize_t got = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
+    if (got < 0 && errno == EAGAIN) return;
+    if (got <= 0) {
+      is_closed_ = true;
+      return loop_.stop_reading(fd_);
+    }
+    const std::string_view text(bytes, static_cast<std::size_t>(got));
+    const auto heads = static_cast<int>(std::count(text.begin(), text.end(), 'C'));  // of Content-Length
+    if (answers_ / kMessagesAtOnce != (answers_ + heads) / kMessagesAtOnce) loop_.send(fd_, messages_);
+    answers_ += heads;
+  }
+
+  Loop& loop_;
+  int fd_ = -1;
+  std::string messages_;
+  int answers_ = 0;
+  bool is_closed_ = false;
+};
+
+constexpr int kFloodingCallers = 150;
+constexpr double kFloodSeconds = 6;
+// So that the AJP listener reads in each period of the quota.
+constexpr double kPingIntervalSeconds = 0.002;
+
+// Guards against complete requests that are held back, as both listeners read, and count as incomplete after
+// a while: they were thrown away with their connections. Sound callers and gateways are answered among a
+// flood, and no connection that sends complete messages is closed.
+void held_back() {
+  Scenario scenario(0, 20, Scenario::gateway_load(20, 0, 16));
+  Script pings(scenario);
+  const std::function<void()> ping = [&] {
+    pings.send(raw_ajp::cping());
+    scenario.loop.after(kPingIntervalSeconds, ping);
+  };
+  ping();
+  std::vector<std::unique_ptr<FloodingCaller>> flood;
+  flood.reserve(kFloodingCallers);
+  for (int i = 0; i < kFloodingCallers; ++i)
+    flood.push_back(std::make_unique<FloodingCaller>(scenario.loop, scenario.server.port()));
+  scenario.loop.run_for(kFloodSeconds);
+  say("messages are held back", scenario.count("quota.reads_delayed") > 1000);
+  say("none counts as incomplete", scenario.count("callers.incomplete") == 0);
+  say("no connection is closed",
+      std::none_of(flood.begin(), flood.end(), [](const auto& caller) { return caller->is_closed(); }));
+  const auto [fewest, most] = std::minmax_element(
+      flood.begin(), flood.end(), [](const auto& a, const auto& b) { return a->answers() < b->answers(); });
+  say("all connections are served alike",
+      (*fewest)->answers() > 0 && (*most)->answers() < 2 * (*fewest)->answers());
+  flood.clear();
+  scenario.end();
+}
+
 // A body of 60 MB that was announced as 2 KiB: it is cut off, and no memory is used for it.
 void flood_body() {
   Scenario scenario;
@@ -472,6 +556,7 @@
   return run_scenario(argc, argv, binary,
                       {{"served", served},
                        {"flood_body", flood_body},
+                       {"held_back", held_back},
                        {"stalls", stalls},
                        {"drains", drains},
                        {"result_held_at_stop", result_held_at_stop},
