Unread input is read before a peer counts as late or silent

What callers see: forced by tests. The process is paused for longer than a timeout; the rest of a request, or a ping, comes meanwhile. The timers that are due run before the sockets are read: the request is thrown away as "not whole in time" (AJP: 408), the link of a planner or a forwarder is closed as silent.

Change: JsonRpcServer, AjpServer, ForwarderServer and PlannerClient read the connection once before they close it for lateness, and judge it by what has come.

--- a/src/peers/ajp/server.cpp
+++ b/src/peers/ajp/server.cpp
@@ -425,14 +425,16 @@
     return connection.close(net::CloseReason::kOverflow);
   }
   if (client.state == State::kClosing || client.state == State::kInFlight) return;
-  const bool is_input_late = client.is_message_incomplete() &&
-                             (client.is_message_overdue(now) || admission_.is_input_too_slow(client, now));
+  const auto is_input_late = [&] {
+    return client.is_message_incomplete() &&
+           (client.is_message_overdue(now) || admission_.is_input_too_slow(client, now));
+  };
   const double idle_seconds = now - client.last_traffic_at;
-  if (is_input_late) {
+  if (is_late_after_reading(client, is_input_late)) {
     counters_.add(Count::kCallersIncomplete);
     admission_.penalize(client, conns::Penalty::kIncompleteRequest);
     respond_without_request(client, http_status::kRequestTimeout, true);
-  } else if (!is_idle(client)) {
+  } else if (!connection.open() || !is_idle(client)) {
     return;  // unread input is read first
   } else if (!client.has_requested && idle_seconds > kFirstRequestTimeoutSeconds) {
     counters_.add(Count::kCallersSilent);
--- a/src/peers/client_connection.h
+++ b/src/peers/client_connection.h
@@ -63,6 +63,16 @@
   }
 };
 
+// Whether a client is late, also after what it has sent is read: if this process was paused, that may be
+// unread in the socket. `is_late`: whether it is by what was read. May close the connection.
+template <typename IsLate>
+[[nodiscard]] bool is_late_after_reading(const ClientConnection& client, IsLate&& is_late) {
+  if (!is_late()) return false;
+  const std::shared_ptr<net::Connection> connection = client.connection;
+  connection->read_now();
+  return connection->open() && is_late();
+}
+
 // Seconds since the client's buffered input was read from the socket.
 [[nodiscard]] inline double input_age(const ClientConnection& client) {
   return net::monotonic_now() - client.connection->last_input_at();
--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -353,7 +353,10 @@
     admission_.penalize(client, conns::Penalty::kSlowTransfer);
     return client.connection->close(net::CloseReason::kOverflow);
   }
-  if (!client.is_message_incomplete() || !admission_.is_input_too_slow(client, now)) return;
+  const auto is_too_slow = [&] {
+    return client.is_message_incomplete() && admission_.is_input_too_slow(client, now);
+  };
+  if (!is_late_after_reading(client, is_too_slow)) return;
   counters_.add(Count::kCallersIncomplete);
   admission_.penalize(client, conns::Penalty::kIncompleteRequest);
   client.finish_message();
@@ -370,7 +373,7 @@
     counters_.add(Count::kCallersSilent);
     admission_.penalize(client, conns::Penalty::kSilent);
     connection.close_gracefully();
-  } else if (client.is_message_overdue(now)) {
+  } else if (is_late_after_reading(client, [&] { return client.is_message_overdue(now); })) {
     counters_.add(Count::kCallersIncomplete);
     admission_.penalize(client, conns::Penalty::kIncompleteRequest);
     client.finish_message();
--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -142,12 +142,18 @@
   counters_.add(reason == net::CloseReason::kOrderly ? Count::kCallersClosed : Count::kCallersReset);
 }
 
+bool ForwarderServer::has_timed_out(const Link& link, double now) {
+  const double timeout = link.forwarder == 0 ? kHelloTimeoutSeconds : kSilenceTimeoutSeconds;
+  return link.connection->open() && now - link.last_message_at > timeout;
+}
+
 // Closes links that stall within a frame, or whose forwarder has stopped without closing them.
 void ForwarderServer::check_links() {
   const double now = net::monotonic_now();
   for (auto& [tag, link] : links_) {
-    const double timeout = link.forwarder == 0 ? kHelloTimeoutSeconds : kSilenceTimeoutSeconds;
-    if (!link.connection->open() || now - link.last_message_at <= timeout) continue;
+    if (!has_timed_out(link, now)) continue;
+    link.connection->read_now();  // if this process was paused, its messages are unread
+    if (!has_timed_out(link, now)) continue;
     counters_.add(Count::kCallersSilent);
     log_.warn("forwarders", "forwarder {}: no message within the timeout, link closed", link.name);
     link.connection->close(net::CloseReason::kBroken);
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -102,6 +102,7 @@
   void rebalance_windows(double now);
   [[nodiscard]] wire::tier::LoadReport load_report(const Link& link);
   void send_load_reports(bool to_all);
+  [[nodiscard]] static bool has_timed_out(const Link& link, double now);
   void check_links();
   void abandon(const std::vector<RequestId>& requests);
 
--- a/src/peers/tier/planner_client.cpp
+++ b/src/peers/tier/planner_client.cpp
@@ -209,15 +209,28 @@
   events_.on_link_lost(planner, unwritten);
 }
 
+bool PlannerClient::has_timed_out(const Link& link, double now) {
+  if (!link.connection || !link.connection->open()) return false;
+  return link.is_up ? now - link.last_message_at > kSilenceTimeoutSeconds
+                    : now - link.connecting_since > kHelloTimeoutSeconds;
+}
+
+// If this process was paused, messages of planners that seem silent may be unread.
+void PlannerClient::read_late_links(double now) {
+  std::vector<std::shared_ptr<net::Connection>> late;  // reading may add links
+  for (const auto& link : links_) {
+    if (has_timed_out(*link, now)) late.push_back(link->connection);
+  }
+  for (const auto& connection : late) connection->read_now();
+}
+
 // Sends pings, and closes links that stall within a frame, or whose planner hangs or has stopped without
 // closing them.
 void PlannerClient::check_links() {
   const double now = net::monotonic_now();
+  read_late_links(now);
   for (const auto& link : links_) {
-    if (!link->connection || !link->connection->open()) continue;
-    const bool has_timed_out = link->is_up ? now - link->last_message_at > kSilenceTimeoutSeconds
-                                           : now - link->connecting_since > kHelloTimeoutSeconds;
-    if (has_timed_out) {
+    if (has_timed_out(*link, now)) {
       counters_.add(Count::kTierSilent);
       log_.warn("planners", "planner {}: no message within the timeout, reconnecting", link->address);
       link->connection->close(net::CloseReason::kBroken);
--- a/src/peers/tier/planner_client.h
+++ b/src/peers/tier/planner_client.h
@@ -107,6 +107,8 @@
   [[nodiscard]] bool handle_hello(int planner, const wire::tier::Hello& hello);
   // Returns whether the connection accepted the message.
   bool send(Link& link, const wire::tier::Message& message);
+  [[nodiscard]] static bool has_timed_out(const Link& link, double now);
+  void read_late_links(double now);
   void check_links();
   [[nodiscard]] Link& at(int planner) { return *links_[static_cast<std::size_t>(planner)]; }
 
