A key that is reserved again is not erased from the store

What callers would see: after a restart a repeat runs again.

Cause: look_up() may evict the ended entry of the very key that it looks up, and expire() later hands that key to the store's erasure, after the intent of the new request was written.

Change: reserve() takes the key off the list of evicted ones; the new intent replaces the row.

Evidence: LateReads.AKeyThatIsReservedAgainIsNotErased fails without the line, 1 of 1, and passes with it.

--- a/src/results/idempotency_cache.cpp
+++ b/src/results/idempotency_cache.cpp
@@ -151,6 +151,7 @@
     if (replaced_expires_at) raise_watermark(*replaced_expires_at);
     return false;
   }
+  std::erase(evicted_keys_, reservation.key);  // the store's row will be that of this request
   Entry entry;
   entry.key = reservation.key;
   entry.fingerprint = reservation.fingerprint;
--- a/tests/results/late_reads_test.cpp
+++ b/tests/results/late_reads_test.cpp
@@ -68,6 +68,18 @@
   EXPECT_EQ(cache.expire(kWindowEnd + 2, 10), std::vector<Key>{kKey});
 }
 
+// Guards against the loss of a stored intent: the key's own entry is evicted to make room for its new
+// request, and must not be erased from the store after that is written.
+TEST(LateReads, AKeyThatIsReservedAgainIsNotErased) {
+  constexpr std::size_t active_bytes = IdempotencyCache::kEntryBytes + IdempotencyCache::kMaxResultBytes;
+  IdempotencyCache cache({active_bytes + 100, 10, true, 0, kLateness});
+  cache.restore(kOriginal, kKey, kFingerprint, true, 1);
+  cache.restore(kOther, kOtherKey, kFingerprint, true, 2);
+  EXPECT_EQ(look_up(cache, 3, 3), LookupOutcome::kMiss);
+  ASSERT_TRUE(cache.reserve(3, {5, kKey, kFingerprint, EntryKind::kKeyed, 3, kWindowEnd}));
+  EXPECT_EQ(cache.expire(3, 10), std::vector<Key>{kOtherKey});
+}
+
 // Guards against a second run after an operator has dropped the keys whose windows have ended.
 TEST(LateReads, ADroppedKeyRunsAgainOnlyIfItsWindowHadNotEnded) {
   IdempotencyCache cache = cache_with_result();
