Linter: src/app, src/net and src/wire/ajp are finished for readers

Two findings: the reactor and the connection had a destructor and no declared copies; these are deleted.

--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -71,6 +71,8 @@
   static std::shared_ptr<Connection> connecting(Reactor& reactor, ConnectionOwner& owner,
                                                 const Poco::Net::SocketAddress& address, BufferLimits limits,
                                                 const std::optional<Poco::Net::SocketAddress>& from = {});
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
   ~Connection();
 
   void send(std::string_view bytes);
--- a/src/net/reactor.h
+++ b/src/net/reactor.h
@@ -31,6 +31,8 @@
   };
 
   Reactor();
+  Reactor(const Reactor&) = delete;
+  Reactor& operator=(const Reactor&) = delete;
   ~Reactor() override;
 
   // Timer tasks run after each poll, whether sockets were ready or not, in the order of their times.
