--- a/bench/ajp.cpp
+++ b/bench/ajp.cpp
@@ -93,7 +93,6 @@
       4);
   out.violations += !server.shut_down();
   for (const auto& [request, attempt] : journal.attempts) {
-    if (attempt.was_not_sent) continue;
     const bool in_time = !attempt.answers.empty() && attempt.answers[0].kind == AnswerKind::kSucceeded &&
                          attempt.answers[0].at - attempt.sent <= kTarget;
     ++out.requested, out.served += in_time;
--- a/bench/conns.cpp
+++ b/bench/conns.cpp
@@ -100,7 +100,7 @@
   fleet.settle(4);
   out.violations += !fleet.shut_down();
   for (const auto& [request, attempt] : fleet.journal.attempts) {
-    if (attempt.sent < began || attempt.sent > began + seconds || attempt.was_not_sent) continue;
+    if (attempt.sent < began || attempt.sent > began + seconds) continue;
     const double weight = attempt.type == "close" ? 3 : 1;
     const bool served = !attempt.answers.empty() && attempt.answers[0].kind == AnswerKind::kSucceeded &&
                         attempt.answers[0].at - attempt.sent <= 0.5;
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -31,7 +31,6 @@
   double deadline = 0;
   bool is_lost = false;  // the connection ended before an answer was read
   double lost_at = -1;
-  bool was_not_sent = false;
   bool is_read_late = false;           // the caller paused reading; answer times are times of reading
   bool was_on_new_connection = false;  // if lost: its connection had not carried any answer
   bool is_numbered_by_server =
--- a/standins/rehearsal_verdict.cpp
+++ b/standins/rehearsal_verdict.cpp
@@ -169,10 +169,10 @@
   out.seconds.resize(static_cast<std::size_t>(out.load_seconds) + 1);
   ServiceTally service(script, began, out);
   for (const auto& [number, attempt] : journal.attempts) {
-    if (!attempt.was_not_sent && attempt.sent >= began) service.count_attempt(attempt);
+    if (attempt.sent >= began) service.count_attempt(attempt);
   }
   for (const auto& [number, attempt] : journal.attempts) {
-    if (!attempt.was_not_sent && attempt.sent >= began) service.count_answers(attempt);
+    if (attempt.sent >= began) service.count_answers(attempt);
   }
   service.write_result();
 }
--- a/standins/rules.cpp
+++ b/standins/rules.cpp
@@ -32,7 +32,6 @@
   ViolationReport missing(verdict, verdict.unanswered), late(verdict, verdict.late),
       twice(verdict, verdict.answered_twice);
   for (const auto& [request, attempt] : journal.attempts) {
-    if (attempt.was_not_sent) continue;
     const Incarnation& incarnation = journal.incarnations.at(static_cast<std::size_t>(attempt.incarnation));
     const bool is_reachable =
         incarnation.is_reachable(attempt.sent, attempt.deadline + limits.deadline_slack_seconds);
--- a/standins/service_over_kills.cpp
+++ b/standins/service_over_kills.cpp
@@ -33,7 +33,6 @@
   ServiceOverKills service;
   std::map<std::string, TaskOutcome> tasks;
   for (const auto& [request, t] : journal.attempts) {
-    if (t.was_not_sent) continue;
     TaskOutcome& task = tasks[t.type + ' ' + t.key];
     for (const Answer& answer : t.answers) record(task, answer);
     if (was_lost_by_kill(journal, t)) {
