--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -28,6 +28,14 @@
   std::printf("log: %s\n", line.empty() ? "(no store)" : "store opened");
 }
 
+// The caller's request 1 with key a runs, and its result is answered.
+void complete_with_key_a(ServerFixture& fixture, int caller) {
+  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
+  fixture.print_caller_message(caller);
+}
+
 // A duplicate while the original request runs, one after its end, one with another body, one without a key.
 void duplicates() {
   ServerFixture fixture("", "", keyed(kInMemory));
@@ -192,10 +200,7 @@
   ServerFixture fixture("", "", {kShortWindowRoutes, kInMemory});
   fixture.complete_startup();
   const int caller = fixture.connect();
-  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
-  fixture.print_runtime_lines(2);
-  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
-  fixture.print_caller_message(caller);
+  complete_with_key_a(fixture, caller);
   const std::string repeat = fixture.request_message(2, "push", kParamsWithKeyA);
   fixture.pause(kPastWindowSeconds);
   send_all(caller, repeat);
@@ -252,10 +257,7 @@
   wait_for_store(fixture);
   fixture.complete_startup();
   int caller = fixture.connect();
-  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
-  fixture.print_runtime_lines(2);
-  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
-  fixture.print_caller_message(caller);
+  complete_with_key_a(fixture, caller);
   fixture.send_request(caller, 2, "push", R"("ram":10,"limit":3000,"key":"b")");
   fixture.print_runtime_lines(2);
   fixture.restart_and_print();
@@ -308,10 +310,7 @@
       {R"([{"name":"push","target":400,"give-up":3000,"semantics":"dedup","window":900}])", kInMemory});
   fixture.complete_startup();
   const int caller = fixture.connect();
-  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
-  fixture.print_runtime_lines(2);
-  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
-  fixture.print_caller_message(caller);
+  complete_with_key_a(fixture, caller);
   fixture.write_operators("results\n    enabled on\n    entries 5\n    memry 1M\n");
   fixture.signal(SIGHUP);
   std::string line = fixture.expect_log("configuration rejected");
@@ -368,10 +367,7 @@
   wait_for_store(fixture);
   fixture.complete_startup();
   int caller = fixture.connect();
-  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
-  fixture.print_runtime_lines(2);
-  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
-  fixture.print_caller_message(caller);
+  complete_with_key_a(fixture, caller);
   for (const std::string& noise : {std::string(8192, 'x'), std::string("short")}) {
     std::remove((fixture.store_path() + "-wal").c_str());
     std::ofstream(fixture.store_path(), std::ios::binary) << noise;
@@ -441,10 +437,7 @@
   wait_for_store(fixture);
   fixture.complete_startup();
   const int caller = fixture.connect();
-  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
-  fixture.print_runtime_lines(2);
-  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
-  fixture.print_caller_message(caller);
+  complete_with_key_a(fixture, caller);
   run_command(fixture, "stat");
   run_command(fixture, "list");
   run_command(fixture, "verify");
