A keyed request that lies unread is a duplicate if it may have come inside the window

What callers see: forced by a test. A planner is paused as a repeat reaches it inside the window, and reads it after the window's end: the key runs a second time. The same for AJP.

A submit tells the request's age as of when it was written, and AJP tells no time at all; what lay unread in the socket counted as come when it was read.

Change: the planner and the AJP server note when a socket was last seen empty (in the checks that they make each 0.05 s and 0.25 s); a request may have arrived since then, and IncomingRequest::arrived_earlier says by how much. The look-up of its key goes by the earliest possible arrival; deadlines stay as they were. JSON-RPC has the door.

UnreadInput.AnAjpRequestMayHaveArrivedDuringThePause checks the figure that is handed on.

Cost: a request that comes up to 0.25 s after a window's end may get the result of the run before.

--- a/src/peers/ajp/server.cpp
+++ b/src/peers/ajp/server.cpp
@@ -73,11 +73,13 @@
 void AjpServer::on_accept(const net::Accepted& accepted) {
   const std::uint64_t tag = next_tag_++;
   if (!admission_.admit(tag, accepted, clients_.size(), [this] { return evict_one(); })) return;
-  clients_.insert(
+  const double now = net::monotonic_now();
+  Client& client = clients_.insert(
       tag,
       net::Connection::accepted(reactor_, *this, accepted.fd,
                                 {max_input_bytes(options_), kMaxOutputBytes, admission_.output_pool(tag)}),
-      net::monotonic_now());
+      now);
+  client.empty_at = now;
   counters_.add(Count::kAjpAccepted);
 }
 
@@ -277,6 +279,7 @@
                                                     : site_.timeouts[static_cast<std::size_t>(request.route)];
   request.client_timeout = std::max(kMinTimeoutSeconds, request.received_at + timeout - arrived_at);
   request.received_at = arrived_at;
+  request.arrived_earlier = std::max(0.0, client.connection->last_input_at() - client.empty_at);
   client.deadline = arrived_at + request.client_timeout;
   events_.on_request_read(std::move(request));
 }
@@ -413,6 +416,7 @@
 void AjpServer::check_connections() {
   const double now = net::monotonic_now();
   for (auto& [tag, client] : clients_) {
+    if (client.connection->nothing_to_read()) client.empty_at = now;
     if (client.connection->open()) check_timeouts(client, now);
   }
   check_timer_ = reactor_.after(kConnectionCheckSeconds, [this] { check_connections(); });
--- a/src/peers/ajp/server.h
+++ b/src/peers/ajp/server.h
@@ -72,6 +72,7 @@
     std::uint64_t number = 0;      // of the latest request on this connection
     int route = -1;                // of the request in flight
     double deadline = 0;           // Unix s
+    double empty_at = 0;           // when nothing was unread in its socket, monotonic s
   };
 
   std::size_t on_input(net::Connection& connection, std::string_view bytes) override;
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -29,6 +29,7 @@
   std::uint64_t subject = 0;    // identifies the entity that it concerns; 0: none
   double size_kb = 0;           // memory that it takes while it is queued
   double received_at = 0;       // Unix s at which it arrived at the host; 0: unknown
+  double arrived_earlier = 0;   // s by which it may have arrived before that, as it lay unread
   double client_timeout = 0;    // s after that for which its caller waits; 0: unknown
   double work_hint = 0;         // s of work on a standard core, estimated by the caller; 0: unknown
   std::string idempotency_key;  // empty: none
--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -97,6 +97,7 @@
       net::Connection::accepted(reactor_, *this, fd, {kMaxInputBytes, kMaxLinkOutputBytes, &output_});
   link.connection->tag = tag;
   link.last_message_at = net::monotonic_now();
+  link.empty_at = link.last_message_at;
   counters_.add(Count::kCallersAccepted);
   counters_.update_max(Count::kCallersMaxOpen, links_.size());
 }
@@ -151,6 +152,7 @@
 void ForwarderServer::check_links() {
   const double now = net::monotonic_now();
   for (auto& [tag, link] : links_) {
+    if (link.connection->nothing_to_read()) link.empty_at = now;
     if (!has_timed_out(link, now)) continue;
     link.connection->read_now();  // if this process was paused, its messages are unread
     if (!has_timed_out(link, now)) continue;
@@ -251,7 +253,9 @@
   const ReplyAddress reply_to{link.forwarder, submit.attempt};
   const std::optional<wt::Answer> early_answer = early_answer_to(submit, route, has_capacity);
   if (!early_answer) {
-    events_.on_request_read(incoming_request(submit, route, reply_to));
+    IncomingRequest request = incoming_request(submit, route, reply_to);
+    request.arrived_earlier = net::monotonic_now() - link.empty_at;
+    events_.on_request_read(std::move(request));
   } else if (has_capacity) {
     answer(reply_to, *early_answer);
   } else {
--- a/src/peers/tier/forwarder_server.h
+++ b/src/peers/tier/forwarder_server.h
@@ -72,6 +72,7 @@
     std::shared_ptr<net::Connection> connection;
     tier::ForwarderId forwarder = 0;  // 0: no hello yet
     std::string name;
+    double empty_at = 0;      // when nothing was unread in its socket, monotonic s
     std::vector<int> routes;  // this planner's routes by the forwarder's; < 0: unknown here
     double last_message_at = 0;
     wire::tier::LoadReport reported;
--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -157,7 +157,7 @@
   const std::optional<RequestIdentity> identity = identifier_.identify(request, incoming, in_flight_request);
   if (!identity) return false;
   const double now = net::monotonic_now();
-  const double arrived_at = now - request.age;
+  const double arrived_at = now - request.age - incoming.arrived_earlier;
   erase_from_store(cache_.expire(now, kMaxExpiredPerArrival));
   const results::Lookup lookup =
       cache_.look_up(now, arrived_at, identity->key, identity->fingerprint, identity->kind);
--- a/tests/peers/held_back_test.cpp
+++ b/tests/peers/held_back_test.cpp
@@ -92,13 +92,7 @@
   PeerFixture fixture;
   conns::ConnectionQuota quota{8, {0.5, 0.5}, {kPeriodSeconds, kMessagesPerPeriod}};
   static_cast<void>(quota.try_read(1, net::monotonic_now()));
-  AjpOptions options;
-  options.listen = "127.0.0.1:0";
-  options.packet = 8192;
-  options.body = 2048;
-  options.idle = 60;
-  options.routes.push_back({"POST", {"read"}, false, "read", {}, {}, {}, {}});
-  AjpServer server(fixture.stepped.reactor, {{"read"}, {false}, {1}, 64, {1}}, 1, options,
+  AjpServer server(fixture.stepped.reactor, {{"read"}, {false}, {1}, 64, {1}}, 1, ajp_options(),
                    {8, kOutputBytes, &quota, 0, nullptr}, fixture.events, fixture.counters, fixture.log);
   const Socket gateway = Socket::connected(server.port());
   standins::raw_ajp::Request request;
--- a/tests/peers/peer_fixture.h
+++ b/tests/peers/peer_fixture.h
@@ -16,6 +16,7 @@
 #include "observability/logger.h"
 #include "peers/ports.h"
 #include "peers/tier/planner_client.h"
+#include "settings/operator_options.h"
 #include "stepped_reactor.h"
 
 namespace damsonspoke::peers {
@@ -69,6 +70,7 @@
   [[nodiscard]] bool has_started(RequestId /*id*/) const override { return false; }
   void on_request_read(IncomingRequest request) override {
     request_ages.push_back(net::unix_now() - request.received_at);
+    arrived_earlier.push_back(request.arrived_earlier);
   }
   void on_caller_disconnected(RequestId /*id*/) override {}
   void on_health_check(ReplyAddress reply_to, bool /*requires_self_test*/) override {
@@ -82,6 +84,7 @@
 
   std::vector<std::uint64_t> health_checks;  // the tags of their connections, in order
   std::vector<double> request_ages;          // s since their arrival as they were read
+  std::vector<double> arrived_earlier;       // s by which they may have arrived before that
   int links = 0;
 };
 
@@ -93,6 +96,17 @@
   RecordedEvents events;
 };
 
+// One route "read", which POST /read is mapped to.
+inline AjpOptions ajp_options() {
+  AjpOptions options;
+  options.listen = "127.0.0.1:0";
+  options.packet = 8192;
+  options.body = 2048;
+  options.idle = 60;
+  options.routes.push_back({"POST", {"read"}, false, "read", {}, {}, {}, {}});
+  return options;
+}
+
 inline std::string json_message(const std::string& body) {
   return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/peers/unread_input_test.cpp
+++ b/tests/peers/unread_input_test.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <thread>
 
+#include "ajp_gateway.h"
 #include "catalog/catalog.h"
 #include "peer_fixture.h"
 #include "peers/ajp/server.h"
@@ -43,12 +44,7 @@
 // Guards against the same for AJP.
 TEST(UnreadInput, AnAjpRequestWhoseRestIsUnreadIsComplete) {
   PeerFixture fixture;
-  AjpOptions options;
-  options.listen = "127.0.0.1:0";
-  options.packet = 8192;
-  options.body = 2048;
-  options.idle = 60;
-  AjpServer server(fixture.stepped.reactor, {}, 1, options, {8, kOutputBytes, nullptr, 0, nullptr},
+  AjpServer server(fixture.stepped.reactor, {}, 1, ajp_options(), {8, kOutputBytes, nullptr, 0, nullptr},
                    fixture.events, fixture.counters, fixture.log);
   const Socket gateway = Socket::connected(server.port());
   const std::string ping{0x12, 0x34, 0, 1, 10};
@@ -61,6 +57,24 @@
   fixture.stepped.end();
 }
 
+// Guards against a second run of a key whose repeat lies unread while the process is paused and its window
+// ends: AJP does not say when a request arrived.
+TEST(UnreadInput, AnAjpRequestMayHaveArrivedDuringThePause) {
+  PeerFixture fixture;
+  AjpServer server(fixture.stepped.reactor, {{"read"}, {false}, {5}, 64, {1}}, 1, ajp_options(),
+                   {8, kOutputBytes, nullptr, 0, nullptr}, fixture.events, fixture.counters, fixture.log);
+  const Socket gateway = Socket::connected(server.port());
+  fixture.stepped.run_for(kStepSeconds);
+  standins::raw_ajp::Request request;
+  request.uri = "/read";
+  gateway.send(standins::raw_ajp::forward_request(request));
+  std::this_thread::sleep_for(kPause);
+  fixture.stepped.run_for(kStepSeconds);
+  fixture.stepped.end();
+  ASSERT_EQ(fixture.events.arrived_earlier.size(), 1U);
+  EXPECT_GE(fixture.events.arrived_earlier.front(), std::chrono::duration<double>(kPause).count());
+}
+
 // Guards against a planner that closes its forwarders' links after a pause, although their pings had come.
 TEST(UnreadInput, APlannerKeepsTheLinkOfAForwarderWhosePingsAreUnread) {
   PeerFixture fixture;
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -380,6 +380,35 @@
   fixture.end();
 }
 
+// Guards against a second run of a key whose repeat reaches the planner inside the window, while that is
+// paused, and is read after the window's end.
+void keyed_read_after_pause() {
+  SiteSpec spec = Fixture::site(512);
+  spec.types = {{"close", "dedup", 1, 5, 1.2, 1}};
+  spec.operators = "results\n    enabled on\n";
+  Fixture fixture(spec, Fixture::runtime_options(0.01));
+  Link connected(fixture);
+  wt::Hello greeting = Link::hello_of("f1", 7);
+  greeting.routes = {"close"};
+  connected.send(greeting);
+  const auto submit = [&connected](std::uint64_t attempt) {
+    wt::Submit one;
+    one.attempt = attempt, one.request = 3000 + attempt, one.size_sixteenth_kb = 160;
+    one.remaining_us = 3000000, one.body = "k ";
+    connected.send(one);
+  };
+  submit(1);
+  say("the original succeeds", connected.answer(1) == static_cast<int>(wt::Result::kSucceeded));
+  connected.ping_for(0.25);
+  fixture.server.process->signal(SIGSTOP);
+  submit(2);
+  fixture.loop.run_for(1.3);
+  fixture.server.process->signal(SIGCONT);
+  say("the repeat gets its result", connected.answer(2) == static_cast<int>(wt::Result::kSucceeded));
+  say("the key ran once", fixture.journal.runs.size() == 1);
+  fixture.end();
+}
+
 // More links than descriptors: new connections are closed, existing ones are served.
 void connection_flood() {
   Fixture fixture(0.005, 160);
@@ -413,5 +442,6 @@
                        {"draining", draining},
                        {"result_held_at_stop", result_held_at_stop},
                        {"keyed_read_late", keyed_read_late},
+                       {"keyed_read_after_pause", keyed_read_after_pause},
                        {"connection_flood", connection_flood}});
 }
