Planner: a keyed repeat that waits for its run is not proven never to have run

Callers saw: a keyed op runs at a planner and its first caller gives up; the repeat waits for the result. A caller that goes elsewhere has the op run twice.

Cause: after a break the forwarder fences each open attempt, and ForwarderSessions::fence() asked whether the repeat itself had been started. A duplicate is never started, so it was taken off its wait and "never ran" was sent.

A forced test tells the break and the fence apart: on a link that never broke a fence of a waiting repeat gets the same answer.

Change: may_have_run() (formerly has_started()) also holds for a keyed duplicate that waits for its original or for the stored result. The fence is answered "running", and the duplicate gets the result. A keyed request never goes to another planner, so its forwarder loses nothing. Shared reads are proven as before.

--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -54,8 +54,9 @@
   virtual ~CallerEvents() = default;
   // Whether a request with this id is in flight, so that another one must not use the id.
   [[nodiscard]] virtual bool is_in_use(RequestId id) const = 0;
-  // Whether its run was ever started; false also where the request is not in flight.
-  [[nodiscard]] virtual bool has_started(RequestId id) const = 0;
+  // Whether it may not be reported as never run: its run was started, or it waits as a keyed duplicate for
+  // another request, which may have run or may still run. False also where the request is not in flight.
+  [[nodiscard]] virtual bool may_have_run(RequestId id) const = 0;
   // A complete request whose id is not in use; it gets exactly one answer.
   virtual void on_request_read(IncomingRequest request) = 0;
   // The caller has disconnected and no longer waits for the answer to this request.
--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -290,7 +290,7 @@
 
 void ForwarderServer::handle_fence(Link& link, const wt::Fence& fence) {
   const auto result = sessions_.fence(link.forwarder, fence.attempt,
-                                      [this](RequestId request) { return events_.has_started(request); });
+                                      [this](RequestId request) { return events_.may_have_run(request); });
   counters_.add(Count::kTierFencesReceived);
   // The request is cancelled before the answer is sent: the proof is valid only if the request can no longer
   // start.
--- a/src/stages/in_flight_requests.h
+++ b/src/stages/in_flight_requests.h
@@ -35,7 +35,9 @@
   double deadline = 0;    // Unix seconds
   bool answered = false;  // or its caller has disconnected
   RunStage run = RunStage::kNone;
-  bool started = false;           // a start command for its run was sent to the runtime
+  bool started = false;  // a start command for its run was sent to the runtime
+  // It is a duplicate of a keyed request and gets the result of that request's run, which it waits for.
+  bool awaits_keyed_original = false;
   bool was_paused = false;        // its run was stopped after it had executed in part
   std::uint64_t call_notice = 0;  // number of the runtime's notice that requested the call
   std::string call_body;          // body of the call; empty once the call has ended
--- a/src/stages/request_forwarder.h
+++ b/src/stages/request_forwarder.h
@@ -55,7 +55,7 @@
 
   // ---- Callers.
   bool is_in_use(RequestId id) const override { return in_flight_.contains(id); }
-  bool has_started(RequestId) const override { return false; }  // a forwarder runs no requests
+  bool may_have_run(RequestId) const override { return false; }  // a forwarder runs no requests
   void on_request_read(peers::IncomingRequest request) override;
   void on_caller_disconnected(RequestId id) override;
   void on_health_check(peers::ReplyAddress reply_to, bool requires_self_test) override;
--- a/src/stages/request_intake.cpp
+++ b/src/stages/request_intake.cpp
@@ -21,9 +21,9 @@
   for (auto& [tag, check] : pending_checks_) reactor_.cancel(check.timeout);
 }
 
-bool RequestIntake::has_started(RequestId id) const {
+bool RequestIntake::may_have_run(RequestId id) const {
   const InFlightRequest* request = stages_.in_flight.find(id);
-  return request != nullptr && request->started;
+  return request != nullptr && (request->started || request->awaits_keyed_original);
 }
 
 void RequestIntake::on_request_read(peers::IncomingRequest incoming) {
--- a/src/stages/request_intake.h
+++ b/src/stages/request_intake.h
@@ -39,7 +39,7 @@
   RequestIntake& operator=(const RequestIntake&) = delete;
 
   [[nodiscard]] bool is_in_use(RequestId id) const override { return stages_.in_flight.contains(id); }
-  [[nodiscard]] bool has_started(RequestId id) const override;
+  [[nodiscard]] bool may_have_run(RequestId id) const override;
   void on_request_read(peers::IncomingRequest request) override;
   void on_caller_disconnected(RequestId id) override;
   // `requires_self_test`: the check requests a self test, which runs if the settings enable deep checks.
--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -236,6 +236,8 @@
   if (!check_invariant(candidate_ && candidate_->id == id, counters_)) return;
   const results::Key key = candidate_->identity.key;
   counters_.add(Count::kResultsCoalesced);
+  InFlightRequest* request = in_flight_.find(id);
+  if (request != nullptr) request->awaits_keyed_original = candidate_->identity.kind == EntryKind::kKeyed;
   switch (cache_.join(id, key)) {
     case JoinOutcome::kCoalesced: return;
     case JoinOutcome::kInMemory:
--- a/src/tier/forwarder_sessions.cpp
+++ b/src/tier/forwarder_sessions.cpp
@@ -107,12 +107,12 @@
 }
 
 ForwarderSessions::FenceResult ForwarderSessions::fence(ForwarderId forwarder, std::uint64_t attempt,
-                                                        const std::function<bool(RequestId)>& has_started) {
+                                                        const std::function<bool(RequestId)>& may_have_run) {
   Session& session = sessions_.at(forwarder);
   const auto open = session.open.find(attempt);
   if (open != session.open.end()) {
     const RequestId request = open->second.request;
-    if (has_started(request)) return {answer_without_body(attempt, Result::kRunning), std::nullopt};
+    if (may_have_run(request)) return {answer_without_body(attempt, Result::kRunning), std::nullopt};
     session.open.erase(open);
     return {answer_without_body(attempt, Result::kNeverRan), request};
   }
--- a/src/tier/forwarder_sessions.h
+++ b/src/tier/forwarder_sessions.h
@@ -74,9 +74,10 @@
     std::optional<RequestId> abandoned;  // it has not started and must not start
   };
   // Ensures that an attempt that has not started never will, and returns the proof of that; otherwise returns
-  // what is known about the attempt. `has_started` returns whether a request was ever run.
+  // what is known about the attempt. `may_have_run` returns whether a request was ever run, or is a duplicate
+  // that waits for a run: the proof would be taken for one about its operation.
   [[nodiscard]] FenceResult fence(ForwarderId forwarder, std::uint64_t attempt,
-                                  const std::function<bool(RequestId)>& has_started);
+                                  const std::function<bool(RequestId)>& may_have_run);
 
   // Caches an attempt's answer and ends the attempt. Returns the link to send the answer on, or 0 if there is
   // none.
--- a/tests/tier/planner_program.cpp
+++ b/tests/tier/planner_program.cpp
@@ -196,6 +196,38 @@
   fixture.end();
 }
 
+// Guards against the rejection of a repeat whose keyed request runs: its forwarder asks for proof, after a
+// lost link and without, that the repeat never ran.
+void fenced_duplicate() {
+  SiteSpec spec = Fixture::site(512);
+  spec.types = {{"close", "dedup", 1, 5, 20, 1}};
+  spec.operators = "results\n    enabled on\n";
+  Fixture fixture(spec, Fixture::runtime_options(1));
+  wt::Hello greeting = Link::hello_of("f1", 7);
+  greeting.routes = {"close"};
+  const int running = static_cast<int>(wt::Result::kRunning);
+  const std::uint64_t original = 8001;
+  {
+    Link first(fixture);
+    first.send(greeting);
+    first.submit(1, original).submit(2, original + 1);
+    fixture.loop.run_for(0.1);
+    first.send(wt::Fence{2});
+    say("the repeat of a running request has no proof", first.answer(2, 0.3) == running);
+    first.send(wt::Cancel{1});
+    fixture.loop.run_for(0.05);
+  }
+  Link second(fixture);
+  second.send(greeting);
+  second.send(wt::Fence{2});
+  say("nor after a lost link, its caller having given the first attempt up",
+      second.answer(2, 0.3) == running);
+  second.answers.erase(2);
+  say("it gets the result of the run", second.answer(2, 1.5) == static_cast<int>(wt::Result::kSucceeded));
+  say("the key ran once", fixture.journal.runs.size() == 1);
+  fixture.end();
+}
+
 // Links that end with requests in flight: the same epoch of the forwarder takes them over, a new epoch
 // abandons them, and they are abandoned if the forwarder does not reconnect in time.
 void reconnects() {
@@ -436,6 +468,7 @@
                        {"attempts", attempts},
                        {"id_in_use", id_in_use},
                        {"keyed_id_in_use", keyed_id_in_use},
+                       {"fenced_duplicate", fenced_duplicate},
                        {"reconnects", reconnects},
                        {"expired_session", expired_session},
                        {"superseded_in_slow_start", superseded_in_slow_start},
