AJP below: a second copy of an answer no longer answers the next call

Cause: AJP has no ids. The client set a link to idle and ended its call while further input was still in the bytes that it decoded; the end of a call begins the next one on that link, which then got the rest. Before a link was used again only the socket was looked at.

The later and the cut copies show that clearing the buffer would not do.

Change: a link that has carried a call is pinged before the next one, however short ago that was. A server answers one message at a time, so all it has sent earlier comes before the pong. Input before the pong, behind it, or behind a complete answer closes the link before the call ends; a call that was not sent moves on. A link is not used again either where the answer came before the call was written.

Not measured: the round trip that a call on a used link costs.

--- a/src/peers/ajp/dependency_client.cpp
+++ b/src/peers/ajp/dependency_client.cpp
@@ -16,7 +16,6 @@
 namespace wa = wire::ajp;
 
 constexpr double kMsPerSecond = 1000;
-constexpr double kReuseSeconds = 0.5;  // after its last call, in which a link is reused without a ping
 constexpr double kPingTimeoutSeconds = 0.2;
 constexpr double kReplyTimeoutSeconds = 0.5;  // from an answer's headers until it is complete
 constexpr double kIdleCheckSeconds = 0.5;
@@ -87,21 +86,19 @@
   }
 }
 
-// A link that was just used, otherwise one that has been idle for longer, otherwise a new one; 0: all are
-// in use.
+// The idle link that was used last, otherwise a new one; 0: all are in use.
 std::uint64_t AjpDependencyClient::find_or_open_link() {
-  std::uint64_t recently_used = 0;
-  std::uint64_t idle = 0;
+  std::uint64_t last_used = 0;
+  double idle_since = 0;
   std::size_t usable = 0;
-  const double now = net::monotonic_now();
   for (auto& [tag, link] : links_) {
     if (link.is_retired || !link.connection->open()) continue;
     ++usable;
-    if (link.state != State::kIdle || link.call != 0) continue;
-    (now - link.idle_since <= kReuseSeconds ? recently_used : idle) = tag;
+    if (link.state != State::kIdle || link.call != 0 || link.idle_since < idle_since) continue;
+    last_used = tag;
+    idle_since = link.idle_since;
   }
-  if (recently_used != 0) return recently_used;
-  if (idle != 0) return idle;
+  if (last_used != 0) return last_used;
   if (usable >= max_links_) return 0;
   const std::uint64_t tag = next_tag_++;
   Link& link = links_[tag];
@@ -116,10 +113,10 @@
   link.call = id;
   calls_.at(id).link = tag;
   if (link.state == State::kConnecting) return;  // sent once it is connected
-  const bool was_just_used = net::monotonic_now() - link.idle_since <= kReuseSeconds;
-  if (was_just_used && link.connection->nothing_to_read()) return send_call(link);
-  // The server may have closed or dropped an idle link, and a call that fails for that reason would not
-  // prove that it never ran. A ping checks the link first.
+  // AJP has no ids: what else the server has sent after the last answer, for example a second copy of it,
+  // would be taken for the answer to this call. All of that arrives before the pong. The ping also checks
+  // whether the server has dropped the link: a call that fails for that reason would not prove that it never
+  // ran.
   link.state = State::kPinging;
   link.connection->send(wa::encode(wa::FromGateway(wa::CPing{})));
   start_reply_timer(tag, kPingTimeoutSeconds);
@@ -237,17 +234,20 @@
     if (packet.state == wa::Framing::kNeedMore) break;
     const auto message =
         packet.state == wa::Framing::kPacket ? wa::decode_from_server(packet.payload) : std::nullopt;
-    if (!message || !handle_message(connection.tag, *message)) {
+    used += packet.length;
+    const bool is_last_input = used == bytes.size() && connection.nothing_to_read();
+    if (!message || !handle_message(connection.tag, *message, is_last_input)) {
       if (connection.open()) close_broken(found->second, "invalid answer");
       return bytes.size();
     }
-    used += packet.length;
   }
-  return used;
+  return connection.open() ? used : bytes.size();
 }
 
-bool AjpDependencyClient::handle_pong(Link& link) {
-  if (link.state != State::kPinging) return false;
+// The server answers one message at a time, so nothing may follow a pong: it would be taken for the answer to
+// the call. A call that was not sent moves to another link.
+bool AjpDependencyClient::handle_pong(Link& link, bool is_last_input) {
+  if (link.state != State::kPinging || !is_last_input) return false;
   reactor_.cancel(link.reply_timer);
   link.state = State::kIdle;
   link.idle_since = net::monotonic_now();
@@ -264,9 +264,10 @@
   return true;
 }
 
-bool AjpDependencyClient::handle_message(std::uint64_t tag, const wa::FromServer& message) {
+bool AjpDependencyClient::handle_message(std::uint64_t tag, const wa::FromServer& message,
+                                         bool is_last_input) {
   Link& link = links_.at(tag);
-  if (std::holds_alternative<wa::CPong>(message)) return handle_pong(link);
+  if (std::holds_alternative<wa::CPong>(message)) return handle_pong(link, is_last_input);
   if (link.state != State::kCalling) return false;  // no call is in flight, or the answer has ended
   if (const auto* head = std::get_if<wa::SendHeaders>(&message)) return handle_head(tag, *head);
   if (const auto* chunk = std::get_if<wa::SendBodyChunk>(&message)) {
@@ -279,7 +280,14 @@
     return true;
   }
   if (!link.has_head) return false;
-  finish_reply(tag, std::get<wa::EndResponse>(message).reuse);
+  // Input that follows the answer, or output that the server answered without waiting for it, leaves the link
+  // in an unknown state. It has to be closed before this call ends, which may begin the next one.
+  if (!is_last_input && !link.connection->peer_has_closed()) {
+    counters_.add(Count::kDependencyInvalid);
+    log_.warn("dependency", "input after a complete answer; AJP connection to the dependency closed");
+  }
+  const bool is_in_step = is_last_input && link.connection->pending_output_bytes() == 0;
+  finish_reply(tag, std::get<wa::EndResponse>(message).reuse && is_in_step);
   return true;
 }
 
--- a/src/peers/ajp/dependency_client.h
+++ b/src/peers/ajp/dependency_client.h
@@ -1,6 +1,7 @@
 // The client of a dependency behind AJP 1.3: a call is a POST to one path, and a link carries one call at a
-// time. As with DependencyClient, each call ends exactly once. How it ended, what that proves, and its
-// outcome:
+// time. AJP has no ids, so an answer belongs to the call that its link carries; a link is used again only
+// after a ping whose pong is the last thing that the server has sent. As with DependencyClient, each call
+// ends exactly once. How it ended, what that proves, and its outcome:
 //
 //   never connected, closed before it was sent, ping unanswered   it did not run      kUnreachable
 //   503, where operators have configured that this proves it      it did not run      kRejected
@@ -81,9 +82,10 @@
   void assign(std::uint64_t tag, RequestId id);
   void send_call(Link& link);
   [[nodiscard]] wire::ajp::ForwardRequest request_of(const Call& call, double timeout) const;
-  // False: the message is invalid in the link's state.
-  [[nodiscard]] bool handle_message(std::uint64_t tag, const wire::ajp::FromServer& message);
-  [[nodiscard]] bool handle_pong(Link& link);
+  // False: the message is invalid in the link's state. `is_last_input`: nothing has arrived after it.
+  [[nodiscard]] bool handle_message(std::uint64_t tag, const wire::ajp::FromServer& message,
+                                    bool is_last_input);
+  [[nodiscard]] bool handle_pong(Link& link, bool is_last_input);
   [[nodiscard]] bool handle_head(std::uint64_t tag, const wire::ajp::SendHeaders& head);
   void finish_reply(std::uint64_t tag, bool can_reuse);
   void finish_call(RequestId id, Outcome outcome, std::string_view reply);
--- a/standins/ajp_server.cpp
+++ b/standins/ajp_server.cpp
@@ -4,8 +4,17 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
+#include <thread>
+#include <utility>
 
 namespace damsonspoke::standins {
+namespace {
+
+constexpr std::chrono::milliseconds kPauseBetweenPieces{20};
+
+}  // namespace
+
 namespace raw_ajp {
 namespace {
 
@@ -58,7 +67,16 @@
   }
 }
 
+void AjpServer::send_pieces(int fd) {
+  bool is_first = true;
+  for (const std::string& piece : answer_pieces(last_body)) {
+    if (!std::exchange(is_first, false)) std::this_thread::sleep_for(kPauseBetweenPieces);
+    loop_.send(fd, piece);
+  }
+}
+
 void AjpServer::serve(int fd) {
+  if (closes_after_pong && pings > 0) return close_link(fd);
   char bytes[65536];
   const ssize_t got = ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
   if (got < 0 && errno == EAGAIN) return;
@@ -75,10 +93,14 @@
     in.erase(0, 4 + length);
     if (payload == "\x0a") {
       ++pings;
-      if (answers_pings) loop_.send(fd, raw_ajp::packet("\x09", "AB"));
+      if (answers_pings) loop_.send(fd, raw_ajp::packet("\x09", "AB") + after_pong);
     } else if (payload.size() > 2 && payload[0] != 2) {  // the body: the request is complete
       ++requests;
       last_body = payload.substr(2);
+      if (answer_pieces) {
+        send_pieces(fd);
+        continue;
+      }
       const bool closes = !answer.empty() && answer.back() == '!';
       loop_.send(fd, closes ? answer.substr(0, answer.size() - 1) : answer);
       if (closes) return close_link(fd);
--- a/tests/ajp_dependency.cpp
+++ b/tests/ajp_dependency.cpp
@@ -4,8 +4,10 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "ajp_server.h"
 #include "loop.h"
@@ -44,6 +46,7 @@
         std::make_unique<peers::AjpDependencyClient>(stepped.reactor, options, links, *this, counters, log);
   }
   void on_call_ended(RequestId id, Outcome outcome, double, std::string_view reply) override {
+    replies[id] = reply;
     ends[id] =
         fmt::format("{}{}", name_of(outcome), reply.empty() ? "" : fmt::format(", {} bytes", reply.size()));
   }
@@ -64,7 +67,7 @@
   standins::AjpServer server;
   Counters counters;
   Logger log;
-  std::map<RequestId, std::string> ends;
+  std::map<RequestId, std::string> ends, replies;
   std::unique_ptr<peers::AjpDependencyClient> dependency;
 };
 
@@ -153,15 +156,68 @@
     fmt::print("closed before the next call: {}; connections {}, requests {}\n", scenario.call(2),
                scenario.server.accepted, scenario.server.requests);
   }
+  {
+    Scenario scenario;
+    scenario.call(1);
+    scenario.dependency->call(2, 0.4, "body");  // its ping is written at once, on the open connection
+    scenario.server.disconnect_all();
+    scenario.run_for(0.6);
+    fmt::print("closed as the ping was written: {}; connections {}, requests read {}\n", scenario.ends[2],
+               scenario.server.accepted, scenario.server.requests);
+  }
   Scenario scenario;
   scenario.call(1);
-  scenario.dependency->call(2, 0.4, "body");  // written at once, on the open connection
-  scenario.server.disconnect_all();
+  scenario.server.closes_after_pong = true;
+  scenario.dependency->call(2, 0.4, "body");
   scenario.run_for(0.6);
   fmt::print("closed as the next call was written: {}; connections {}, requests read {}\n", scenario.ends[2],
              scenario.server.accepted, scenario.server.requests);
 }
 
+// Makes eight calls at once on one connection. The server's answers name the calls; `pieces` makes those of
+// the call with body "3" out of its answer. Prints whether each call got its own answer.
+void run_second_copy(const char* what,
+                     const std::function<std::vector<std::string>(const std::string& answer)>& pieces,
+                     bool is_after_pong = false) {
+  constexpr RequestId kCalls = 8;
+  Scenario scenario(1);
+  const auto answer_to = [](const std::string& body) {
+    return head(200) + piece("answer to " + body.substr(0, 1)) + kEnd;
+  };
+  scenario.server.answer_pieces = [&](const std::string& body) {
+    const bool is_doubled = body[0] == '3';
+    scenario.server.after_pong = is_doubled && is_after_pong ? answer_to(body) : "";
+    return is_doubled ? pieces(answer_to(body)) : std::vector<std::string>{answer_to(body)};
+  };
+  for (RequestId id = 1; id <= kCalls; ++id) scenario.dependency->call(id, 1.5, std::to_string(id));
+  for (int i = 0; i < 150 && scenario.ends.size() < kCalls; ++i) scenario.run_for(0.01);
+  int own = 0;
+  for (const auto& [id, reply] : scenario.replies) own += reply == "answer to " + std::to_string(id) ? 1 : 0;
+  fmt::print("{}: {} of {} calls ended with their own answer; connections {}\n", what, own, kCalls,
+             scenario.server.accepted);
+}
+
+// Guards against an answer that is given to another call: AJP has no ids, and the server sends a second copy
+// of an answer, at once, in pieces or later.
+void second_copies() {
+  run_second_copy("no second copy", [](const std::string& answer) { return std::vector{answer}; });
+  run_second_copy("a second copy behind the answer",
+                  [](const std::string& answer) { return std::vector{answer + answer}; });
+  run_second_copy("a second copy after the answer", [](const std::string& answer) {
+    return std::vector{answer, answer};
+  });
+  run_second_copy("a second copy in pieces", [](const std::string& answer) {
+    return std::vector{answer + answer.substr(0, 3), answer.substr(3, 20), answer.substr(23)};
+  });
+  run_second_copy("the beginning of a second copy",
+                  [](const std::string& answer) { return std::vector{answer + answer.substr(0, 3)}; });
+  run_second_copy("the end of a second copy, later", [](const std::string& answer) {
+    return std::vector{answer, answer.substr(answer.size() - kEnd.size())};
+  });
+  run_second_copy(
+      "a second copy behind a pong", [](const std::string& answer) { return std::vector{answer}; }, true);
+}
+
 }  // namespace
 
 int main() {
@@ -169,5 +225,6 @@
   answers();
   connections();
   reuse();
+  second_copies();
   return 0;
 }
