Forwarder: a keyed request is rejected only if no attempt of its key may have run

A client that goes elsewhere has the op run twice.

Cause: a forwarder knew attempts, not keys. Each place that gave a request up judged by that request alone: no link, a link lost while it waits, proof about its own attempt, too little time for the estimate, a full queue, its deadline, the grace of a drain, a changed owner, a planner that drains or rejects, no memory.

Change: KeyAttempts retains each keyed attempt, by the key's hash, until it is proven never to have run or its window has ended. Dispatch::reject() is the only place that rejects, and it fails a request whose key may have run. Keys that were never sent are rejected as before. A repeat is sent whatever the estimate says, and after a drain's grace as a lookup, so that it gets the result and nothing starts.

A full table forgets the first window and raises a watermark, before which nothing is proven of an unknown key.

--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -15,6 +15,7 @@
 // Shares of the memory limit.
 constexpr double kPlannerOutputMemoryShare = 0.15;  // requests that planners have not read yet
 constexpr double kRequestMemoryShare = 0.2;         // requests in flight
+constexpr double kKeyMemoryShare = 0.02;            // keys that may have run
 
 constexpr int kMaxPlanners = 64;  // the limit of the directive `planners`
 
@@ -42,7 +43,8 @@
       catalog_(catalog::Catalog::from_settings(config_.site, {}, random_epoch())),
       request_forwarder_(
           reactor_, ports_, config_.site,
-          {options_.forward, options_.results, memory_share_bytes(config_.limits, kRequestMemoryShare)},
+          {options_.forward, options_.results, memory_share_bytes(config_.limits, kRequestMemoryShare),
+           memory_share_bytes(config_.limits, kKeyMemoryShare)},
           random_epoch(), counters_, log_),
       caller_server_(
           reactor_, config_.listen, *catalog_, idempotency_key_options(options_.results),
--- a/src/stages/request_forwarder.cpp
+++ b/src/stages/request_forwarder.cpp
@@ -70,8 +70,19 @@
   return {options.reload_spread + longest_timeout, window > 0 ? window + 2 * longest_timeout : 0};
 }
 
-tier::DispatchOptions dispatch_options(const ForwardOptions& options, const StartSettings& site) {
+// A request that is read later than its caller waits for the answer is of no use to it.
+tier::KeyAttemptsOptions key_attempts_options(const StartSettings& site, std::size_t memory_bytes) {
+  tier::KeyAttemptsOptions out;
+  out.max_keys = memory_bytes / tier::KeyAttempts::kKeyBytes;
+  for (const Route& route : site.admission.routes)
+    out.allowed_lateness = std::max(out.allowed_lateness, route.timeout);
+  return out;
+}
+
+tier::DispatchOptions dispatch_options(const RequestForwarder::Options& memory, const StartSettings& site) {
+  const ForwardOptions& options = memory.forward;
   tier::DispatchOptions out;
+  out.key_attempts = key_attempts_options(site, memory.key_bytes);
   out.picker.rejection_cooldown_seconds = kRejectionCooldownSeconds;
   out.key_ownership = key_ownership_options(options, site);
   out.retry_share = options.retry_share;
@@ -104,7 +115,7 @@
       random_(seed),
       max_body_bytes_(options.body_bytes),
       dispatch_(std::make_unique<tier::Dispatch>(
-          dispatch_options(options.forward, site), site.admission.routes.size(), options.forward.planners,
+          dispatch_options(options, site), site.admission.routes.size(), options.forward.planners,
           static_cast<tier::DispatchSink&>(*this),
           [this] { return std::ldexp(static_cast<double>(random_() >> 11), -53); }, net::monotonic_now())),
       key_ownership_(key_ownership_options(options.forward, site)),
@@ -139,6 +150,7 @@
   request.caller = in.caller;
   request.subject = in.subject;
   request.idempotency_key_hash = key_hash(in);
+  request.idempotency_window = route.idempotency_window;
   request.priority_weight = route.priority_weight;
   request.age = age;
   request.remaining_time = (in.client_timeout > 0 ? in.client_timeout : route.timeout) - age;
@@ -147,13 +159,13 @@
   body_bytes_ += request.bytes;
   const bool fits = body_bytes_ <= max_body_bytes_;
   in_flight_[request.id] = {std::move(in), now + request.remaining_time};
-  // If the memory for bodies is exhausted, the new request is rejected whatever its priority. The limit of
+  // If the memory for bodies is exhausted, the new request is given up whatever its priority. The limit of
   // the wait queues is lower and evicts requests by priority.
-  if (!fits) {
-    reply(request.id, tier::LocalReply::kRejected, 0, false);
-    return;
+  if (fits) {
+    dispatch_->on_request(request, net::monotonic_now());
+  } else {
+    dispatch_->on_request_without_memory(request, net::monotonic_now());
   }
-  dispatch_->on_request(request, net::monotonic_now());
 }
 
 // Returns 0 if the request is not keyed, otherwise a value that is not 0.
@@ -412,6 +424,8 @@
   counters_.set(Count::kTierDisconnected, c.disconnected);
   counters_.set(Count::kTierLost, c.unprovable_attempts);
   counters_.set(Count::kTierRejectedLocally, c.rejected_locally);
+  counters_.set(Count::kTierUnprovenRejections, c.unproven_rejections);
+  counters_.set(Count::kTierRetainedKeys, dispatch_->retained_keys());
   counters_.set(Count::kTierEvicted, c.evicted);
   counters_.set(Count::kTierOverdue, c.overdue);
   counters_.set(Count::kTierKeyQueries, c.key_lookups);
--- a/src/stages/request_forwarder.h
+++ b/src/stages/request_forwarder.h
@@ -35,6 +35,7 @@
     const ForwardOptions& forward;
     const ResultsOptions& results;
     std::size_t body_bytes = 0;  // memory for the bodies of requests in flight
+    std::size_t key_bytes = 0;   // memory for the keys that were sent to planners
   };
   RequestForwarder(net::Reactor& reactor, const Ports& ports, const StartSettings& site,
                    const Options& options, std::uint64_t seed, Counters& counters, Logger& log);
--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -22,6 +22,7 @@
       wait_estimator_(options.wait_estimator, routes, now),
       retry_budget_(options.retry_share, options.retry_burst),
       key_ownership_(options.key_ownership),
+      key_attempts_(options.key_attempts),
       queues_(options.max_waiting_requests, options.max_waiting_bytes) {
   set_planners(planners, now);
 }
@@ -32,34 +33,61 @@
   return std::max(now, stop_at_ - kStopMarginSeconds);
 }
 
-void Dispatch::on_request(const ForwardedRequest& details, double now) {
+PendingRequest& Dispatch::add(const ForwardedRequest& details, double now) {
   PendingRequest request;
   request.details = details;
   request.arrived_at = now - details.age;
   if (details.is_keyed()) route_by_key(request);
   request.deadline = now + std::max(0.0, details.remaining_time - options_.reply_margin);
   if (is_draining()) request.deadline = std::min(request.deadline, latest_reply_when_draining(now));
+  requests_.add(request);
+  return requests_.at(details.id);
+}
+
+bool Dispatch::arrived_after_grace(const PendingRequest& request) const {
+  return is_draining() && request.arrived_at > drain_at_ + drain_grace_;
+}
+
+// After the grace of a drain nothing starts, but a repeat still gets the result of its key.
+void Dispatch::on_request(const ForwardedRequest& details, double now) {
+  key_attempts_.expire(now);
   if (startup_ends_at_ < 0) startup_ends_at_ = now + options_.startup_wait;
   if (now >= startup_ends_at_) end_startup(now);
-  requests_.add(request);
-  if (is_draining() && request.arrived_at > drain_at_ + drain_grace_) {
-    reject(details.id, options_.wait_estimator.max_retry_after, false);
-  } else {
+  PendingRequest& request = add(details, now);
+  request.may_start = !arrived_after_grace(request);
+  if (request.may_start || is_repeat(request)) {
     enqueue_or_reject(details.id, now);
+  } else {
+    reject(details.id, options_.wait_estimator.max_retry_after, false);
   }
   dispatch_waiting(now);
   schedule_wakeup(now);
 }
 
+void Dispatch::on_request_without_memory(const ForwardedRequest& details, double now) {
+  add(details, now);
+  reject(details.id, 0, false);
+}
+
+KeyHistory Dispatch::key_history(const PendingRequest& request) const {
+  if (!request.details.is_keyed()) return KeyHistory::kNeverRan;
+  return key_attempts_.history(request.details.idempotency_key_hash, request.arrived_at);
+}
+
+bool Dispatch::is_repeat(const PendingRequest& request) const {
+  return key_history(request) == KeyHistory::kMayHaveRun;
+}
+
 double Dispatch::retry_after(std::size_t ahead, double now) {
   return wait_estimator_.retry_after_seconds(ahead, now, random_());
 }
 
-// Whether the request can still finish in time behind `ahead` waiting requests.
+// Whether the request can still finish in time behind `ahead` waiting requests. A repeat is not estimated:
+// its result may be at hand.
 bool Dispatch::can_finish(const PendingRequest& request, std::size_t ahead, double now) {
   const double remaining = request.deadline - now;
-  return remaining >= options_.min_remaining_time &&
-         wait_estimator_.can_finish_in_time(request.route(), ahead, remaining, now);
+  if (remaining < options_.min_remaining_time) return false;
+  return is_repeat(request) || wait_estimator_.can_finish_in_time(request.route(), ahead, remaining, now);
 }
 
 // Whether a planner that may accept the request is up, with or without capacity.
@@ -81,7 +109,7 @@
 void Dispatch::enqueue_or_reject(RequestId id, double now) {
   const PendingRequest& request = requests_.at(id);
   const KeyRouteCursor& route = request.key_route;
-  if (request.details.is_keyed() && !route.is_lookup() && !route.may_run()) {
+  if (request.details.is_keyed() && !request.is_lookup_only() && !route.may_run()) {
     reject(id, retry_after(0, now), false);
     return;
   }
@@ -147,7 +175,7 @@
 void Dispatch::send(RequestId id, int planner, double now) {
   PendingRequest& request = requests_.at(id);
   const double remaining = request.deadline - now;
-  const bool is_lookup_only = request.key_route.is_lookup();
+  const bool is_lookup_only = request.is_lookup_only();
   const Attempt attempt = attempts_.begin(id, planner, link(planner).epoch, attempt_step());
   picker_.on_attempt_sent(planner);
   if (request.attempts_begun == 0) {
@@ -158,16 +186,28 @@
   }
   ++request.attempts_begun;
   request.sent_at = now;
+  if (request.details.is_keyed()) {
+    request.has_key_attempt = true;
+    key_attempts_.on_attempt_sent(request.details.idempotency_key_hash);
+  }
   requests_.schedule_fence(id, now + options_.fence_after_share * remaining);
   if (is_lookup_only) ++counters_.key_lookups;
   sink_.send(planner, attempt, id, remaining - options_.hop_time, is_lookup_only);
 }
 
+// The request's attempt is proven never to have run. Other attempts with its key may have.
+void Dispatch::record_proven_not_run(RequestId id) {
+  PendingRequest& request = requests_.at(id);
+  if (!std::exchange(request.has_key_attempt, false)) return;
+  key_attempts_.on_attempt_proven_not_run(request.details.idempotency_key_hash);
+}
+
 // The request's attempt is proven never to have run: it may go to another planner if one has capacity, the
 // retry budget allows it and the request is not keyed.
 void Dispatch::retry_or_reject(RequestId id, int exclude, double planner_retry_after, bool no_retry,
                                double now) {
   requests_.cancel_fence(id);
+  record_proven_not_run(id);
   const PendingRequest& request = requests_.at(id);
   const bool may_retry = !request.details.is_keyed() && !no_retry && !is_draining() &&
                          request.deadline - now >= options_.min_remaining_time;
@@ -219,7 +259,7 @@
       picker_.release(planner);
       if (requests_.at(*id).key_route.is_lookup()) {
         on_key_unknown(*id, now);
-      } else {  // violates the protocol, but nothing ran
+      } else {  // nothing ran; the planner of a request that may start violates the protocol
         retry_or_reject(*id, planner, 0, false, now);
       }
       break;
@@ -242,6 +282,7 @@
 // A former owner does not know the key: the next one is asked, and after the last the owner may run it.
 void Dispatch::on_key_unknown(RequestId id, double now) {
   requests_.cancel_fence(id);
+  record_proven_not_run(id);
   PendingRequest& request = requests_.at(id);
   if (request.key_route.list_version() == list_version_) {
     request.key_route.advance();
@@ -266,12 +307,20 @@
 }
 
 void Dispatch::complete(RequestId id) {
-  queues_.of_target(requests_.at(id).key_route.target()).remove(id);
+  const PendingRequest& request = requests_.at(id);
+  queues_.of_target(request.key_route.target()).remove(id);
   attempts_.abandon(id);
+  if (request.has_key_attempt)
+    key_attempts_.on_attempt_ended(request.details.idempotency_key_hash, request.window_ends_at());
   requests_.erase(id);
 }
 
+// The only place where a request is rejected. A rejection tells its caller that other servers may run it.
 void Dispatch::reject(RequestId id, double retry_after, bool no_retry) {
+  if (key_history(requests_.at(id)) != KeyHistory::kNeverRan) {
+    ++counters_.unproven_rejections;
+    return fail(id);
+  }
   ++counters_.rejected_locally;
   complete(id);
   sink_.reply(id, LocalReply::kRejected, retry_after, no_retry);
@@ -320,6 +369,7 @@
 }
 
 void Dispatch::on_timer(double now) {
+  key_attempts_.expire(now);
   if (startup_ends_at_ >= 0 && now >= startup_ends_at_) end_startup(now);
   fail_disconnected(now);
   while (const std::optional<RequestId> id = requests_.first_overdue(now)) expire_request(*id, now);
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -4,8 +4,9 @@
 // no request bodies and no sockets. Times are seconds on one monotonic clock.
 //
 // Invariants: a request is answered once, has at most one open attempt, and gets another one only with proof
-// that the previous one never ran. When planners are overloaded, the planners and not the dispatch decide
-// which requests are served.
+// that the previous one never ran. A request is rejected only with proof that no attempt with its key has run
+// or may still run; without it, it fails. When planners are overloaded, the planners and not the dispatch
+// decide which requests are served.
 #pragma once
 
 #include <cstddef>
@@ -18,6 +19,7 @@
 #include "tier/attempt_ledger.h"
 #include "tier/dispatch_options.h"
 #include "tier/dispatch_sink.h"
+#include "tier/key_attempts.h"
 #include "tier/key_ownership.h"
 #include "tier/pending_requests.h"
 #include "tier/picker.h"
@@ -34,6 +36,8 @@
            DispatchSink& sink, std::function<double()> random, double now);
 
   void on_request(const ForwardedRequest& details, double now);
+  // A request that the forwarder has no memory for: it is answered at once.
+  void on_request_without_memory(const ForwardedRequest& details, double now);
   void on_caller_disconnected(RequestId id, double now);
 
   // A planner's link is up. `epoch`: of the planner's process. `window`: attempts that may be open there.
@@ -68,6 +72,7 @@
   }
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
   [[nodiscard]] std::size_t waiting_requests() const { return queues_.size(); }
+  [[nodiscard]] std::size_t retained_keys() const { return key_attempts_.size(); }
   [[nodiscard]] const Picker& picker() const { return picker_; }
   [[nodiscard]] const AttemptLedger& attempts() const { return attempts_; }
   [[nodiscard]] const DispatchCounters& counters() const { return counters_; }
@@ -81,6 +86,11 @@
   // ---- Requests, in dispatch.cpp.
   [[nodiscard]] bool is_draining() const { return drain_at_ >= 0; }
   [[nodiscard]] double latest_reply_when_draining(double now) const;
+  PendingRequest& add(const ForwardedRequest& details, double now);
+  [[nodiscard]] bool arrived_after_grace(const PendingRequest& request) const;
+  [[nodiscard]] KeyHistory key_history(const PendingRequest& request) const;
+  // Whether an earlier attempt with its key may have run, so that its planner may have the result.
+  [[nodiscard]] bool is_repeat(const PendingRequest& request) const;
   [[nodiscard]] double retry_after(std::size_t ahead, double now);
   [[nodiscard]] bool can_finish(const PendingRequest& request, std::size_t ahead, double now);
   [[nodiscard]] std::optional<int> pick(const PendingRequest& request, double now,
@@ -95,6 +105,7 @@
   void dispatch_queue(WaitQueue& queue, std::optional<int> only_planner, double now);
   [[nodiscard]] std::uint64_t attempt_step();
   void send(RequestId id, int planner, double now);
+  void record_proven_not_run(RequestId id);
   void retry_or_reject(RequestId id, int exclude, double planner_retry_after, bool no_retry, double now);
   void on_key_unknown(RequestId id, double now);
   void on_success(RequestId id, int planner, double now);
@@ -124,6 +135,7 @@
   WaitEstimator wait_estimator_;
   RetryBudget retry_budget_;
   KeyOwnership key_ownership_;
+  KeyAttempts key_attempts_;
   int list_version_ = 0;  // incremented with each endpoint list
   PendingRequests requests_;
   WaitQueues queues_;
--- a/src/tier/dispatch_options.h
+++ b/src/tier/dispatch_options.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "tier/key_attempts.h"
 #include "tier/key_ownership.h"
 #include "tier/picker.h"
 #include "tier/wait_estimator.h"
@@ -14,6 +15,7 @@
   PickerOptions picker;
   WaitEstimatorOptions wait_estimator;
   KeyOwnershipOptions key_ownership;
+  KeyAttemptsOptions key_attempts;
   double retry_share = 0.1;        // retries for each first attempt
   double retry_burst = 10;         // retries at once
   double fence_after_share = 0.5;  // of the remaining time, after which an unanswered attempt is fenced
--- a/src/tier/dispatch_planners.cpp
+++ b/src/tier/dispatch_planners.cpp
@@ -104,6 +104,7 @@
     if (const std::optional<RequestId> id = attempts_.record_unwritten(attempt)) {
       ++counters_.proven_not_run;
       picker_.release(planner);
+      record_proven_not_run(*id);
       released.push_back(*id);
     }
   }
--- a/src/tier/dispatch_sink.h
+++ b/src/tier/dispatch_sink.h
@@ -17,6 +17,7 @@
   std::uint32_t caller = 0;
   std::uint64_t subject = 0;               // 0: none
   std::uint64_t idempotency_key_hash = 0;  // 0: not keyed
+  double idempotency_window = 0;           // s after its arrival in which a repeat is recognized
   double priority_weight = 1;
   double age = 0;             // s since it arrived
   double remaining_time = 0;  // s that its caller will still wait
@@ -72,8 +73,9 @@
   std::uint64_t unprovable_attempts = 0;  // attempts whose epoch ended, so that there can be no proof
   std::uint64_t disconnected = 0;         // attempts open when their link was lost
   std::uint64_t rejected_locally = 0;
-  std::uint64_t evicted = 0;  // from a full queue
-  std::uint64_t overdue = 0;  // requests whose deadline passed without an answer
+  std::uint64_t unproven_rejections = 0;  // repeats that failed instead: their key may have run
+  std::uint64_t evicted = 0;              // from a full queue
+  std::uint64_t overdue = 0;              // requests whose deadline passed without an answer
   std::uint64_t key_lookups = 0;
   std::uint64_t key_lookup_hits = 0;
 };
--- /dev/null
+++ b/src/tier/key_attempts.cpp
@@ -0,0 +1,64 @@
+#include "tier/key_attempts.h"
+
+#include <algorithm>
+
+namespace damsonspoke::tier {
+
+void KeyAttempts::on_attempt_sent(std::uint64_t key_hash) {
+  Key& key = keys_[key_hash];
+  if (key.open_attempts == 0) window_ends_.erase({key.window_ends_at, key_hash});
+  ++key.open_attempts;
+  enforce_limit();
+}
+
+void KeyAttempts::on_attempt_proven_not_run(std::uint64_t key_hash) {
+  const auto found = keys_.find(key_hash);
+  if (found != keys_.end()) release_attempt(found);
+}
+
+void KeyAttempts::on_attempt_ended(std::uint64_t key_hash, double window_ends_at) {
+  const auto found = keys_.find(key_hash);
+  if (found == keys_.end()) return;
+  found->second.window_ends_at = std::max(found->second.window_ends_at, window_ends_at);
+  release_attempt(found);
+}
+
+// A key of which every attempt is proven never to have run is as good as one that was never sent.
+void KeyAttempts::release_attempt(Keys::iterator found) {
+  auto& [key_hash, key] = *found;
+  if (--key.open_attempts > 0) return;
+  if (key.window_ends_at == kNever) {
+    keys_.erase(found);
+    return;
+  }
+  window_ends_.insert({key.window_ends_at, key_hash});
+  enforce_limit();
+}
+
+KeyHistory KeyAttempts::history(std::uint64_t key_hash, double arrived_at) const {
+  const auto found = keys_.find(key_hash);
+  if (found == keys_.end())
+    return arrived_at < watermark_ ? KeyHistory::kPossiblyForgotten : KeyHistory::kNeverRan;
+  const Key& key = found->second;
+  const bool may_have_run = key.open_attempts > 0 || arrived_at < key.window_ends_at;
+  return may_have_run ? KeyHistory::kMayHaveRun : KeyHistory::kNeverRan;
+}
+
+void KeyAttempts::drop_first_window() {
+  const auto first = window_ends_.begin();
+  watermark_ = std::max(watermark_, first->first);
+  keys_.erase(first->second);
+  window_ends_.erase(first);
+}
+
+void KeyAttempts::expire(double now) {
+  while (!window_ends_.empty() && window_ends_.begin()->first + options_.allowed_lateness <= now)
+    drop_first_window();
+}
+
+// Keys with open attempts stay: they are as many as open requests at most, which have bounds of their own.
+void KeyAttempts::enforce_limit() {
+  while (keys_.size() > options_.max_keys && !window_ends_.empty()) drop_first_window();
+}
+
+}  // namespace damsonspoke::tier
--- a/src/tier/pending_requests.h
+++ b/src/tier/pending_requests.h
@@ -20,8 +20,15 @@
   double deadline = 0;  // latest time at which its reply is sent
   double sent_at = 0;   // of the current attempt
   int attempts_begun = 0;
+  // False: it may only get the result of an earlier attempt with its key, and no planner may run it.
+  bool may_start = true;
+  // Its current attempt is counted in KeyAttempts.
+  bool has_key_attempt = false;
 
   [[nodiscard]] std::size_t route() const { return static_cast<std::size_t>(details.route); }
+  // Whether its target is only asked for the result of its key.
+  [[nodiscard]] bool is_lookup_only() const { return key_route.is_lookup() || !may_start; }
+  [[nodiscard]] double window_ends_at() const { return arrived_at + details.idempotency_window; }
 };
 
 class PendingRequests {
--- a/tests/tier/fault_history.cpp
+++ b/tests/tier/fault_history.cpp
@@ -96,11 +96,14 @@
   request.subject = random_() % 3 == 0 ? 1 + random_() % 4 : 0;
   request.idempotency_key_hash = random_() % 5 == 0 ? 1 + random_() % 12 : 0;
   requests_[id].key_hash = request.idempotency_key_hash;
+  request.idempotency_window = kKeyWindowSeconds;
   request.priority_weight = random_() % 4 == 0 ? 3 : 1;
   request.remaining_time = 0.1 + random_unit() * 1.2;
   request.bytes = 100;
   requests_[id].deadline = now_ + request.remaining_time;
   const int f = static_cast<int>(random_() % kForwarders);
+  requests_[id].forwarder = f;
+  requests_[id].arrived_at = now_;
   trace(fmt::format("request {} at f{}", id, f));
   Dispatch& dispatch = forwarders_[static_cast<std::size_t>(f)]->dispatch;
   dispatch.on_request(request, now_);
@@ -126,10 +129,31 @@
     fail(fmt::format("request {} was answered after its caller had disconnected", id));
   if (now_ > request.deadline + 1e-6) fail(fmt::format("request {} was answered late", id));
   if (outcome == 'n' && request.runs > 0) fail(fmt::format("request {} was rejected but had run", id));
+  if (outcome == 'n' && request.key_hash != 0) check_rejected_repeat(id);
   if (outcome == 'a' && request.runs == 0 && !last_run_admitted_at_.contains(request.key_hash))
     fail(fmt::format("request {} succeeded but had not run", id));
 }
 
+void History::check_rejected_repeat(RequestId id) {
+  const ObservedRequest& repeat = requests_[id];
+  for (const RequestId run : runs_of_key_[repeat.key_hash]) {
+    const ObservedRequest& original = requests_[run];
+    if (original.forwarder == repeat.forwarder && repeat.arrived_at < original.arrived_at + kKeyWindowSeconds)
+      fail(fmt::format("request {} was rejected, but request {} of its key had run", id, run));
+  }
+  rejections_of_key_[repeat.key_hash].push_back(id);
+}
+
+void History::check_run_of_rejected_repeats(RequestId id) {
+  const ObservedRequest& original = requests_[id];
+  for (const RequestId rejected : rejections_of_key_[original.key_hash]) {
+    const ObservedRequest& repeat = requests_[rejected];
+    if (original.forwarder == repeat.forwarder && repeat.arrived_at > original.arrived_at)
+      fail(fmt::format("request {} runs, but request {} of its key was rejected", id, rejected));
+  }
+  runs_of_key_[original.key_hash].push_back(id);
+}
+
 void History::inject_fault() {
   const int p = static_cast<int>(random_() % kPlanners);
   switch (random_() % 9) {
--- a/tests/tier/fault_history.h
+++ b/tests/tier/fault_history.h
@@ -71,6 +71,8 @@
     double deadline = 0;
     int answers = 0, runs = 0;
     std::uint64_t key_hash = 0;
+    int forwarder = 0;
+    double arrived_at = 0;
     bool caller_disconnected = false, succeeded = false, rejected = false, failed = false;
   };
   // A link; frames in flight arrive in order in each direction.
@@ -107,6 +109,10 @@
     std::map<std::uint64_t, KeyRecord> keys;
     std::map<RequestId, bool> started;
     int running = 0;
+    // Proves of a duplicate that waits for its key's run that it never ran, as planners did at first.
+    bool proves_waiting_duplicates = false;
+
+    [[nodiscard]] bool awaits_run_of_key(RequestId request, std::uint64_t key_hash) const;
   };
   struct Forwarder : DispatchSink {
     Forwarder(History& of, int its_number)
@@ -118,6 +124,7 @@
       DispatchOptions options;
       options.route_by_subject = true;
       options.startup_wait = 0.25;
+      options.key_attempts.allowed_lateness = kMaxRemainingSeconds;
       options.key_ownership = {kReloadSpreadSeconds + kMaxRemainingSeconds,
                                kKeyWindowSeconds + 2 * kMaxRemainingSeconds};
       return options;
@@ -174,6 +181,10 @@
   void next_request();
   // `outcome`: 'a' succeeded, 'n' rejected, 'f' failed.
   void record_reply(RequestId id, char outcome);
+  // A forwarder that has sent a key, and not proven that it never ran, must not reject a repeat of it. Checks
+  // a rejected request against the runs of its key, and a run against the rejections of its repeats.
+  void check_rejected_repeat(RequestId id);
+  void check_run_of_rejected_repeats(RequestId id);
 
   // ---- Links.
   void connect(int f, int p);
@@ -224,6 +235,7 @@
   std::map<std::uint64_t, std::uint64_t> epoch_of_;       // planner epoch by link
   std::map<RequestId, ObservedRequest> requests_;
   std::map<std::uint64_t, double> last_run_admitted_at_;  // by key
+  std::map<std::uint64_t, std::vector<RequestId>> runs_of_key_, rejections_of_key_;
   std::string violation_;
 };
 
--- a/tests/tier/fault_history_planners.cpp
+++ b/tests/tier/fault_history_planners.cpp
@@ -1,6 +1,7 @@
 // The planners of a history: restarts, sessions, keys and runs.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -8,6 +9,14 @@
 
 namespace damsonspoke::tier {
 
+bool History::Planner::awaits_run_of_key(RequestId request, std::uint64_t key_hash) const {
+  const auto found = keys.find(key_hash);
+  if (key_hash == 0 || found == keys.end()) return false;
+  const std::vector<HeldRequest>& duplicates = found->second.duplicates;
+  return std::any_of(duplicates.begin(), duplicates.end(),
+                     [&](const HeldRequest& held) { return held.request == request; });
+}
+
 void History::release(Planner& planner, RequestId request) {
   const auto found = planner.keys.find(requests_[request].key_hash);
   if (found == planner.keys.end() || found->second.request != request ||
@@ -37,6 +46,7 @@
   planner = Planner{};
   planner.keys = std::move(keys);
   planner.up = true;
+  planner.proves_waiting_duplicates = p % 2 == 1;
   planner.epoch = ++next_epoch_ << 32;  // far apart, like random epochs
   planner.sessions = std::make_unique<ForwarderSessions>(
       ForwarderSessionsOptions{kSessionGraceSeconds, 4096, 8, 64}, planner.epoch);
@@ -76,8 +86,12 @@
     if (const auto request = planner.sessions->cancel(link->session_id, cancel->attempt))
       abandon(planner, {*request});
   } else if (const auto* fence = std::get_if<wt::Fence>(&message)) {
-    const ForwarderSessions::FenceResult result = planner.sessions->fence(
-        link->session_id, fence->attempt, [&](RequestId request) { return planner.started[request]; });
+    const ForwarderSessions::FenceResult result =
+        planner.sessions->fence(link->session_id, fence->attempt, [&](RequestId request) {
+          return planner.started[request] ||
+                 (!planner.proves_waiting_duplicates &&
+                  planner.awaits_run_of_key(request, requests_[request].key_hash));
+        });
     if (result.abandoned) abandon(planner, {*result.abandoned});
     send_to_forwarder(link, result.answer);
   }
@@ -167,6 +181,7 @@
     if (before != last_run_admitted_at_.end() && record.admitted < before->second + kKeyWindowSeconds)
       fail(fmt::format("key {} ran twice within its window", key_hash));
     last_run_admitted_at_[key_hash] = record.admitted;
+    check_run_of_rejected_repeats(held.request);
   }
   if (requests_[held.request].rejected)
     fail(fmt::format("request {} ran after it was rejected", held.request));
