Stand-ins: the check of rule 2 finds rejected repeats of keys that had run

The check of the service rules knew the rejection of a request that had run itself, not that of another attempt with its key. It now reports a keyed request that is rejected by a process which had run its key for an attempt sent before it and within the window. All tests of whole processes, the fault scenarios and the soak use the check.

--- a/standins/endings_draw.h
+++ b/standins/endings_draw.h
@@ -15,6 +15,7 @@
 
 inline constexpr std::uint64_t kFirstWideSeed = 1000;
 inline constexpr double kEndingsLoadSeconds = 4;
+inline constexpr double kEndingsKeyWindowSeconds = 20;
 inline constexpr double kEndingsStopSeconds = 1;  // from the shutdown notice to SIGKILL, as in the settings
 
 struct EndingsFleet {
--- a/standins/endings_play.cpp
+++ b/standins/endings_play.cpp
@@ -45,7 +45,6 @@
 constexpr double kConnectTimeoutSeconds =
     0.02;  // a listener that is about to close leaves connects waiting for 1 s
 constexpr double kClientTimeoutSeconds = 1;  // of most requests
-constexpr double kKeyWindowSeconds = 20;
 
 const char* const kAjpRoutes =
     "    map POST /ops/read  read  wait=header:x-wait-ms caller=header:x-hotel held=10\n"
@@ -96,7 +95,7 @@
   const char* close = drawn_.stores_results ? "dedup" : "retryable";
   site.types = {
       {"read", "retryable", 0.5, kClientTimeoutSeconds, 0, 1},
-      {"close", close, 0.5, kClientTimeoutSeconds, drawn_.stores_results ? kKeyWindowSeconds : 0, 3},
+      {"close", close, 0.5, kClientTimeoutSeconds, drawn_.stores_results ? kEndingsKeyWindowSeconds : 0, 3},
       {"brief", "retryable", 0.1, kClientTimeoutSeconds, 0, 1}};
   site.command = command;
   site.name = name;
--- a/standins/endings_verdict.cpp
+++ b/standins/endings_verdict.cpp
@@ -145,7 +145,10 @@
 
 void EndingsPlay::check_service_rules(std::vector<std::string>& broken) const {
   RuleLimits limits;
-  if (drawn_.stores_results) limits.keyed_routes = {"close"};
+  if (drawn_.stores_results) {
+    limits.keyed_routes = {"close"};
+    limits.key_windows["close"] = kEndingsKeyWindowSeconds;
+  }
   limits.replies_name_calls = true;
   limits.are_starts_resent = drawn_.is_wide;
   // Runs that wait for their calls use no cores, so the limit holds only without calls.
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -199,6 +199,7 @@
   RuleLimits limits;
   for (const RouteSpec& type : spec.types) {
     if (type.idempotency != "retryable") limits.keyed_routes.push_back(type.name);
+    if (type.idempotency == "dedup") limits.key_windows[type.name] = type.window;
   }
   limits.survivable_concurrency = 8 * spec.cores;
   return limits;
--- a/standins/journal.h
+++ b/standins/journal.h
@@ -92,6 +92,8 @@
 // Tolerances and expectations of the rules in a play.
 struct RuleLimits {
   std::vector<std::string> keyed_routes;   // routes on which each key may run only once
+  // Idempotency windows of the routes whose repeats are recognized by key, s.
+  std::map<std::string, double> key_windows;
   double deadline_slack_seconds = 0.1;     // after its deadline, in which an answer still counts as in time
   double grace_seconds = 0.3;              // after the shutdown notice, in which new requests may run
   double max_signal_delay_seconds = 0.25;  // until the signal takes effect on a busy machine
@@ -108,6 +110,7 @@
   std::vector<std::string> broken;  // descriptions, the first five of each kind
   int double_runs = 0;
   int wrong_results = 0;
+  int rejected_repeats = 0;
   int unanswered = 0;
   int late = 0;
   int answered_twice = 0;
--- a/standins/rehearsal.cpp
+++ b/standins/rehearsal.cpp
@@ -104,7 +104,8 @@
   SiteSpec site;
   for (const RouteLoad& route : script.routes)
     site.types.push_back({route.name, route.idempotency, route.latency_objective, route.timeout,
-                          route.idempotency == "dedup" ? 20.0 : 0, route.priority_weight});
+                          route.idempotency == "dedup" ? kRehearsalKeyWindowSeconds : 0,
+                          route.priority_weight});
   site.cores = script.cores;
   site.slow_start_speed = script.slow_start_speed;
   site.slow_start_seconds = script.slow_start_seconds;
--- a/standins/rehearsal_script.h
+++ b/standins/rehearsal_script.h
@@ -37,6 +37,8 @@
 };
 
 // The load on one route.
+inline constexpr double kRehearsalKeyWindowSeconds = 20;  // of keyed routes
+
 struct RouteLoad {
   std::string name, idempotency = "retryable";
   double requests_per_second = 50, priority_weight = 1;
--- a/standins/rehearsal_verdict.cpp
+++ b/standins/rehearsal_verdict.cpp
@@ -160,6 +160,7 @@
   RuleLimits limits;
   for (const RouteLoad& route : script.routes) {
     if (route.idempotency != "retryable") limits.keyed_routes.push_back(route.name);
+    if (route.idempotency == "dedup") limits.key_windows[route.name] = kRehearsalKeyWindowSeconds;
   }
   // The stand-in runtime keeps a run whose call has failed, unlike the platform's runtime, which ends it. So
   // with calls, its number of runs does not show how many requests the program runs at once.
--- a/standins/rules.cpp
+++ b/standins/rules.cpp
@@ -111,6 +111,30 @@
   }
 }
 
+// Rule 2: a process that has run a keyed request does not reject a later attempt with its key: its caller
+// would take that to another server, which runs it a second time.
+void check_rejected_repeats(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
+  ViolationReport rejected(verdict, verdict.rejected_repeats);
+  std::map<std::string, std::vector<const RecordedRun*>> by_key;
+  for (const RecordedRun& run : journal.runs) by_key[run.type + " " + run.key].push_back(&run);
+  for (const auto& [request, repeat] : journal.attempts) {
+    const auto window = limits.key_windows.find(repeat.type);
+    const auto runs = by_key.find(repeat.type + " " + repeat.key);
+    const bool is_rejected = !repeat.answers.empty() &&
+                             repeat.answers.front().kind == AnswerKind::kRejected && !repeat.is_read_late;
+    if (window == limits.key_windows.end() || runs == by_key.end() || !is_rejected) continue;
+    const auto has_run = [&, repeat = &repeat](const RecordedRun* run) {
+      const auto original = journal.attempts.find(run->request);
+      return original != journal.attempts.end() && original->second.incarnation == repeat->incarnation &&
+             original->second.sent < repeat->sent && repeat->sent < original->second.sent + window->second &&
+             run->began < repeat->answers.front().at;
+    };
+    if (std::any_of(runs->second.begin(), runs->second.end(), has_run))
+      rejected.add(fmt::format("rule 2: {} {:016x} was rejected although its key {} had run", repeat.type,
+                               request, repeat.key));
+  }
+}
+
 // Rules 2 and 3 for requests whose ids the program chose, which are matched by key: a key has at most as many
 // runs as attempts that were neither rejected nor sent after the grace period.
 void check_runs_by_key(const Journal& journal, const RuleLimits& limits, Verdict& verdict) {
@@ -181,6 +205,7 @@
   check_one_answer(journal, limits, verdict);
   check_replies(journal, limits, verdict);
   check_one_effect(journal, limits, verdict);
+  check_rejected_repeats(journal, limits, verdict);
   check_runs_by_key(journal, limits, verdict);
   check_drain(journal, limits, verdict);
   check_endurance(journal, limits, verdict);
