JSON-RPC: a repeat beyond a connection's open requests is not rejected if its key may have run

Callers saw: the 33rd open request on a connection, the repeat of a keyed op that runs, answered -32001, "never ran". On one level and on two.

Cause: the server rejected what exceeds the 32 open requests of a connection before anybody looked at its key.

Change: CallerEvents::may_be_rejected() is asked first: a server looks the key up in its idempotency cache, a forwarder in its history of keys. Without proof the request fails. It joins nothing, so memory stays bounded by the 32. New keys, other routes and invalid requests are rejected as before.

RepeatedKeys.AsItsConnectionHasTooManyRequestsOpen for the forwarder.

--- a/src/peers/json_rpc/server.cpp
+++ b/src/peers/json_rpc/server.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double kSecondsPerMs = 0.001;
+constexpr char kFailedMessage[] = "failed";
 constexpr std::size_t kMaxInFlightRequests = 32;       // of a connection, as the protocol allows
 constexpr std::size_t kMaxOutputBytes = 256 * 1024;    // of a connection; 32 full answers take 180 KiB
 constexpr std::size_t kPauseReadingBytes = 64 * 1024;  // of pending output
@@ -215,11 +216,13 @@
     return send_error(client, number, {Count::kBadRequests, wire::RpcError::kRequest, "no request"});
   }
   if (is_number_in_use) return send_error(client, 0, {Count::kBadIds, wire::RpcError::kRequest, "id in use"});
+  const bool has_bad_params = problem == wire::RpcProblem::kInvalidParams;
   if (client.requests.size() >= kMaxInFlightRequests) {
     counters_.add(Count::kBadTooMany);
-    return send(client, wire::encode_rejection(message.id, 0, false));
+    const bool is_request = !has_bad_params && message.method != kHealthMethod;
+    return is_request ? refuse_request(client, message)
+                      : send(client, wire::encode_rejection(message.id, 0, false));
   }
-  const bool has_bad_params = problem == wire::RpcProblem::kInvalidParams;
   if (message.method == kHealthMethod) return handle_health_check(client, message, has_bad_params);
   if (has_bad_params || !message.has_request_id || message.request_id == 0 || message.size_kb <= 0) {
     return send_error(client, message.id, {Count::kBadParams, wire::RpcError::kParams, "bad parameters"});
@@ -237,6 +240,17 @@
   events_.on_health_check({client.connection->tag, message.id}, message.requires_self_test);
 }
 
+// Answers a request that exceeds the limit of its connection.
+void JsonRpcServer::refuse_request(Client& client, wire::RpcRequest& message) {
+  std::variant<IncomingRequest, RequestError> built = build_request(message, catalog_, keys_);
+  auto* request = std::get_if<IncomingRequest>(&built);
+  if (request != nullptr && request->received_at <= 0)
+    request->received_at = net::unix_now() - input_age(client);
+  const bool may_be_rejected = request == nullptr || events_.may_be_rejected(*request);
+  send(client, may_be_rejected ? wire::encode_rejection(message.id, 0, false)
+                               : wire::encode_error(message.id, wire::RpcError::kFailed, kFailedMessage));
+}
+
 void JsonRpcServer::handle_request(Client& client, wire::RpcRequest& message) {
   std::variant<IncomingRequest, RequestError> built = build_request(message, catalog_, keys_);
   if (const auto* error = std::get_if<RequestError>(&built)) return send_error(client, message.id, *error);
@@ -290,7 +304,7 @@
   switch (reason) {
     case FailureReason::kFailed:
     case FailureReason::kKeyUnknown:  // these clients don't send lookups
-      return answer(reply_to, wire::encode_error(number, wire::RpcError::kFailed, "failed"));
+      return answer(reply_to, wire::encode_error(number, wire::RpcError::kFailed, kFailedMessage));
     case FailureReason::kOutcomeUnknown:
       return answer(reply_to, wire::encode_error(number, wire::RpcError::kOutcomeUnknown,
                                                  "a try of this op has run; its outcome is unknown"));
--- a/src/peers/json_rpc/server.h
+++ b/src/peers/json_rpc/server.h
@@ -83,6 +83,7 @@
   void handle_message(Client& client, std::string_view text);
   void handle_health_check(Client& client, const wire::RpcRequest& message, bool has_bad_params);
   void handle_request(Client& client, wire::RpcRequest& message);
+  void refuse_request(Client& client, wire::RpcRequest& message);
   void on_valid_message(Client& client);
   void send_error(Client& client, std::uint64_t number, const RequestError& error);
 
--- a/src/peers/ports.h
+++ b/src/peers/ports.h
@@ -57,6 +57,9 @@
   // Whether it may not be reported as never run: its run was started, or it waits as a keyed duplicate for
   // another request, which may have run or may still run. False also where the request is not in flight.
   [[nodiscard]] virtual bool may_have_run(RequestId id) const = 0;
+  // Whether a request that is not passed on may be rejected: no other request with its idempotency key has
+  // run or may still run in this process. Otherwise it has to fail.
+  [[nodiscard]] virtual bool may_be_rejected(const IncomingRequest& request) const = 0;
   // A complete request whose id is not in use; it gets exactly one answer.
   virtual void on_request_read(IncomingRequest request) = 0;
   // The caller has disconnected and no longer waits for the answer to this request.
--- a/src/results/idempotency_cache.cpp
+++ b/src/results/idempotency_cache.cpp
@@ -136,6 +136,12 @@
   return {LookupOutcome::kNoCapacity, 0, std::max(0.0, first_expiry - now)};
 }
 
+bool IdempotencyCache::may_have_run(double arrived_at, const Key& key) const {
+  const Entry* entry = find(key);
+  if (entry == nullptr) return arrived_at < watermark_;
+  return entry->is_active() || entry->expires_at > arrived_at;
+}
+
 bool IdempotencyCache::reserve(double now, const Reservation& reservation) {
   std::optional<double> replaced_expires_at;
   const auto found = entries_.find(reservation.key);
--- a/src/results/idempotency_cache.h
+++ b/src/results/idempotency_cache.h
@@ -114,6 +114,9 @@
   // Looks up a request that arrived at `arrived_at` and is read now. May evict results, and entries whose
   // windows have ended, to free capacity for it; adds no entry.
   Lookup look_up(double now, double arrived_at, const Key& key, Fingerprint fingerprint, EntryKind kind);
+  // Whether a keyed request with this key has run, or may still run, so that one that arrived at `arrived_at`
+  // must not be rejected.
+  [[nodiscard]] bool may_have_run(double arrived_at, const Key& key) const;
   // Adds an entry for an admitted request. Returns false if the request is a duplicate or there is no
   // capacity.
   [[nodiscard]] bool reserve(double now, const Reservation& reservation);
--- a/src/stages/request_forwarder.cpp
+++ b/src/stages/request_forwarder.cpp
@@ -139,6 +139,11 @@
 
 // ---- Callers.
 
+bool RequestForwarder::may_be_rejected(const peers::IncomingRequest& request) const {
+  const double age = request.received_at > 0 ? std::max(0.0, net::unix_now() - request.received_at) : 0;
+  return dispatch_->may_be_rejected(key_hash(request), net::monotonic_now() - age);
+}
+
 void RequestForwarder::on_request_read(peers::IncomingRequest in) {
   counters_.add(Count::kRequestsRead);
   const double now = net::unix_now();
--- a/src/stages/request_forwarder.h
+++ b/src/stages/request_forwarder.h
@@ -57,6 +57,7 @@
   // ---- Callers.
   bool is_in_use(RequestId id) const override { return in_flight_.contains(id); }
   bool may_have_run(RequestId) const override { return false; }  // a forwarder runs no requests
+  bool may_be_rejected(const peers::IncomingRequest& request) const override;
   void on_request_read(peers::IncomingRequest request) override;
   void on_caller_disconnected(RequestId id) override;
   void on_health_check(peers::ReplyAddress reply_to, bool requires_self_test) override;
--- a/src/stages/request_intake.cpp
+++ b/src/stages/request_intake.cpp
@@ -26,6 +26,13 @@
   return request != nullptr && (request->started || request->awaits_keyed_original);
 }
 
+bool RequestIntake::may_be_rejected(const peers::IncomingRequest& incoming) const {
+  InFlightRequest entry;
+  entry.route_name = catalog_.route_name(incoming.route);
+  entry.route_settings = catalog_.route(incoming.route);
+  return !stages_.replay.may_have_run(to_admission_request(incoming, net::unix_now()), incoming, entry);
+}
+
 void RequestIntake::on_request_read(peers::IncomingRequest incoming) {
   const double now = net::unix_now();
   const Request request = to_admission_request(incoming, now);
--- a/src/stages/request_intake.h
+++ b/src/stages/request_intake.h
@@ -40,6 +40,7 @@
 
   [[nodiscard]] bool is_in_use(RequestId id) const override { return stages_.in_flight.contains(id); }
   [[nodiscard]] bool may_have_run(RequestId id) const override;
+  [[nodiscard]] bool may_be_rejected(const peers::IncomingRequest& incoming) const override;
   void on_request_read(peers::IncomingRequest request) override;
   void on_caller_disconnected(RequestId id) override;
   // `requires_self_test`: the check requests a self test, which runs if the settings enable deep checks.
--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -191,6 +191,15 @@
   return false;
 }
 
+bool ResultReplay::may_have_run(const Request& request, const peers::IncomingRequest& incoming,
+                                const InFlightRequest& in_flight_request) const {
+  if (!is_enabled()) return false;
+  const std::optional<RequestIdentity> identity = identifier_.identify(request, incoming, in_flight_request);
+  if (!identity || identity->kind != EntryKind::kKeyed) return false;
+  const double arrived_at = net::monotonic_now() - request.age - incoming.arrived_earlier;
+  return cache_.may_have_run(arrived_at, identity->key);
+}
+
 // While the store is not open, an unknown key proves nothing: an earlier process may have run the request.
 bool ResultReplay::answer_unknown_key(const RequestIdentity& identity, bool is_query,
                                       InFlightRequest& request, double now) {
--- a/src/stages/result_replay.h
+++ b/src/stages/result_replay.h
@@ -56,6 +56,10 @@
   [[nodiscard]] bool answer_if_known(Request& request, const peers::IncomingRequest& incoming,
                                      InFlightRequest& in_flight_request);
 
+  // Whether another request with the same idempotency key has run, or may still run.
+  [[nodiscard]] bool may_have_run(const Request& request, const peers::IncomingRequest& incoming,
+                                  const InFlightRequest& in_flight_request) const;
+
   // ---- Decisions of the admission controller.
 
   // Remembers the request last passed to answer_if_known(), for `ttl` seconds.
--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -69,9 +69,16 @@
   reject(details.id, 0, false);
 }
 
+KeyHistory Dispatch::key_history(std::uint64_t key_hash, double arrived_at) const {
+  return key_hash == 0 ? KeyHistory::kNeverRan : key_attempts_.history(key_hash, arrived_at);
+}
+
 KeyHistory Dispatch::key_history(const PendingRequest& request) const {
-  if (!request.details.is_keyed()) return KeyHistory::kNeverRan;
-  return key_attempts_.history(request.details.idempotency_key_hash, request.arrived_at);
+  return key_history(request.details.idempotency_key_hash, request.arrived_at);
+}
+
+bool Dispatch::may_be_rejected(std::uint64_t key_hash, double arrived_at) const {
+  return key_history(key_hash, arrived_at) == KeyHistory::kNeverRan;
 }
 
 bool Dispatch::is_repeat(const PendingRequest& request) const {
@@ -317,7 +324,8 @@
 
 // The only place where a request is rejected. A rejection tells its caller that other servers may run it.
 void Dispatch::reject(RequestId id, double retry_after, bool no_retry) {
-  if (key_history(requests_.at(id)) != KeyHistory::kNeverRan) {
+  const PendingRequest& request = requests_.at(id);
+  if (!may_be_rejected(request.details.idempotency_key_hash, request.arrived_at)) {
     ++counters_.unproven_rejections;
     return fail(id);
   }
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -39,6 +39,9 @@
   // A request that the forwarder has no memory for: it is answered at once.
   void on_request_without_memory(const ForwardedRequest& details, double now);
   void on_caller_disconnected(RequestId id, double now);
+  // Whether a request with this key (0: none) that is not passed on may be rejected: no attempt with the key
+  // has run or may still run.
+  [[nodiscard]] bool may_be_rejected(std::uint64_t key_hash, double arrived_at) const;
 
   // A planner's link is up. `epoch`: of the planner's process. `window`: attempts that may be open there.
   void on_link_up(int planner, std::uint64_t epoch, std::uint32_t window, double now);
@@ -88,6 +91,7 @@
   [[nodiscard]] double latest_reply_when_draining(double now) const;
   PendingRequest& add(const ForwardedRequest& details, double now);
   [[nodiscard]] bool arrived_after_grace(const PendingRequest& request) const;
+  [[nodiscard]] KeyHistory key_history(std::uint64_t key_hash, double arrived_at) const;
   [[nodiscard]] KeyHistory key_history(const PendingRequest& request) const;
   // Whether an earlier attempt with its key may have run, so that its planner may have the result.
   [[nodiscard]] bool is_repeat(const PendingRequest& request) const;
--- a/tests/peers/peer_fixture.h
+++ b/tests/peers/peer_fixture.h
@@ -68,6 +68,7 @@
 struct RecordedEvents : CallerEvents, PlannerEvents {
   [[nodiscard]] bool is_in_use(RequestId /*id*/) const override { return false; }
   [[nodiscard]] bool may_have_run(RequestId /*id*/) const override { return false; }
+  [[nodiscard]] bool may_be_rejected(const IncomingRequest& /*request*/) const override { return true; }
   void on_request_read(IncomingRequest request) override {
     request_ages.push_back(net::unix_now() - request.received_at);
     arrived_earlier.push_back(request.arrived_earlier);
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -61,6 +61,25 @@
                           "results.conflicts", "bad.params"});
 }
 
+// Guards against the rejection of a repeat whose key runs, because its connection has too many requests open.
+void over_limit() {
+  constexpr int kMaxOpenRequests = 32;
+  ServerFixture fixture("", "", keyed(kInMemory));
+  fixture.complete_startup();
+  const int caller = fixture.connect();
+  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  for (int number = 2; number <= kMaxOpenRequests; ++number)
+    fixture.send_request(caller, number, "push", kParamsWithKeyA);
+  fixture.send_request(caller, kMaxOpenRequests + 1, "push", kParamsWithKeyA);
+  fixture.print_caller_message(caller);
+  fixture.send_request(caller, kMaxOpenRequests + 2, "push", R"("ram":10,"limit":3000,"key":"b")");
+  fixture.print_caller_message(caller);
+  fixture.send_from_runtime("end 1 " + kId1 + " complete 20 6\r\nresult");
+  fixture.print_caller_message(caller);
+  fixture.print_counters({"runs.started", "bad.too_many"});
+}
+
 // Each request fails at its own deadline: the original request fails, and its run continues for the
 // duplicates.
 void deadlines() {
@@ -210,7 +229,8 @@
   fixture.print_counters({"runs.started", "results.from_memory"});
 }
 
-// Guards against the same after a restart: the window of the stored result has ended when the repeat is read.
+// Guards against a second run after a restart: the window of the stored result has ended when the repeat is
+// read.
 void read_late_after_restart() {
   ServerFixture fixture("", "", {kShortWindowRoutes, kStored});
   wait_for_store(fixture);
@@ -533,6 +553,7 @@
       {"given_up", given_up},
       {"without_key", without_key},
       {"shared", shared},
+      {"over_limit", over_limit},
       {"read_late", read_late},
       {"read_late_after_restart", read_late_after_restart},
       {"restart", restart},
--- a/tests/tier/repeated_keys_test.cpp
+++ b/tests/tier/repeated_keys_test.cpp
@@ -246,6 +246,13 @@
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
+TEST_F(RepeatedKeys, AsItsConnectionHasTooManyRequestsOpen) {
+  run_original();
+  EXPECT_FALSE(dispatch.may_be_rejected(kKey, 0.3));
+  EXPECT_TRUE(dispatch.may_be_rejected(kKey + 1, 0.3));
+  EXPECT_TRUE(dispatch.may_be_rejected(0, 0.3));  // not keyed
+}
+
 class RepeatedKeysWithAFullQueue : public RepeatedKeys {
  protected:
   static DispatchOptions options() {
