Results: a late repeat behind a new request that never ran is not rejected

Callers saw (in a forced test): a keyed op has run; its repeat arrives inside the window and is read after it, behind a new request with the same key. The runtime does not start the new one, and the repeat is answered -32001 although its op ran.

Cause: a duplicate joins whatever entry its key has. Four places rejected the duplicates of an entry that never ran, though the entry may have replaced that of an earlier run, which is restored with it.

Change: one function, release_key(), answers them: rejected where the key has no earlier run, otherwise "outcome unknown".

--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -237,8 +237,17 @@
   check_invariant(is_remembered || identity.kind == EntryKind::kSharedRead, counters_);
 }
 
-void ResultReplay::forget_key(RequestId id) {
-  replies_.answer_all(cache_.release(id), OriginalOutcome::kNeverRan);
+void ResultReplay::forget_key(RequestId id) { release_key(id); }
+
+// The request never ran, and neither did its duplicates, which are rejected. But where its key has run in an
+// earlier window, a duplicate may have arrived in that one and be read late.
+void ResultReplay::release_key(RequestId id) {
+  const results::IdempotencyCache::Entry* entry = cache_.find_active(id);
+  if (entry == nullptr) return;
+  const results::Key key = entry->key;
+  const std::vector<RequestId> duplicates = cache_.release(id);
+  const bool has_earlier_run = cache_.find(key) != nullptr;  // release() has restored its entry
+  replies_.answer_all(duplicates, has_earlier_run ? OriginalOutcome::kUnknown : OriginalOutcome::kNeverRan);
 }
 
 void ResultReplay::join_original(RequestId id) {
@@ -334,7 +343,7 @@
   if (request == nullptr) return;
   request->run = RunStage::kNone;
   replies_.reject(*request, retry_after);
-  replies_.answer_all(cache_.release(id), OriginalOutcome::kNeverRan);
+  release_key(id);
   erase_from_store(std::move(keys));
   admission_.on_run_finished(id, Outcome::kObsolete, 0);
   request = in_flight_.find(id);
@@ -362,7 +371,7 @@
       replies_.answer_all(cache_.complete(now, id, std::string(result)), OriginalOutcome::kSucceeded, result);
       return false;
     case Outcome::kObsolete:  // the run never started
-      replies_.answer_all(cache_.release(id), OriginalOutcome::kNeverRan);
+      release_key(id);
       erase_from_store({key});
       return false;
     default:
@@ -435,7 +444,7 @@
   const results::IdempotencyCache::Entry* entry = cache_.find_active(request.id);
   if (entry == nullptr || pending_writes_.has_result(request.id)) return;
   if (entry->state == EntryState::kReserved) {
-    replies_.answer_all(cache_.release(request.id), OriginalOutcome::kNeverRan);
+    release_key(request.id);
   } else {  // the paused run was discarded
     replies_.answer_all(cache_.mark_outcome_unknown(net::monotonic_now(), request.id),
                         OriginalOutcome::kUnknown);
--- a/src/stages/result_replay.h
+++ b/src/stages/result_replay.h
@@ -105,6 +105,7 @@
   bool answer_unknown_key(const RequestIdentity& identity, bool is_query, InFlightRequest& request,
                           double now);
   void fail_query(InFlightRequest& request);
+  void release_key(RequestId id);
   void write_intent(InFlightRequest& request, const results::IdempotencyCache::Entry& entry);
   void on_intent_written(RequestId id, const results::Key& key, bool is_durable);
   void reject_unstarted(RequestId id, std::vector<results::Key> keys, double retry_after);
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -229,6 +229,25 @@
   fixture.print_counters({"runs.started", "results.from_memory"});
 }
 
+// Guards against the rejection of a repeat that arrives inside the window and is read after it: it waits for
+// a new request with its key, which never runs.
+void read_late_behind_new_request() {
+  ServerFixture fixture("", "", {kShortWindowRoutes, kInMemory});
+  fixture.complete_startup();
+  const int caller = fixture.connect();
+  complete_with_key_a(fixture, caller);
+  const std::string repeat = fixture.request_message(2, "push", kParamsWithKeyA);
+  fixture.pause(kPastWindowSeconds);
+  fixture.send_request(caller, 3, "push", kParamsWithKeyA);
+  fixture.print_runtime_lines(2);
+  send_all(caller, repeat);
+  fixture.pause(0.05);
+  fixture.send_from_runtime("nack start " + kId3);
+  fixture.print_caller_message(caller);
+  fixture.print_caller_message(caller);
+  fixture.print_counters({"runs.started"});
+}
+
 // Guards against a second run after a restart: the window of the stored result has ended when the repeat is
 // read.
 void read_late_after_restart() {
@@ -556,6 +575,7 @@
       {"over_limit", over_limit},
       {"read_late", read_late},
       {"read_late_after_restart", read_late_after_restart},
+      {"read_late_behind_new_request", read_late_behind_new_request},
       {"restart", restart},
       {"full", full},
       {"shrink", shrink},
