Dependency: a link carries no two calls of one request

Callers saw (in a forced test): a run's second call answered with a second copy of the reply to its first one, where calls share a connection to the back end. A copy of "overload" would prove that the second call never ran.

Cause: replies name the request, not the call. A link of a call's own was not reused for the request of its last call; a shared link was chosen by its load alone, and of an idle link only the last request was known.

Change: a link knows the requests that it has carried and takes no second call of one. Where no link is left, the first choice is retired and a new one opened. Links are replaced after 128 calls, which bounds what they know.

Test: DependencyClientTest.*, with the client as it was 3 of 3 failed, now none.

--- a/src/peers/dependency/client.cpp
+++ b/src/peers/dependency/client.cpp
@@ -14,6 +14,7 @@
 constexpr double kReuseSeconds = 0.5;  // after its last call, in which a link may be reused
 constexpr double kIdleCheckSeconds = 0.5;
 constexpr double kReplyTimeoutSeconds = 0.25;  // from a reply's first byte until it is complete
+constexpr std::size_t kMaxCallsOfLink = 128;   // after which it takes no new call
 
 Outcome outcome_of(wire::CallEnd end) {
   switch (end) {
@@ -66,18 +67,30 @@
 // call that fails for that reason would not prove that it never ran.
 std::uint64_t DependencyClient::link_for_call(RequestId id) {
   if (const std::uint64_t reusable = find_reusable_link(id); reusable != 0) return reusable;
-  std::size_t in_use = 0;
+  const auto in_use = std::count_if(links_.begin(), links_.end(), [](const auto& entry) {
+    const Link& link = entry.second;
+    return !link.is_retired && link.connection->open() && !link.calls.empty();
+  });
+  if (static_cast<std::size_t>(in_use) < max_links_) return open_link();
+  const std::uint64_t shared = shared_link(id);
+  return shared != 0 ? shared : open_link();
+}
+
+// The newest of the links with the fewest calls that has carried no call of this request: replies name the
+// request, so a duplicate of its earlier reply would be taken for the new one. Where there is none, the first
+// choice is retired, so that a new link may take its place, and 0 is returned.
+std::uint64_t DependencyClient::shared_link(RequestId id) {
   auto least_loaded = links_.end();
-  for (auto position = links_.end(); position != links_.begin();) {
-    --position;
+  auto to_replace = links_.end();
+  for (auto position = links_.begin(); position != links_.end(); ++position) {
     const Link& link = position->second;
     if (link.is_retired || !link.connection->open() || link.calls.empty()) continue;
-    ++in_use;
-    if (least_loaded == links_.end() || link.calls.size() < least_loaded->second.calls.size())
-      least_loaded = position;
+    auto& best = link.carried.contains(id) ? to_replace : least_loaded;
+    if (best == links_.end() || link.calls.size() <= best->second.calls.size()) best = position;
   }
-  if (in_use >= max_links_ && least_loaded != links_.end()) return least_loaded->first;
-  return open_link();
+  if (least_loaded != links_.end()) return least_loaded->first;
+  if (to_replace != links_.end()) to_replace->second.is_retired = true;
+  return 0;
 }
 
 // The newest link that has just carried a call; 0: there is none. Closes the idle links on the way.
@@ -87,8 +100,7 @@
     --position;
     auto& [tag, link] = *position;
     if (link.is_retired || !link.connection->open() || !link.calls.empty()) continue;
-    // Not for the same request again: a duplicate of its last reply would be taken for the new one.
-    if (link.last_request == id) continue;
+    if (link.carried.contains(id)) continue;  // as for shared_link()
     if (now - link.idle_since <= kReuseSeconds && link.connection->nothing_to_read()) return tag;
     link.is_retired = true;
     link.connection->close();
@@ -111,7 +123,8 @@
   const std::uint64_t tag = link_for_call(id);
   Link& link = links_.at(tag);
   link.calls.push_back(id);
-  link.last_request = id;
+  link.carried.insert(id);
+  if (link.carried.size() >= kMaxCallsOfLink) link.is_retired = true;
   Call& call = calls_[id];
   call.link = tag;
   call.may_be_sent = link.connection->connected();
--- a/src/peers/dependency/client.h
+++ b/src/peers/dependency/client.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "net/connection.h"
@@ -41,8 +42,8 @@
  private:
   struct Link {
     std::shared_ptr<net::Connection> connection;
-    std::vector<RequestId> calls;  // in flight on it: one, unless max_links_ links are in use
-    RequestId last_request = 0;
+    std::vector<RequestId> calls;           // in flight on it: one, unless max_links_ links are in use
+    std::unordered_set<RequestId> carried;  // the requests that it has carried calls of
     double idle_since = 0;
     bool is_retired = false;            // takes no new call and closes after its last one
     net::Reactor::TimerId reply_timer;  // until which a partly received reply must be complete
@@ -61,6 +62,7 @@
 
   [[nodiscard]] std::uint64_t link_for_call(RequestId id);
   [[nodiscard]] std::uint64_t find_reusable_link(RequestId id);
+  [[nodiscard]] std::uint64_t shared_link(RequestId id);
   [[nodiscard]] std::uint64_t open_link();
   void detach_call(RequestId id, std::uint64_t tag, bool is_answered);
   void finish_call(RequestId id, Outcome outcome, std::string_view reply);
