--- a/standins/journal.h
+++ b/standins/journal.h
@@ -91,7 +91,7 @@
 
 // Tolerances and expectations of the rules in a play.
 struct RuleLimits {
-  std::vector<std::string> keyed_routes;   // routes on which each key may run only once
+  std::vector<std::string> keyed_routes;  // routes on which each key may run only once
   // Idempotency windows of the routes whose repeats are recognized by key, s.
   std::map<std::string, double> key_windows;
   double deadline_slack_seconds = 0.1;     // after its deadline, in which an answer still counts as in time
--- a/tests/peers/dependency_client_test.cpp
+++ b/tests/peers/dependency_client_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr double kTimeoutSeconds = 5;
+constexpr RequestId kManyCalls = 300;
 
 // Reads and writes the lines of a dependency on the connections of one listener.
 class ScriptedDependency {
@@ -112,8 +113,8 @@
 
 // What a link remembers is bounded: after many calls another one takes its place.
 TEST_F(DependencyClientTest, ALinkIsReplacedAfterManyCalls) {
-  constexpr RequestId kCalls = 300;
-  for (RequestId request = 1; request <= kCalls; ++request) client_.call(request, kTimeoutSeconds, "call");
+  for (RequestId request = 1; request <= kManyCalls; ++request)
+    client_.call(request, kTimeoutSeconds, "call");
   run();
   EXPECT_EQ(dependency_.connections.size(), 3U);
 }
--- a/tests/tier/repeated_keys_test.cpp
+++ b/tests/tier/repeated_keys_test.cpp
@@ -54,9 +54,9 @@
 class RepeatedKeys : public testing::Test {
  protected:
   explicit RepeatedKeys(const DispatchOptions& options = default_options())
-      : dispatch(
-            options, 1, {"p1"}, sink, [] { return 0.5; }, 0) {
-    dispatch.on_link_up(kPlanner, kEpoch, kWindow, 0);
+      : dispatch_(
+            options, 1, {"p1"}, sink_, [] { return 0.5; }, 0) {
+    dispatch_.on_link_up(kPlanner, kEpoch, kWindow, 0);
   }
   static ForwardedRequest request(RequestId id, std::uint64_t key = kKey, double remaining_time = kTimeout) {
     ForwardedRequest out;
@@ -68,66 +68,66 @@
     return out;
   }
   void answer(RequestId id, AnswerKind kind, double now) {
-    const auto last = std::find_if(sink.sent.rbegin(), sink.sent.rend(),
+    const auto last = std::find_if(sink_.sent.rbegin(), sink_.sent.rend(),
                                    [&](const SentAttempt& one) { return one.request == id; });
-    ASSERT_NE(last, sink.sent.rend());
-    (void)dispatch.on_answer(kPlanner, kEpoch, last->attempt, kind, 0, false, now);
+    ASSERT_NE(last, sink_.sent.rend());
+    (void)dispatch_.on_answer(kPlanner, kEpoch, last->attempt, kind, 0, false, now);
   }
   // The original is sent at 0 s and has run.
   void run_original() {
-    dispatch.on_request(request(kOriginal), 0);
+    dispatch_.on_request(request(kOriginal), 0);
     answer(kOriginal, AnswerKind::kSucceeded, 0.1);
   }
   [[nodiscard]] std::optional<LocalReply> reply_to(RequestId id) const {
-    const auto found = sink.replies.find(id);
-    return found == sink.replies.end() ? std::nullopt : std::optional(found->second);
+    const auto found = sink_.replies.find(id);
+    return found == sink_.replies.end() ? std::nullopt : std::optional(found->second);
   }
   [[nodiscard]] bool was_sent(RequestId id, bool as_lookup) const {
-    return std::any_of(sink.sent.begin(), sink.sent.end(), [&](const SentAttempt& one) {
+    return std::any_of(sink_.sent.begin(), sink_.sent.end(), [&](const SentAttempt& one) {
       return one.request == id && one.is_lookup_only == as_lookup;
     });
   }
 
-  RecordingSink sink;
-  Dispatch dispatch;
+  RecordingSink sink_;
+  Dispatch dispatch_;
 };
 
 // ---- A key that was never sent may still be rejected.
 
 TEST_F(RepeatedKeys, AKeyThatWasNeverSentIsRejectedWhileItsPlannerIsCutOff) {
   run_original();
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_request(request(kRepeat, kKey + 1), 0.3);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_request(request(kRepeat, kKey + 1), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, AKeyWhoseEveryAttemptIsProvenNotRunIsRejected) {
-  dispatch.on_request(request(kOriginal), 0);
-  dispatch.on_request(request(kRepeat), 0.1);
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_request(request(kRepeat), 0.1);
   answer(kRepeat, AnswerKind::kRejected, 0.2);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);  // the original may still run
   answer(kOriginal, AnswerKind::kRejected, 0.3);
   EXPECT_EQ(reply_to(kOriginal), LocalReply::kRejected);
-  dispatch.on_request(request(3), 0.4);
+  dispatch_.on_request(request(3), 0.4);
   answer(3, AnswerKind::kRejected, 0.5);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, AttemptsThatWereNeverWrittenAreProvenNotRun) {
-  dispatch.on_request(request(kOriginal), 0);
-  dispatch.on_request(request(kRepeat), 0);
-  ASSERT_EQ(sink.sent.size(), 2U);
-  dispatch.on_link_lost(kPlanner, {sink.sent[0].attempt, sink.sent[1].attempt}, 0.1);
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_request(request(kRepeat), 0);
+  ASSERT_EQ(sink_.sent.size(), 2U);
+  dispatch_.on_link_lost(kPlanner, {sink_.sent[0].attempt, sink_.sent[1].attempt}, 0.1);
   EXPECT_EQ(reply_to(kOriginal), LocalReply::kRejected);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, AKeyIsRejectedAgainOnceItsWindowHasEnded) {
   run_original();
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_request(request(kRepeat), kKeyWindow - 0.1);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_request(request(kRepeat), kKeyWindow - 0.1);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
-  dispatch.on_request(request(3), kKeyWindow + 0.1);
+  dispatch_.on_request(request(3), kKeyWindow + 0.1);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
@@ -135,48 +135,48 @@
 
 TEST_F(RepeatedKeys, WhileThePlannerIsNotLinked) {
   run_original();
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, WhileTheOutcomeOfTheOriginalIsUnknown) {
-  dispatch.on_request(request(kOriginal), 0);
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AfterTheCallerOfTheOriginalHasLeft) {
-  dispatch.on_request(request(kOriginal), 0);
-  dispatch.on_caller_disconnected(kOriginal, 0.1);
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_caller_disconnected(kOriginal, 0.1);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsTheLinkIsLostWhileItWaits) {
   run_original();
-  dispatch.on_load_report(kPlanner, 0, 1, true, 0.2);  // no capacity
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_load_report(kPlanner, 0, 1, true, 0.2);  // no capacity
+  dispatch_.on_request(request(kRepeat), 0.3);
   EXPECT_EQ(reply_to(kRepeat), std::nullopt);
-  dispatch.on_link_lost(kPlanner, {}, 0.4);
+  dispatch_.on_link_lost(kPlanner, {}, 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsTheLinkIsLostBeforeItIsWritten) {
   run_original();
-  dispatch.on_request(request(kRepeat), 0.3);
-  dispatch.on_link_lost(kPlanner, {sink.sent.back().attempt}, 0.4);
+  dispatch_.on_request(request(kRepeat), 0.3);
+  dispatch_.on_link_lost(kPlanner, {sink_.sent.back().attempt}, 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, WithProofThatTheRepeatAloneNeverRan) {
-  dispatch.on_request(request(kOriginal), 0);
-  dispatch.on_request(request(kRepeat), 0.1);
-  dispatch.on_link_lost(kPlanner, {}, 0.2);
-  dispatch.on_link_up(kPlanner, kEpoch, kWindow, 0.3);
-  EXPECT_EQ(sink.fenced.size(), 2U);
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_request(request(kRepeat), 0.1);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_link_up(kPlanner, kEpoch, kWindow, 0.3);
+  EXPECT_EQ(sink_.fenced.size(), 2U);
   answer(kOriginal, AnswerKind::kRunning, 0.4);
   answer(kRepeat, AnswerKind::kNeverRan, 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
@@ -184,30 +184,30 @@
 
 TEST_F(RepeatedKeys, AsThePlannerDrains) {
   run_original();
-  dispatch.on_planner_draining(kPlanner, 0.2);
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_planner_draining(kPlanner, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsThePlannerRejectsTheRepeat) {
   run_original();
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_request(request(kRepeat), 0.3);
   answer(kRepeat, AnswerKind::kRejected, 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsTheOwnerOfTheKeyChanges) {
   run_original();
-  dispatch.set_planners({"p2"}, 0.2);
-  dispatch.on_link_lost(kPlanner, {}, 0.3);
-  dispatch.on_request(request(kRepeat), 0.4);
+  dispatch_.set_planners({"p2"}, 0.2);
+  dispatch_.on_link_lost(kPlanner, {}, 0.3);
+  dispatch_.on_request(request(kRepeat), 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsAFormerOwnerHasForgottenTheKey) {
   run_original();
-  dispatch.set_planners({"p2"}, 0.2);
-  dispatch.on_request(request(kRepeat), 0.4);
+  dispatch_.set_planners({"p2"}, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.4);
   EXPECT_TRUE(was_sent(kRepeat, true));
   answer(kRepeat, AnswerKind::kKeyUnknown, 0.5);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
@@ -216,41 +216,41 @@
 // ---- The forwarder has too little time or capacity.
 
 TEST_F(RepeatedKeys, TheEstimateOfTheRunTimeDoesNotCountForARepeat) {
-  dispatch.on_request(request(kOriginal), 0);
+  dispatch_.on_request(request(kOriginal), 0);
   answer(kOriginal, AnswerKind::kSucceeded, 2);
-  dispatch.on_request(request(kRepeat, kKey, 0.5), 2.1);
+  dispatch_.on_request(request(kRepeat, kKey, 0.5), 2.1);
   EXPECT_TRUE(was_sent(kRepeat, false));
-  dispatch.on_request(request(3, kKey + 1, 0.5), 2.2);
+  dispatch_.on_request(request(3, kKey + 1, 0.5), 2.2);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, WithTooLittleTimeLeftToAsk) {
   run_original();
-  dispatch.on_request(request(kRepeat, kKey, 0.03), 0.3);
+  dispatch_.on_request(request(kRepeat, kKey, 0.03), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, AsItIsOverdueWhileItWaits) {
   run_original();
-  dispatch.on_load_report(kPlanner, 0, 1, true, 0.2);
-  dispatch.on_request(request(kRepeat, kKey, 0.5), 0.3);
-  dispatch.on_timer(0.9);
+  dispatch_.on_load_report(kPlanner, 0, 1, true, 0.2);
+  dispatch_.on_request(request(kRepeat, kKey, 0.5), 0.3);
+  dispatch_.on_timer(0.9);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
 TEST_F(RepeatedKeys, WithoutMemoryForTheRequest) {
   run_original();
-  dispatch.on_request_without_memory(request(kRepeat), 0.3);
-  dispatch.on_request_without_memory(request(3, kKey + 1), 0.3);
+  dispatch_.on_request_without_memory(request(kRepeat), 0.3);
+  dispatch_.on_request_without_memory(request(3, kKey + 1), 0.3);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, AsItsConnectionHasTooManyRequestsOpen) {
   run_original();
-  EXPECT_FALSE(dispatch.may_be_rejected(kKey, 0.3));
-  EXPECT_TRUE(dispatch.may_be_rejected(kKey + 1, 0.3));
-  EXPECT_TRUE(dispatch.may_be_rejected(0, 0.3));  // not keyed
+  EXPECT_FALSE(dispatch_.may_be_rejected(kKey, 0.3));
+  EXPECT_TRUE(dispatch_.may_be_rejected(kKey + 1, 0.3));
+  EXPECT_TRUE(dispatch_.may_be_rejected(0, 0.3));  // not keyed
 }
 
 class RepeatedKeysWithAFullQueue : public RepeatedKeys {
@@ -265,11 +265,11 @@
 
 TEST_F(RepeatedKeysWithAFullQueue, AsItIsEvicted) {
   run_original();
-  dispatch.on_load_report(kPlanner, 0, 1, true, 0.2);
-  dispatch.on_request(request(kRepeat), 0.3);
+  dispatch_.on_load_report(kPlanner, 0, 1, true, 0.2);
+  dispatch_.on_request(request(kRepeat), 0.3);
   ForwardedRequest urgent = request(3, kKey + 1);
   urgent.priority_weight = 5;
-  dispatch.on_request(urgent, 0.4);
+  dispatch_.on_request(urgent, 0.4);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
@@ -277,18 +277,18 @@
 
 TEST_F(RepeatedKeys, AfterTheGraceOfADrainItsResultIsLookedUp) {
   run_original();
-  dispatch.on_drain(3.2, 0.5, 0.2);
-  dispatch.on_request(request(kRepeat), 1);
+  dispatch_.on_drain(3.2, 0.5, 0.2);
+  dispatch_.on_request(request(kRepeat), 1);
   EXPECT_TRUE(was_sent(kRepeat, true));
   EXPECT_FALSE(was_sent(kRepeat, false));
-  dispatch.on_request(request(3, kKey + 1), 1.1);
+  dispatch_.on_request(request(3, kKey + 1), 1.1);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
 
 TEST_F(RepeatedKeys, AfterTheGraceOfADrainAForgottenResultFails) {
   run_original();
-  dispatch.on_drain(3.2, 0.5, 0.2);
-  dispatch.on_request(request(kRepeat), 1);
+  dispatch_.on_drain(3.2, 0.5, 0.2);
+  dispatch_.on_request(request(kRepeat), 1);
   answer(kRepeat, AnswerKind::kKeyUnknown, 1.1);
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
