--- a/standins/ajp_gateway.cpp
+++ b/standins/ajp_gateway.cpp
@@ -191,6 +191,18 @@
   }
 }
 
+AnswerKind AjpGateway::answer_kind(int status, const std::string& outcome) {
+  switch (status) {
+    case 200: return AnswerKind::kSucceeded;
+    case 503: return AnswerKind::kRejected;
+    case 502:
+    case 504: return AnswerKind::kFailed;
+    case 500: return outcome == "unknown" ? AnswerKind::kUnknownOutcome : AnswerKind::kInvalid;
+    case 422: return AnswerKind::kConflict;
+    default: return AnswerKind::kInvalid;
+  }
+}
+
 bool AjpGateway::handle_reply(int fd, const raw_ajp::Reply& reply) {
   Link& link = links_.at(fd);
   switch (reply.kind) {
@@ -212,12 +224,7 @@
     Answer answer;
     answer.at = now();
     answer.result = link.result;
-    answer.kind = link.status == 200                                ? AnswerKind::kSucceeded
-                  : link.status == 503                              ? AnswerKind::kRejected
-                  : link.status == 502 || link.status == 504        ? AnswerKind::kFailed
-                  : link.status == 500 && link.outcome == "unknown" ? AnswerKind::kUnknownOutcome
-                  : link.status == 422                              ? AnswerKind::kConflict
-                                                                    : AnswerKind::kInvalid;
+    answer.kind = answer_kind(link.status, link.outcome);
     found->second.answers.push_back(std::move(answer));
     --in_flight_;
   }
--- a/standins/ajp_gateway.h
+++ b/standins/ajp_gateway.h
@@ -57,6 +57,8 @@
     unsigned caller_ids = 8;  // requests carry this many different caller numbers, from 2 on
   };
   AjpGateway(Loop& loop, Journal& journal, Options options);
+  AjpGateway(const AjpGateway&) = delete;
+  AjpGateway& operator=(const AjpGateway&) = delete;
   ~AjpGateway();
 
   // Sends requests to this port, on which an incarnation of the server listens.
@@ -81,6 +83,7 @@
   void schedule_next_request(std::size_t flow);
   void send_request(const Flow& flow);
   void read(int fd);
+  [[nodiscard]] static AnswerKind answer_kind(int status, const std::string& outcome);
   bool handle_reply(int fd, const raw_ajp::Reply& reply);  // false: the link was closed
   void close_link(int fd);
   // Evenly drawn from [0, 1).
--- a/standins/ajp_script.h
+++ b/standins/ajp_script.h
@@ -18,6 +18,8 @@
   AjpScript(Loop& loop, std::uint16_t port) : loop_(loop), fd_(connected_socket(port)) {
     loop_.watch(fd_, [this] { read(); });
   }
+  AjpScript(const AjpScript&) = delete;
+  AjpScript& operator=(const AjpScript&) = delete;
   ~AjpScript() { disconnect(); }
   AjpScript& send(const std::string& bytes) {
     if (!is_closed_) loop_.send(fd_, bytes);
--- a/standins/ajp_server.h
+++ b/standins/ajp_server.h
@@ -23,6 +23,8 @@
 class AjpServer {
  public:
   explicit AjpServer(Loop& loop);
+  AjpServer(const AjpServer&) = delete;
+  AjpServer& operator=(const AjpServer&) = delete;
   ~AjpServer();
   void stop_listening();
   void disconnect_all();
--- a/tests/ajp_dependency.cpp
+++ b/tests/ajp_dependency.cpp
@@ -33,6 +33,7 @@
 }
 
 using raw_ajp::head, raw_ajp::piece;
+constexpr RequestId kCallsWithACopy = 8;
 const std::string kEnd = raw_ajp::end(), kLastEnd = raw_ajp::end(false);
 
 struct Scenario : peers::DependencyEvents {
@@ -50,6 +51,8 @@
     ends[id] =
         fmt::format("{}{}", name_of(outcome), reply.empty() ? "" : fmt::format(", {} bytes", reply.size()));
   }
+  Scenario(const Scenario&) = delete;
+  Scenario& operator=(const Scenario&) = delete;
   ~Scenario() override { stepped.end(); }
   void run_for(double seconds) {
     stepped.run_for([&] { loop.run_for(seconds); });
@@ -179,7 +182,6 @@
 void run_second_copy(const char* what,
                      const std::function<std::vector<std::string>(const std::string& answer)>& pieces,
                      bool is_after_pong = false) {
-  constexpr RequestId kCalls = 8;
   Scenario scenario(1);
   const auto answer_to = [](const std::string& body) {
     return head(200) + piece("answer to " + body.substr(0, 1)) + kEnd;
@@ -189,11 +191,11 @@
     scenario.server.after_pong = is_doubled && is_after_pong ? answer_to(body) : "";
     return is_doubled ? pieces(answer_to(body)) : std::vector<std::string>{answer_to(body)};
   };
-  for (RequestId id = 1; id <= kCalls; ++id) scenario.dependency->call(id, 1.5, std::to_string(id));
-  for (int i = 0; i < 150 && scenario.ends.size() < kCalls; ++i) scenario.run_for(0.01);
+  for (RequestId id = 1; id <= kCallsWithACopy; ++id) scenario.dependency->call(id, 1.5, std::to_string(id));
+  for (int i = 0; i < 150 && scenario.ends.size() < kCallsWithACopy; ++i) scenario.run_for(0.01);
   int own = 0;
   for (const auto& [id, reply] : scenario.replies) own += reply == "answer to " + std::to_string(id) ? 1 : 0;
-  fmt::print("{}: {} of {} calls ended with their own answer; connections {}\n", what, own, kCalls,
+  fmt::print("{}: {} of {} calls ended with their own answer; connections {}\n", what, own, kCallsWithACopy,
              scenario.server.accepted);
 }
 
