Results: a repeat of what ran before a restart is not rejected until the store is open

Callers saw (in forced tests): a keyed op has run and its result is in the store; the process is killed and starts again. Its repeat, inside the window, was answered -32001, "never ran", while the store was damaged or not open yet, and also with the store open while the runtime was not ready.

Cause: two places rejected without proof. answer_unknown_key() took a key that is not in memory for one that never ran although nothing was recovered; reject_not_ready() did not look at keys at all.

Change: the cache knows whether the entries of an earlier process are recovered. Until they are, an unknown key proves nothing, up to the start plus the longest window, by when the windows of a process that had ended before have all ended: the request fails (-32000), and asked again it gets the result. What can't wait for the runtime is rejected only if its key is proven never to have run. A duplicate whose original's entry is gone fails; that can't happen now, but was a rejection without proof.

A key is rejected again after the longest window, or once the store does not have it.

--- a/src/results/idempotency_cache.cpp
+++ b/src/results/idempotency_cache.cpp
@@ -128,8 +128,10 @@
     return {LookupOutcome::kDuplicate, entry->id, 0};
   }
   // An entry that was not erased is proof that no later window of its key was.
-  if (kind == EntryKind::kKeyed && entry == nullptr && arrived_at < watermark_)
-    return {LookupOutcome::kPossiblyForgotten, 0, 0};
+  if (kind == EntryKind::kKeyed && entry == nullptr) {
+    if (arrived_at < watermark_) return {LookupOutcome::kPossiblyForgotten, 0, 0};
+    if (arrived_at < unrecovered_windows_end_at_) return {LookupOutcome::kNotRecovered, 0, 0};
+  }
   // A read that cannot be remembered may still run.
   if (evict_until_key_fits(key, now) || kind == EntryKind::kSharedRead) return {LookupOutcome::kMiss, 0, 0};
   const double first_expiry = expiries_.empty() ? now : expiries_.begin()->first;
@@ -138,7 +140,7 @@
 
 bool IdempotencyCache::may_have_run(double arrived_at, const Key& key) const {
   const Entry* entry = find(key);
-  if (entry == nullptr) return arrived_at < watermark_;
+  if (entry == nullptr) return arrived_at < std::max(watermark_, unrecovered_windows_end_at_);
   return entry->is_active() || entry->expires_at > arrived_at;
 }
 
@@ -176,7 +178,7 @@
 
 JoinOutcome IdempotencyCache::join(RequestId duplicate, const Key& key) {
   const auto found = entries_.find(key);
-  if (found == entries_.end()) return JoinOutcome::kNeverRan;
+  if (found == entries_.end()) return JoinOutcome::kOutcomeUnknown;
   Entry& entry = found->second;
   switch (entry.state) {
     case EntryState::kOutcomeUnknown: return JoinOutcome::kOutcomeUnknown;
--- a/src/results/idempotency_cache.h
+++ b/src/results/idempotency_cache.h
@@ -58,6 +58,8 @@
   kNoCapacity,           // the key is unknown and no entry can be added: the request must be rejected
   kPossiblyForgotten,    // the key is unknown, but its entry may have been erased since the request arrived:
                          // this one must fail, not run
+  kNotRecovered,         // the key is unknown, but its entry may not be recovered yet: this one must fail,
+                         // not run; its result may be found later
 };
 
 struct Lookup {
@@ -80,8 +82,7 @@
   kCoalesced,       // the duplicate waits for the original request
   kInMemory,        // the result is in memory, see result_in_memory()
   kInStore,         // the result must be read from the store
-  kOutcomeUnknown,  // the original request has run with an unknown result
-  kNeverRan,        // the original request is over and never ran
+  kOutcomeUnknown,  // the original request has run with an unknown result, or its entry is gone
 };
 
 class IdempotencyCache {
@@ -150,6 +151,10 @@
   void restore(RequestId id, const Key& key, Fingerprint fingerprint, bool is_completed, double expires_at);
   // An earlier process may have erased entries whose windows ended before `time`.
   void raise_watermark(double time) { watermark_ = std::max(watermark_, time); }
+  // Until finish_recovery(), entries of an earlier process whose windows end before `windows_end_at` may be
+  // missing.
+  void begin_recovery(double windows_end_at) { unrecovered_windows_end_at_ = windows_end_at; }
+  void finish_recovery() { unrecovered_windows_end_at_ = kNever; }
   // Removes an entry at an operator's request. Returns false if there is none or it is active.
   bool drop(double now, const Key& key);
 
@@ -175,6 +180,8 @@
   [[nodiscard]] bool is_consistent() const;
 
  private:
+  static constexpr double kNever = -std::numeric_limits<double>::infinity();
+
   static std::size_t charge_of(const Entry& entry);
 
   Entry* active_entry(RequestId id);
@@ -205,7 +212,8 @@
   std::size_t used_bytes_ = 0;
   std::uint64_t last_recency_ = 0;
   std::uint64_t evicted_count_ = 0;
-  double watermark_ = -std::numeric_limits<double>::infinity();
+  double watermark_ = kNever;
+  double unrecovered_windows_end_at_ = kNever;
   std::vector<Key> evicted_keys_;  // to be returned by expire()
 };
 
--- a/src/results/recovery.h
+++ b/src/results/recovery.h
@@ -25,6 +25,9 @@
   // that cannot be distinguished from time that has passed.
   std::optional<double> remaining_seconds(const Row& row, std::int64_t now_unix_ms) const;
 
+  // The longest configured window, in seconds: by then, all windows of an earlier process have ended.
+  [[nodiscard]] double longest_window() const { return longest_window_; }
+
  private:
   std::unordered_map<std::string, double> windows_;
   double longest_window_ = 0;
--- a/src/stages/request_intake.cpp
+++ b/src/stages/request_intake.cpp
@@ -61,24 +61,30 @@
                                    double unix_now) {
   const double now = net::monotonic_now();
   if (!startup_queue_.accepts(in_flight_request.body.size(), in_flight_request.deadline - unix_now, now))
-    return reject_not_ready(in_flight_request);
+    return reject_not_ready(incoming, in_flight_request);
   startup_queue_.add(std::move(incoming), in_flight_request.body.size(), now);
   if (startup_timer_.number != 0) return;
   startup_timer_ = reactor_.at(*startup_queue_.wait_end(), [this] { reject_waiting(); });
 }
 
 // Rejects a request because the runtime is not ready. Retries are allowed: other servers may have capacity.
-void RequestIntake::reject_not_ready(InFlightRequest& in_flight_request) {
+// A keyed request that an earlier process may have run fails instead; repeated later, it gets the result.
+void RequestIntake::reject_not_ready(const peers::IncomingRequest& incoming,
+                                     InFlightRequest& in_flight_request) {
   const double retry_after = site_.admission.sends_retry_after
                                  ? std::min(kNotReadyRetryAfterSeconds, site_.admission.max_retry_after)
                                  : 0;
-  stages_.in_flight.reject(in_flight_request, retry_after, false);
+  if (may_be_rejected(incoming)) {
+    stages_.in_flight.reject(in_flight_request, retry_after, false);
+  } else {
+    stages_.in_flight.fail(in_flight_request);
+  }
   stages_.in_flight.release_if_over(in_flight_request);
 }
 
 void RequestIntake::reject_waiting() {
   for (const peers::IncomingRequest& incoming : startup_queue_.close())
-    reject_not_ready(*stages_.in_flight.find(incoming.id));
+    reject_not_ready(incoming, *stages_.in_flight.find(incoming.id));
 }
 
 void RequestIntake::on_runtime_ready() {
--- a/src/stages/request_intake.h
+++ b/src/stages/request_intake.h
@@ -64,7 +64,7 @@
   InFlightRequest& add_in_flight(peers::IncomingRequest& incoming, double age, double now);
   void decide(Request request, peers::IncomingRequest& incoming, InFlightRequest& in_flight_request);
   void wait_or_reject(peers::IncomingRequest incoming, InFlightRequest& in_flight_request, double unix_now);
-  void reject_not_ready(InFlightRequest& in_flight_request);
+  void reject_not_ready(const peers::IncomingRequest& incoming, InFlightRequest& in_flight_request);
   void reject_waiting();
 
   net::Reactor& reactor_;
--- a/src/stages/result_replay.cpp
+++ b/src/stages/result_replay.cpp
@@ -87,7 +87,9 @@
 // ---- The store.
 
 void ResultReplay::open_store() {
-  cache_.raise_watermark(net::monotonic_now() - allowed_lateness(site_));
+  const double now = net::monotonic_now();
+  cache_.raise_watermark(now - allowed_lateness(site_));
+  cache_.begin_recovery(now + recovery_.longest_window());
   results::Store::Options options;
   options.path = options_.store;
   options.sync_commits = options_.power_safe;
@@ -124,6 +126,7 @@
 
 void ResultReplay::on_store_state_changed(results::StoreState state, const std::string& error) {
   if (state == results::StoreState::kHealthy) {
+    cache_.finish_recovery();
     log_.event(Level::kInfo, "results", "store opened",
                {{"path", options_.store},
                 {"entries", cache_.entry_count()},
@@ -170,6 +173,10 @@
       counters_.add(Count::kResultsPossiblyForgotten);
       in_flight_.fail(in_flight_request, peers::FailureReason::kOutcomeUnknown);
       return true;
+    case LookupOutcome::kNotRecovered:
+      counters_.add(Count::kResultsNotRecovered);
+      in_flight_.fail(in_flight_request);
+      return true;
     case LookupOutcome::kOutcomeUnknown:
       counters_.add(Count::kResultsUnknown);
       in_flight_.fail(in_flight_request, peers::FailureReason::kOutcomeUnknown);
@@ -200,7 +207,8 @@
   return cache_.may_have_run(arrived_at, identity->key);
 }
 
-// While the store is not open, an unknown key proves nothing: an earlier process may have run the request.
+// A keyed request cannot run while the store accepts no intents. It is rejected: the cache has found that no
+// earlier process can have run it.
 bool ResultReplay::answer_unknown_key(const RequestIdentity& identity, bool is_query,
                                       InFlightRequest& request, double now) {
   const bool is_store_ready = !store_ || store_->accepts_intents(now);
@@ -263,7 +271,6 @@
       return replies_.answer(id, OriginalOutcome::kSucceeded, *cache_.result_in_memory(key));
     case JoinOutcome::kInStore: return answer_from_store(id, key);
     case JoinOutcome::kOutcomeUnknown: return replies_.answer(id, OriginalOutcome::kUnknown);
-    case JoinOutcome::kNeverRan: return replies_.answer(id, OriginalOutcome::kNeverRan);
   }
 }
 
--- a/tests/results/late_reads_test.cpp
+++ b/tests/results/late_reads_test.cpp
@@ -56,6 +56,21 @@
   EXPECT_EQ(look_up(cache, kWindowEnd + 7, kWindowEnd), LookupOutcome::kMiss);
 }
 
+// Guards against a run or a rejection of a key that an earlier process has run, while its entries are not
+// recovered yet. That process has ended, so its windows end in time, too.
+TEST(LateReads, AnUnknownKeyMayHaveRunUntilTheRecoveryOrTheLastWindowHasEnded) {
+  IdempotencyCache cache(limits(10));
+  cache.begin_recovery(kWindowEnd);
+  EXPECT_EQ(look_up(cache, 1, 1), LookupOutcome::kNotRecovered);
+  EXPECT_TRUE(cache.may_have_run(kWindowEnd - 0.1, kKey));
+  EXPECT_FALSE(cache.may_have_run(kWindowEnd, kKey));
+  cache.restore(kOriginal, kKey, kFingerprint, true, kWindowEnd);
+  cache.finish_recovery();
+  EXPECT_EQ(look_up(cache, 1, 1), LookupOutcome::kDuplicate);
+  EXPECT_EQ(look_up(cache, 1, 1, kOtherKey), LookupOutcome::kMiss);
+  EXPECT_FALSE(cache.may_have_run(1, kOtherKey));
+}
+
 // Guards against memory that grows with what is retained: it makes room for new keys, and a late repeat of
 // what was evicted does not run.
 TEST(LateReads, RetainedEntriesMakeRoomForNewKeys) {
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -22,7 +22,7 @@
 
 ServerFixture::Configuration keyed(const char* operators) { return {kKeyedRoutes, operators}; }
 
-// Waits until the store is open: before that, requests with new keys are rejected.
+// Waits until the store is open: before that, keyed requests do not run.
 void wait_for_store(ServerFixture& fixture) {
   const std::string line = fixture.expect_log("store opened");
   std::printf("log: %s\n", line.empty() ? "(no store)" : "store opened");
@@ -268,6 +268,22 @@
   fixture.print_counters({"runs.started", "results.from_store"});
 }
 
+// Guards against the rejection of a repeat that comes after a restart and before the runtime is ready. A key
+// that the recovered store does not have is rejected.
+void repeat_before_runtime() {
+  ServerFixture fixture("", "", keyed(kStored));
+  wait_for_store(fixture);
+  fixture.complete_startup();
+  complete_with_key_a(fixture, fixture.connect());
+  fixture.restart_and_print();
+  wait_for_store(fixture);
+  const int caller = fixture.connect();
+  fixture.send_request(caller, 2, "push", kParamsWithKeyA);
+  fixture.print_caller_message(caller);
+  fixture.send_request(caller, 3, "push", R"("ram":10,"limit":3000,"key":"b")");
+  fixture.print_caller_message(caller);
+}
+
 // Reads of a subject share one run while it is in progress and for the duration `fresh` after its end.
 void shared() {
   ServerFixture fixture(R"(,"fresh":300)", "", {"", kInMemory});
@@ -428,6 +444,22 @@
   }
 }
 
+// Guards against the rejection of a key that an earlier process may have run, while the store cannot be
+// opened. After the longest window keys are rejected.
+void unavailable_past_window() {
+  ServerFixture fixture("", "", {kShortWindowRoutes, "results\n    enabled on\n    store STORE.d/file\n"});
+  const std::string line = fixture.expect_log("rejected until");
+  std::printf("log: %s\n", line.empty() ? "(nothing)" : line.substr(line.find("; ") + 2).c_str());
+  fixture.complete_startup();
+  const int caller = fixture.connect();
+  fixture.send_request(caller, 1, "push", kParamsWithKeyA);
+  fixture.print_caller_message(caller);
+  fixture.pause(kPastWindowSeconds);
+  fixture.send_request(caller, 2, "push", kParamsWithKeyA);
+  const std::string answer = fixture.next_message(caller);
+  std::printf("caller received: %s\n", answer.substr(0, answer.find(",\"data\"")).c_str());
+}
+
 // The store's folder is created only after the program has started: the store is opened without a restart.
 void store_folder_created() {
   ServerFixture fixture("", "", keyed("results\n    enabled on\n    store STORE.d/file\n"));
@@ -577,6 +609,8 @@
       {"read_late_after_restart", read_late_after_restart},
       {"read_late_behind_new_request", read_late_behind_new_request},
       {"restart", restart},
+      {"repeat_before_runtime", repeat_before_runtime},
+      {"unavailable_past_window", unavailable_past_window},
       {"full", full},
       {"shrink", shrink},
       {"drain", drain},
