Planner: a repeat beyond a forwarder's open attempts is not rejected if its key may have run

Callers saw (in a forced test): with 4,096 attempts of one forwarder open, a further one was answered "rejected", which proves that it never ran and never will, whether or not its key had run.

Cause: the server for forwarders rejected what exceeds the open attempts before anybody looked at the key.

Change: it asks CallerEvents::may_be_rejected() first, as the JSON-RPC server does, and answers "failed" without proof. A new key is rejected as before. Only a forwarder that ignores its window gets there, since windows are smaller.

--- a/src/peers/tier/forwarder_server.cpp
+++ b/src/peers/tier/forwarder_server.cpp
@@ -44,7 +44,7 @@
   return wt::Result::kFailed;
 }
 
-IncomingRequest incoming_request(wt::Submit& submit, int route, ReplyAddress reply_to) {
+IncomingRequest incoming_request(wt::Submit submit, int route, ReplyAddress reply_to) {
   IncomingRequest request;
   request.id = submit.request;
   request.route = route;
@@ -253,7 +253,7 @@
   const ReplyAddress reply_to{link.forwarder, submit.attempt};
   const std::optional<wt::Answer> early_answer = early_answer_to(submit, route, has_capacity);
   if (!early_answer) {
-    IncomingRequest request = incoming_request(submit, route, reply_to);
+    IncomingRequest request = incoming_request(std::move(submit), route, reply_to);
     request.arrived_earlier = net::monotonic_now() - link.empty_at;
     events_.on_request_read(std::move(request));
   } else if (has_capacity) {
@@ -276,7 +276,11 @@
     return early_answer;
   }
   early_answer.result = wt::Result::kRejected;
-  if (!has_capacity) return early_answer;
+  if (!has_capacity) {
+    const bool may_be_rejected = route < 0 || events_.may_be_rejected(incoming_request(submit, route, {}));
+    if (!may_be_rejected) early_answer.result = wt::Result::kFailed;
+    return early_answer;
+  }
   if (route >= 0) return std::nullopt;
   counters_.add(Count::kBadRoutes);
   early_answer.no_retry = true;
--- a/tests/peers/peer_fixture.h
+++ b/tests/peers/peer_fixture.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -55,6 +56,13 @@
   void send(const std::string& bytes) const {
     EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
   }
+  // What has arrived; does not block.
+  [[nodiscard]] std::string receive() const {
+    std::string bytes(kOutputBytes, '\0');
+    const ssize_t length = ::recv(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+    return bytes;
+  }
   [[nodiscard]] bool is_closed() const {
     char byte = 0;
     return ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -68,7 +76,9 @@
 struct RecordedEvents : CallerEvents, PlannerEvents {
   [[nodiscard]] bool is_in_use(RequestId /*id*/) const override { return false; }
   [[nodiscard]] bool may_have_run(RequestId /*id*/) const override { return false; }
-  [[nodiscard]] bool may_be_rejected(const IncomingRequest& /*request*/) const override { return true; }
+  [[nodiscard]] bool may_be_rejected(const IncomingRequest& request) const override {
+    return request.idempotency_key != key_that_may_have_run;
+  }
   void on_request_read(IncomingRequest request) override {
     request_ages.push_back(net::unix_now() - request.received_at);
     arrived_earlier.push_back(request.arrived_earlier);
@@ -83,6 +93,7 @@
   void on_planner_draining(int /*planner*/) override {}
   void on_answer(int /*planner*/, std::uint64_t /*epoch*/, const wire::tier::Answer& /*answer*/) override {}
 
+  std::string key_that_may_have_run = "none";
   std::vector<std::uint64_t> health_checks;  // the tags of their connections, in order
   std::vector<double> request_ages;          // s since their arrival as they were read
   std::vector<double> arrived_earlier;       // s by which they may have arrived before that
