Forwarder: a keyed request is not rejected while another one with its key waits

Callers saw (in the histories of two levels): a keyed request waits in the forwarder for capacity; a repeat with too little time left is answered -32001, "never ran"; then the first one is sent and runs. A caller that goes elsewhere has the op run twice.

Cause: the history of keys begins with the sending of an attempt, and what waits was in no account.

Change: requests of a key that may still be sent are counted until they are withdrawn, as many as are open. A request is rejected only if no other one of its key is left. Of those that are given up together, as their link is lost, all are withdrawn first.

Test: RepeatedKeys.WhileAnotherRequestWithItsKeyWaits; with the dispatch as it was 1 of 1 failed, now none.

--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -55,6 +55,10 @@
   if (now >= startup_ends_at_) end_startup(now);
   PendingRequest& request = add(details, now);
   request.may_start = !arrived_after_grace(request);
+  if (details.is_keyed() && request.may_start) {
+    request.is_key_pending = true;
+    key_attempts_.on_request_pending(details.idempotency_key_hash);
+  }
   if (request.may_start || is_repeat(request)) {
     enqueue_or_reject(details.id, now);
   } else {
@@ -78,7 +82,7 @@
 }
 
 bool Dispatch::may_be_rejected(std::uint64_t key_hash, double arrived_at) const {
-  return key_history(key_hash, arrived_at) == KeyHistory::kNeverRan;
+  return key_history(key_hash, arrived_at) == KeyHistory::kNeverRan && !key_attempts_.is_pending(key_hash);
 }
 
 bool Dispatch::is_repeat(const PendingRequest& request) const {
@@ -313,9 +317,17 @@
   schedule_wakeup(now);
 }
 
+// The request is not sent any more. Of several requests that are given up together, all are withdrawn first.
+void Dispatch::withdraw(RequestId id) {
+  PendingRequest& request = requests_.at(id);
+  queues_.of_target(request.key_route.target()).remove(id);
+  if (std::exchange(request.is_key_pending, false))
+    key_attempts_.on_request_withdrawn(request.details.idempotency_key_hash);
+}
+
 void Dispatch::complete(RequestId id) {
+  withdraw(id);
   const PendingRequest& request = requests_.at(id);
-  queues_.of_target(request.key_route.target()).remove(id);
   attempts_.abandon(id);
   if (request.has_key_attempt)
     key_attempts_.on_attempt_ended(request.details.idempotency_key_hash, request.window_ends_at());
@@ -324,6 +336,7 @@
 
 // The only place where a request is rejected. A rejection tells its caller that other servers may run it.
 void Dispatch::reject(RequestId id, double retry_after, bool no_retry) {
+  withdraw(id);
   const PendingRequest& request = requests_.at(id);
   if (!may_be_rejected(request.details.idempotency_key_hash, request.arrived_at)) {
     ++counters_.unproven_rejections;
--- a/src/tier/dispatch_planners.cpp
+++ b/src/tier/dispatch_planners.cpp
@@ -89,6 +89,9 @@
   counters_.disconnected += disconnected - released.size();
   if (attempts_.open_attempts_at(planner) > 0) link(planner).disconnected_at = now;
   check_planner_availability(now);
+  for (const RequestId id : released) {
+    if (requests_.at(id).details.is_keyed()) withdraw(id);  // it is not sent again
+  }
   for (const RequestId id : released) retry_or_reject(id, planner, 0, false, now);
   reject_waiting_for(planner, now);
   dispatch_waiting(now);
@@ -142,7 +145,12 @@
 // Rejects the waiting keyed requests that only this planner may run, without waiting for it to return.
 void Dispatch::reject_waiting_for(int planner, double now) {
   WaitQueue& queue = queues_.of_planner(planner);
-  while (const std::optional<RequestId> id = queue.front()) reject(*id, retry_after(0, now), false);
+  std::vector<RequestId> given_up;
+  while (const std::optional<RequestId> id = queue.front()) {
+    withdraw(*id);
+    given_up.push_back(*id);
+  }
+  for (const RequestId id : given_up) reject(id, retry_after(0, now), false);
 }
 
 // Rejects the waiting requests if no planner accepts requests.
--- a/src/tier/key_attempts.cpp
+++ b/src/tier/key_attempts.cpp
@@ -35,6 +35,11 @@
   enforce_limit();
 }
 
+void KeyAttempts::on_request_withdrawn(std::uint64_t key_hash) {
+  const auto found = pending_requests_.find(key_hash);
+  if (found != pending_requests_.end() && --found->second == 0) pending_requests_.erase(found);
+}
+
 KeyHistory KeyAttempts::history(std::uint64_t key_hash, double arrived_at) const {
   const auto found = keys_.find(key_hash);
   if (found == keys_.end())
--- a/src/tier/key_attempts.h
+++ b/src/tier/key_attempts.h
@@ -3,7 +3,7 @@
 // A rejection tells a caller that its operation never ran and may be sent elsewhere. Proof about one attempt
 // is not enough for that: another attempt with the same key may have run, may be running, or may still run.
 // So every attempt of a key counts, from when it is sent until it is proven never to have run, or until the
-// key's idempotency window has ended.
+// key's idempotency window has ended. A request that waits to be sent may still run, too.
 //
 // Memory is bounded. Keys are retained after their windows for the allowed lateness, for requests that are
 // read later than they arrived. A key that is dropped raises a watermark, as in results/idempotency_cache.h:
@@ -48,6 +48,12 @@
   // The attempt was answered, lost or abandoned without such a proof. `window_ends_at`: of its request.
   void on_attempt_ended(std::uint64_t key_hash, double window_ends_at);
 
+  // A request with this key may be sent from now on, until on_request_withdrawn() is called.
+  void on_request_pending(std::uint64_t key_hash) { ++pending_requests_[key_hash]; }
+  void on_request_withdrawn(std::uint64_t key_hash);
+  // Whether a request with this key may still be sent.
+  [[nodiscard]] bool is_pending(std::uint64_t key_hash) const { return pending_requests_.contains(key_hash); }
+
   // Of a request that arrived at `arrived_at`, whose own attempt, if it had one, has ended.
   [[nodiscard]] KeyHistory history(std::uint64_t key_hash, double arrived_at) const;
 
@@ -71,6 +77,7 @@
 
   const KeyAttemptsOptions options_;
   Keys keys_;
+  std::unordered_map<std::uint64_t, int> pending_requests_;  // their number, by key
   // Of the keys without open attempts, by the ends of their windows.
   std::set<std::pair<double, std::uint64_t>> window_ends_;
   double watermark_ = kNever;  // keys whose windows ended before it may have been dropped
--- a/src/tier/pending_requests.h
+++ b/src/tier/pending_requests.h
@@ -22,6 +22,8 @@
   int attempts_begun = 0;
   // False: it may only get the result of an earlier attempt with its key, and no planner may run it.
   bool may_start = true;
+  // KeyAttempts counts it as a request that may be sent.
+  bool is_key_pending = false;
   // Its current attempt is counted in KeyAttempts.
   bool has_key_attempt = false;
 
--- a/tests/tier/repeated_keys_test.cpp
+++ b/tests/tier/repeated_keys_test.cpp
@@ -213,6 +213,28 @@
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
+// ---- Another request with the key waits in the forwarder.
+
+TEST_F(RepeatedKeys, WhileAnotherRequestWithItsKeyWaits) {
+  dispatch_.on_load_report(kPlanner, 0, 1, true, 0);  // no capacity
+  dispatch_.on_request(request(kOriginal), 0.1);
+  dispatch_.on_request(request(kRepeat, kKey, 0.03), 0.2);
+  EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
+  EXPECT_FALSE(dispatch_.may_be_rejected(kKey, 0.2));
+  dispatch_.on_load_report(kPlanner, kWindow, 1, true, 0.3);
+  EXPECT_TRUE(was_sent(kOriginal, false));
+}
+
+TEST_F(RepeatedKeys, RequestsThatAreGivenUpTogetherAreRejected) {
+  dispatch_.on_load_report(kPlanner, 0, 1, true, 0);
+  dispatch_.on_request(request(kOriginal), 0.1);
+  dispatch_.on_request(request(kRepeat), 0.2);
+  dispatch_.on_link_lost(kPlanner, {}, 0.3);
+  EXPECT_EQ(reply_to(kOriginal), LocalReply::kRejected);
+  EXPECT_EQ(reply_to(kRepeat), LocalReply::kRejected);
+  EXPECT_TRUE(dispatch_.may_be_rejected(kKey, 0.4));
+}
+
 // ---- The forwarder has too little time or capacity.
 
 TEST_F(RepeatedKeys, TheEstimateOfTheRunTimeDoesNotCountForARepeat) {
