Startup: a repeat is not rejected while its original waits for the runtime

Callers saw (in a forced test): before the runtime is ready a keyed request waits, for 0.25 s at most; its repeat, with too little time left to wait, is answered -32001, "never ran", and then the first one runs.

Cause: the startup queue was asked for room only, never for the key.

Change: a keyed request that can't wait fails if another one with its key waits. Of those whose wait ends together none runs, so they are rejected as before.

--- a/src/stages/request_intake.cpp
+++ b/src/stages/request_intake.cpp
@@ -30,6 +30,8 @@
   InFlightRequest entry;
   entry.route_name = catalog_.route_name(incoming.route);
   entry.route_settings = catalog_.route(incoming.route);
+  const bool is_keyed = entry.route_settings.idempotency == Idempotency::kWithKey;
+  if (is_keyed && startup_queue_.holds_duplicate_of(incoming)) return false;
   return !stages_.replay.may_have_run(to_admission_request(incoming, net::unix_now()), incoming, entry);
 }
 
@@ -68,7 +70,7 @@
 }
 
 // Rejects a request because the runtime is not ready. Retries are allowed: other servers may have capacity.
-// A keyed request that an earlier process may have run fails instead; repeated later, it gets the result.
+// A keyed request fails instead if another one with its key waits, or if an earlier process may have run it.
 void RequestIntake::reject_not_ready(const peers::IncomingRequest& incoming,
                                      InFlightRequest& in_flight_request) {
   const double retry_after = site_.admission.sends_retry_after
--- a/src/stages/startup_queue.cpp
+++ b/src/stages/startup_queue.cpp
@@ -18,6 +18,15 @@
   entries_.push_back({std::move(request), body_bytes});
 }
 
+bool StartupQueue::holds_duplicate_of(const peers::IncomingRequest& request) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    const peers::IncomingRequest& waiting = entry.request;
+    if (waiting.id == request.id || waiting.route != request.route) return false;
+    if (waiting.idempotency_key != request.idempotency_key) return false;
+    return !request.idempotency_key.empty() || waiting.body == request.body;
+  });
+}
+
 bool StartupQueue::remove(RequestId id) {
   const auto found = std::find_if(entries_.begin(), entries_.end(),
                                   [id](const Entry& entry) { return entry.request.id == id; });
--- a/src/stages/startup_queue.h
+++ b/src/stages/startup_queue.h
@@ -25,6 +25,8 @@
   // period is over, the queue is full, or the longest wait would use up more than half of the remaining time.
   [[nodiscard]] bool accepts(std::size_t body_bytes, double remaining_seconds, double now) const;
   void add(peers::IncomingRequest request, std::size_t body_bytes, double now);
+  // Whether another request with the same route and idempotency key waits; without a key, with the same body.
+  [[nodiscard]] bool holds_duplicate_of(const peers::IncomingRequest& request) const;
   // Returns false if the request is not in the queue.
   bool remove(RequestId id);
   // The time at which the requests that still wait are to be rejected; nullopt before the first request.
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -39,8 +39,8 @@
   // A request that the forwarder has no memory for: it is answered at once.
   void on_request_without_memory(const ForwardedRequest& details, double now);
   void on_caller_disconnected(RequestId id, double now);
-  // Whether a request with this key (0: none) that is not passed on may be rejected: no other request with the
-  // key has run or may still run.
+  // Whether a request with this key (0: none) that is not passed on may be rejected: no other request with
+  // the key has run or may still run.
   [[nodiscard]] bool may_be_rejected(std::uint64_t key_hash, double arrived_at) const;
 
   // A planner's link is up. `epoch`: of the planner's process. `window`: attempts that may be open there.
--- a/tests/results/results_program.cpp
+++ b/tests/results/results_program.cpp
@@ -284,6 +284,19 @@
   fixture.print_caller_message(caller);
 }
 
+// Guards against the rejection of a repeat that cannot wait for the runtime, while its original waits and may
+// run. A new key is rejected, and so is the original when it has waited for too long.
+void repeat_of_waiting_request() {
+  constexpr const char* too_short_to_wait = R"("ram":10,"limit":300,"key":"a")";
+  ServerFixture fixture("", "", keyed(kInMemory));
+  const int caller = fixture.connect();
+  const std::string original = fixture.request_message(1, "push", kParamsWithKeyA);
+  const std::string repeat = fixture.request_message(2, "push", too_short_to_wait);
+  const std::string other = fixture.request_message(3, "push", R"("ram":10,"limit":300,"key":"b")");
+  send_all(caller, original + repeat + other);
+  for (int i = 0; i < 3; ++i) fixture.print_caller_message(caller);
+}
+
 // Reads of a subject share one run while it is in progress and for the duration `fresh` after its end.
 void shared() {
   ServerFixture fixture(R"(,"fresh":300)", "", {"", kInMemory});
@@ -610,6 +623,7 @@
       {"read_late_behind_new_request", read_late_behind_new_request},
       {"restart", restart},
       {"repeat_before_runtime", repeat_before_runtime},
+      {"repeat_of_waiting_request", repeat_of_waiting_request},
       {"unavailable_past_window", unavailable_past_window},
       {"full", full},
       {"shrink", shrink},
