Forwarder: a repeat runs only with proof that its key has not

Cause: a forwarder sent a repeat to be run and left it to the planner to know the key. The planner may have forgotten it, and it judges the repeat by its age as that was when it was written, without the time in the network.

Change: a repeat whose key may have run is sent as a lookup, which never runs, and runs only after "not known" if that is proof: the same planner process got all attempts of the key, none had a result, and the answer came before the window's end. Attempts arrive in the order in which they were sent, and those of a lost link never. Otherwise the repeat fails.

--- a/src/tier/dispatch.cpp
+++ b/src/tier/dispatch.cpp
@@ -186,8 +186,11 @@
 void Dispatch::send(RequestId id, int planner, double now) {
   PendingRequest& request = requests_.at(id);
   const double remaining = request.deadline - now;
-  const bool is_lookup_only = request.is_lookup_only();
-  const Attempt attempt = attempts_.begin(id, planner, link(planner).epoch, attempt_step());
+  // A repeat must not run while an earlier attempt may have: its planner may have forgotten that one, or may
+  // read the repeat after the window has ended.
+  request.is_looked_up = request.is_lookup_only() || is_repeat(request);
+  const std::uint64_t epoch = link(planner).epoch;
+  const Attempt attempt = attempts_.begin(id, planner, epoch, attempt_step());
   picker_.on_attempt_sent(planner);
   if (request.attempts_begun == 0) {
     ++counters_.first_attempts;
@@ -197,13 +200,13 @@
   }
   ++request.attempts_begun;
   request.sent_at = now;
-  if (request.details.is_keyed()) {
+  if (request.details.is_keyed() && !request.is_looked_up) {
     request.has_key_attempt = true;
-    key_attempts_.on_attempt_sent(request.details.idempotency_key_hash);
+    key_attempts_.on_attempt_sent(request.details.idempotency_key_hash, attempt, epoch);
   }
   requests_.schedule_fence(id, now + options_.fence_after_share * remaining);
-  if (is_lookup_only) ++counters_.key_lookups;
-  sink_.send(planner, attempt, id, remaining - options_.hop_time, is_lookup_only);
+  if (request.is_looked_up) ++counters_.key_lookups;
+  sink_.send(planner, attempt, id, remaining - options_.hop_time, request.is_looked_up);
 }
 
 // The request's attempt is proven never to have run. Other attempts with its key may have.
@@ -268,9 +271,9 @@
       break;
     case AnswerKind::kKeyUnknown:
       picker_.release(planner);
-      if (requests_.at(*id).key_route.is_lookup()) {
-        on_key_unknown(*id, now);
-      } else {  // nothing ran; the planner of a request that may start violates the protocol
+      if (requests_.at(*id).is_looked_up) {
+        on_key_unknown(*id, attempt, epoch, now);
+      } else {  // violates the protocol, but nothing ran
         retry_or_reject(*id, planner, 0, false, now);
       }
       break;
@@ -286,19 +289,27 @@
   const double latency = now - request.sent_at;
   picker_.on_attempt_ended(planner, AttemptOutcome::kSucceeded, latency, now);
   wait_estimator_.on_success(request.route(), latency);
-  if (request.key_route.is_lookup()) ++counters_.key_lookup_hits;
-  complete(id);
+  if (request.is_looked_up) ++counters_.key_lookup_hits;
+  complete(id, true);
 }
 
-// A former owner does not know the key: the next one is asked, and after the last the owner may run it.
-void Dispatch::on_key_unknown(RequestId id, double now) {
+// A former owner does not know the key: the next one is asked, and after the last the owner. If the owner
+// does not know the key either, the request runs there only if that proves that no earlier attempt has. It is
+// asked again if another request with the key was sent meanwhile.
+void Dispatch::on_key_unknown(RequestId id, Attempt lookup, std::uint64_t epoch, double now) {
   requests_.cancel_fence(id);
-  record_proven_not_run(id);
   PendingRequest& request = requests_.at(id);
-  if (request.key_route.list_version() == list_version_) {
-    request.key_route.advance();
-  } else {  // the lookup was based on a superseded list
+  // The planner knows the request's age as it was sent, and read it before it answered.
+  const double latest_arrival = request.arrived_at + (now - request.sent_at);
+  const std::uint64_t key_hash = request.details.idempotency_key_hash;
+  key_attempts_.on_key_unknown(key_hash, lookup, epoch, latest_arrival);
+  if (request.key_route.list_version() != list_version_) {
     route_by_key(request);
+  } else if (request.key_route.is_lookup()) {
+    request.key_route.advance();
+  } else if ((!request.may_start || is_repeat(request)) && !key_attempts_.was_sent_since(key_hash, lookup)) {
+    reject(id, retry_after(waiting_requests(), now), false);
+    return;
   }
   enqueue_or_reject(id, now);
 }
@@ -325,12 +336,12 @@
     key_attempts_.on_request_withdrawn(request.details.idempotency_key_hash);
 }
 
-void Dispatch::complete(RequestId id) {
+void Dispatch::complete(RequestId id, bool has_run) {
   withdraw(id);
   const PendingRequest& request = requests_.at(id);
   attempts_.abandon(id);
   if (request.has_key_attempt)
-    key_attempts_.on_attempt_ended(request.details.idempotency_key_hash, request.window_ends_at());
+    key_attempts_.on_attempt_ended(request.details.idempotency_key_hash, request.window_ends_at(), has_run);
   requests_.erase(id);
 }
 
--- a/src/tier/dispatch.h
+++ b/src/tier/dispatch.h
@@ -111,10 +111,11 @@
   void send(RequestId id, int planner, double now);
   void record_proven_not_run(RequestId id);
   void retry_or_reject(RequestId id, int exclude, double planner_retry_after, bool no_retry, double now);
-  void on_key_unknown(RequestId id, double now);
+  void on_key_unknown(RequestId id, Attempt lookup, std::uint64_t epoch, double now);
   void on_success(RequestId id, int planner, double now);
   void withdraw(RequestId id);
-  void complete(RequestId id);
+  // `has_run`: its answer is the result of a run.
+  void complete(RequestId id, bool has_run = false);
   void reject(RequestId id, double retry_after, bool no_retry);
   void fail(RequestId id);
   void fence_late_attempts(double now);
--- a/src/tier/dispatch_sink.h
+++ b/src/tier/dispatch_sink.h
@@ -76,7 +76,7 @@
   std::uint64_t unproven_rejections = 0;  // repeats that failed instead: their key may have run
   std::uint64_t evicted = 0;              // from a full queue
   std::uint64_t overdue = 0;              // requests whose deadline passed without an answer
-  std::uint64_t key_lookups = 0;
+  std::uint64_t key_lookups = 0;          // of former owners, and of repeats
   std::uint64_t key_lookup_hits = 0;
 };
 
--- a/src/tier/key_attempts.cpp
+++ b/src/tier/key_attempts.cpp
@@ -3,11 +3,25 @@
 #include <algorithm>
 
 namespace damsonspoke::tier {
+namespace {
 
-void KeyAttempts::on_attempt_sent(std::uint64_t key_hash) {
-  Key& key = keys_[key_hash];
-  if (key.open_attempts == 0) window_ends_.erase({key.window_ends_at, key_hash});
+// A planner process numbers its sessions from a random epoch on (wire/tier.h).
+constexpr std::uint64_t kMaxSessionsOfProcess = std::uint64_t{1} << 32;
+
+bool is_same_process(std::uint64_t epoch, std::uint64_t other) {
+  return epoch - other < kMaxSessionsOfProcess || other - epoch < kMaxSessionsOfProcess;
+}
+
+}  // namespace
+
+void KeyAttempts::on_attempt_sent(std::uint64_t key_hash, Attempt attempt, std::uint64_t epoch) {
+  const auto [found, is_new] = keys_.try_emplace(key_hash);
+  Key& key = found->second;
+  if (!is_new && key.open_attempts == 0) window_ends_.erase({key.window_ends_at, key_hash});
+  if (!is_new && !is_same_process(key.epoch, epoch)) key.is_beyond_proof = true;
   ++key.open_attempts;
+  key.last_attempt = attempt;
+  key.epoch = epoch;
   enforce_limit();
 }
 
@@ -16,13 +30,27 @@
   if (found != keys_.end()) release_attempt(found);
 }
 
-void KeyAttempts::on_attempt_ended(std::uint64_t key_hash, double window_ends_at) {
+void KeyAttempts::on_attempt_ended(std::uint64_t key_hash, double window_ends_at, bool has_run) {
   const auto found = keys_.find(key_hash);
   if (found == keys_.end()) return;
-  found->second.window_ends_at = std::max(found->second.window_ends_at, window_ends_at);
+  Key& key = found->second;
+  key.window_ends_at = std::max(key.window_ends_at, window_ends_at);
+  key.is_beyond_proof = key.is_beyond_proof || has_run;
   release_attempt(found);
 }
 
+void KeyAttempts::on_key_unknown(std::uint64_t key_hash, Attempt lookup, std::uint64_t epoch,
+                                 double latest_arrival) {
+  const auto found = keys_.find(key_hash);
+  if (found == keys_.end()) return;
+  const Key& key = found->second;
+  if (key.is_beyond_proof || key.open_attempts > 0) return;
+  const bool has_got_all_attempts = is_same_process(key.epoch, epoch) && key.last_attempt < lookup;
+  if (!has_got_all_attempts || latest_arrival >= key.window_ends_at) return;
+  window_ends_.erase({key.window_ends_at, key_hash});
+  keys_.erase(found);
+}
+
 // A key of which every attempt is proven never to have run is as good as one that was never sent.
 void KeyAttempts::release_attempt(Keys::iterator found) {
   auto& [key_hash, key] = *found;
@@ -35,6 +63,11 @@
   enforce_limit();
 }
 
+bool KeyAttempts::was_sent_since(std::uint64_t key_hash, Attempt lookup) const {
+  const auto found = keys_.find(key_hash);
+  return found != keys_.end() && found->second.last_attempt > lookup;
+}
+
 void KeyAttempts::on_request_withdrawn(std::uint64_t key_hash) {
   const auto found = pending_requests_.find(key_hash);
   if (found != pending_requests_.end() && --found->second == 0) pending_requests_.erase(found);
--- a/src/tier/key_attempts.h
+++ b/src/tier/key_attempts.h
@@ -3,7 +3,12 @@
 // A rejection tells a caller that its operation never ran and may be sent elsewhere. Proof about one attempt
 // is not enough for that: another attempt with the same key may have run, may be running, or may still run.
 // So every attempt of a key counts, from when it is sent until it is proven never to have run, or until the
-// key's idempotency window has ended. A request that waits to be sent may still run, too.
+// key's idempotency window has ended. Lookups, which never run, don't count. A request that waits to be sent
+// may still run, too.
+//
+// A planner that does not know a key proves that no earlier attempt has run or will run, if it is the process
+// that got all of them, and if it took the lookup to have arrived inside the window. It gets attempts in the
+// order in which they were sent, and none of a link that was lost.
 //
 // Memory is bounded. Keys are retained after their windows for the allowed lateness, for requests that are
 // read later than they arrived. A key that is dropped raises a watermark, as in results/idempotency_cache.h:
@@ -19,6 +24,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "tier/attempt_ledger.h"
+
 namespace damsonspoke::tier {
 
 struct KeyAttemptsOptions {
@@ -37,16 +44,25 @@
 class KeyAttempts {
  public:
   // Memory of a key: its nodes in the map and in the set.
-  static constexpr std::size_t kKeyBytes = 128;
+  static constexpr std::size_t kKeyBytes = 144;
 
   explicit KeyAttempts(KeyAttemptsOptions options) : options_(options) {}
 
-  // An attempt with this key is sent. One of the following two has to be called once it has ended.
-  void on_attempt_sent(std::uint64_t key_hash);
+  // An attempt with this key is sent in the planner's session `epoch`. One of the following two has to be
+  // called once it has ended.
+  void on_attempt_sent(std::uint64_t key_hash, Attempt attempt, std::uint64_t epoch);
   // The attempt is proven never to have run, and never will.
   void on_attempt_proven_not_run(std::uint64_t key_hash);
   // The attempt was answered, lost or abandoned without such a proof. `window_ends_at`: of its request.
-  void on_attempt_ended(std::uint64_t key_hash, double window_ends_at);
+  // `has_run`: its answer is the result of a run.
+  void on_attempt_ended(std::uint64_t key_hash, double window_ends_at, bool has_run);
+  // The planner was asked with the attempt `lookup` in the session `epoch`, and does not know the key. It
+  // took the lookup to have arrived at `latest_arrival` at the latest. Forgets the earlier attempts if that
+  // is proof.
+  void on_key_unknown(std::uint64_t key_hash, Attempt lookup, std::uint64_t epoch, double latest_arrival);
+
+  // Whether an attempt with this key was sent after the attempt `lookup`.
+  [[nodiscard]] bool was_sent_since(std::uint64_t key_hash, Attempt lookup) const;
 
   // A request with this key may be sent from now on, until on_request_withdrawn() is called.
   void on_request_pending(std::uint64_t key_hash) { ++pending_requests_[key_hash]; }
@@ -67,7 +83,11 @@
 
   struct Key {
     int open_attempts = 0;
+    // No lookup proves that the key never ran: it has run, or attempts went to several planner processes.
+    bool is_beyond_proof = false;
     double window_ends_at = kNever;  // the latest one of the attempts that ended without proof
+    Attempt last_attempt = 0;
+    std::uint64_t epoch = 0;  // of the planner's session in which it was sent
   };
   using Keys = std::unordered_map<std::uint64_t, Key>;
 
--- a/src/tier/pending_requests.h
+++ b/src/tier/pending_requests.h
@@ -24,6 +24,8 @@
   bool may_start = true;
   // KeyAttempts counts it as a request that may be sent.
   bool is_key_pending = false;
+  // Its current attempt only asks for the result of its key.
+  bool is_looked_up = false;
   // Its current attempt is counted in KeyAttempts.
   bool has_key_attempt = false;
 
--- a/src/wire/tier.h
+++ b/src/wire/tier.h
@@ -28,7 +28,8 @@
   bool is_planner = false;
   // Random, never 0. The epoch of a forwarder identifies one incarnation of its process. The epoch of a
   // planner identifies one session with the forwarder on this link; a planner that no longer knows the
-  // forwarder's attempts sends a new epoch.
+  // forwarder's attempts sends a new epoch. The sessions of one planner process have epochs less than 2^32
+  // apart.
   std::uint64_t epoch = 0;
   std::string name;
   std::uint16_t cores = 0;          // of the planner
--- a/tests/tier/repeated_keys_test.cpp
+++ b/tests/tier/repeated_keys_test.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kPlanner = 0;
 constexpr std::uint64_t kEpoch = 1;
+constexpr std::uint64_t kRestartedEpoch = std::uint64_t{1} << 40;
 constexpr std::uint32_t kWindow = 32;  // attempts
 constexpr double kKeyWindow = 5;       // s
 constexpr double kTimeout = 3;         // s
@@ -67,11 +68,11 @@
     out.bytes = 100;
     return out;
   }
-  void answer(RequestId id, AnswerKind kind, double now) {
+  void answer(RequestId id, AnswerKind kind, double now, std::uint64_t epoch = kEpoch) {
     const auto last = std::find_if(sink_.sent.rbegin(), sink_.sent.rend(),
                                    [&](const SentAttempt& one) { return one.request == id; });
     ASSERT_NE(last, sink_.sent.rend());
-    (void)dispatch_.on_answer(kPlanner, kEpoch, last->attempt, kind, 0, false, now);
+    (void)dispatch_.on_answer(kPlanner, epoch, last->attempt, kind, 0, false, now);
   }
   // The original is sent at 0 s and has run.
   void run_original() {
@@ -241,7 +242,7 @@
   dispatch_.on_request(request(kOriginal), 0);
   answer(kOriginal, AnswerKind::kSucceeded, 2);
   dispatch_.on_request(request(kRepeat, kKey, 0.5), 2.1);
-  EXPECT_TRUE(was_sent(kRepeat, false));
+  EXPECT_TRUE(was_sent(kRepeat, true));
   dispatch_.on_request(request(3, kKey + 1, 0.5), 2.2);
   EXPECT_EQ(reply_to(3), LocalReply::kRejected);
 }
@@ -295,6 +296,66 @@
   EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
 }
 
+// ---- A repeat runs only with proof that its key has not.
+
+TEST_F(RepeatedKeys, ARepeatRunsOnceItsPlannerDoesNotKnowTheKey) {
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_caller_disconnected(kOriginal, 0.1);
+  dispatch_.on_request(request(kRepeat), 0.2);
+  EXPECT_FALSE(was_sent(kRepeat, false));
+  answer(kRepeat, AnswerKind::kKeyUnknown, 0.3);
+  EXPECT_TRUE(was_sent(kRepeat, false));
+}
+
+// Guards against a second run of a repeat that arrives inside the window, and that its planner reads after
+// it, since the network was slow.
+TEST_F(RepeatedKeys, ARepeatThatItsPlannerMayHaveReadTooLateDoesNotRun) {
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_caller_disconnected(kOriginal, 0.1);
+  dispatch_.on_request(request(kRepeat), kKeyWindow - 0.1);
+  answer(kRepeat, AnswerKind::kKeyUnknown, kKeyWindow + 0.1);
+  EXPECT_FALSE(was_sent(kRepeat, false));
+  EXPECT_EQ(reply_to(kRepeat), LocalReply::kFailed);
+}
+
+// Guards against a second run after the restart of a planner that keeps no store.
+TEST_F(RepeatedKeys, AfterARestartOfItsPlannerARepeatDoesNotRun) {
+  run_original();
+  dispatch_.on_request(request(3, kKey + 1), 0.1);  // runs as its planner is killed
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_link_up(kPlanner, kRestartedEpoch, kWindow, 0.3);
+  dispatch_.on_request(request(kRepeat), 0.4);
+  dispatch_.on_request(request(4, kKey + 1), 0.4);
+  for (const RequestId id : {kRepeat, RequestId{4}}) {
+    answer(id, AnswerKind::kKeyUnknown, 0.5, kRestartedEpoch);
+    EXPECT_FALSE(was_sent(id, false));
+    EXPECT_EQ(reply_to(id), LocalReply::kFailed);
+  }
+}
+
+TEST_F(RepeatedKeys, InANewSessionOfTheSameProcessARepeatRuns) {
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_link_lost(kPlanner, {}, 0.2);
+  dispatch_.on_link_up(kPlanner, kEpoch + 1, kWindow, 1.2);
+  dispatch_.on_request(request(kRepeat), 1.3);
+  answer(kRepeat, AnswerKind::kKeyUnknown, 1.4, kEpoch + 1);
+  EXPECT_TRUE(was_sent(kRepeat, false));
+}
+
+// Two repeats are looked up at once. The proof of the first lookup must not hide the attempt that follows it.
+TEST_F(RepeatedKeys, TwoRepeatsThatAreLookedUpAtOnceDoNotBothRun) {
+  dispatch_.on_request(request(kOriginal), 0);
+  dispatch_.on_caller_disconnected(kOriginal, 0.1);
+  dispatch_.on_request(request(kRepeat), 0.2);
+  dispatch_.on_request(request(3), 0.2);
+  answer(kRepeat, AnswerKind::kKeyUnknown, 0.3);
+  EXPECT_TRUE(was_sent(kRepeat, false));
+  answer(3, AnswerKind::kKeyUnknown, 0.3);  // it was asked before the repeat was sent
+  EXPECT_FALSE(was_sent(3, false));
+  answer(3, AnswerKind::kSucceeded, 0.4);  // it is asked again
+  EXPECT_EQ(dispatch_.open_requests(), 1U);
+}
+
 // ---- The forwarder drains.
 
 TEST_F(RepeatedKeys, AfterTheGraceOfADrainItsResultIsLookedUp) {
@@ -321,8 +382,8 @@
 
 TEST(KeyAttempts, KeysAreDroppedAfterTheirWindowsAndTheAllowedLateness) {
   KeyAttempts keys({kMaxKeys, 2});
-  keys.on_attempt_sent(kKey);
-  keys.on_attempt_ended(kKey, 5);
+  keys.on_attempt_sent(kKey, 1, kEpoch);
+  keys.on_attempt_ended(kKey, 5, true);
   keys.expire(6.9);
   EXPECT_EQ(keys.history(kKey, 4.9), KeyHistory::kMayHaveRun);
   EXPECT_EQ(keys.history(kKey, 5), KeyHistory::kNeverRan);
@@ -335,8 +396,8 @@
 TEST(KeyAttempts, AFullTableForgetsTheFirstWindowAndProvesNothingOfIt) {
   KeyAttempts keys({kMaxKeys, 2});
   for (std::uint64_t key = 1; key <= 3 * kMaxKeys; ++key) {
-    keys.on_attempt_sent(key);
-    keys.on_attempt_ended(key, static_cast<double>(key));
+    keys.on_attempt_sent(key, key, kEpoch);
+    keys.on_attempt_ended(key, static_cast<double>(key), true);
     EXPECT_LE(keys.size(), kMaxKeys);
   }
   EXPECT_EQ(keys.history(1, 0.5), KeyHistory::kPossiblyForgotten);
@@ -348,10 +409,10 @@
 
 TEST(KeyAttempts, AKeyWithAnOpenAttemptIsNotForgotten) {
   KeyAttempts keys({1, 2});
-  keys.on_attempt_sent(kKey);
+  keys.on_attempt_sent(kKey, 1, kEpoch);
   for (std::uint64_t key = 1; key <= 10; ++key) {
-    keys.on_attempt_sent(key);
-    keys.on_attempt_ended(key, 1);
+    keys.on_attempt_sent(key, 1 + key, kEpoch);
+    keys.on_attempt_ended(key, 1, true);
   }
   EXPECT_EQ(keys.size(), 1U);
   EXPECT_EQ(keys.history(kKey, 8), KeyHistory::kMayHaveRun);
@@ -359,8 +420,8 @@
 
 TEST(KeyAttempts, AnAttemptThatIsProvenNotRunLeavesNothing) {
   KeyAttempts keys({kMaxKeys, 2});
-  keys.on_attempt_sent(kKey);
-  keys.on_attempt_sent(kKey);
+  keys.on_attempt_sent(kKey, 1, kEpoch);
+  keys.on_attempt_sent(kKey, 2, kEpoch);
   keys.on_attempt_proven_not_run(kKey);
   EXPECT_EQ(keys.history(kKey, 0), KeyHistory::kMayHaveRun);
   keys.on_attempt_proven_not_run(kKey);
@@ -388,7 +449,7 @@
     keys.expire(now);
     if (open.empty() || random(2) == 0) {
       open.push_back(random(40));
-      keys.on_attempt_sent(open.back());
+      keys.on_attempt_sent(open.back(), static_cast<Attempt>(step) + 1, kEpoch);
     } else {
       const std::size_t index = random(open.size());
       const std::uint64_t key = open[index];
@@ -397,7 +458,7 @@
         keys.on_attempt_proven_not_run(key);
       } else {
         ended.push_back({key, now + static_cast<double>(random(100)) / 100});
-        keys.on_attempt_ended(key, ended.back().window_ends_at);
+        keys.on_attempt_ended(key, ended.back().window_ends_at, random(2) == 0);
       }
     }
     const std::uint64_t key = random(40);
